--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring programs: load, baselines and slopes."""
--- /dev/null
+++ b/src/cuminwall_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small replacements for the outside systems that cuminwall talks to."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cuminwall, one module for each subject."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for contributors: the demonstration and the test runner."""
