--- /dev/null
+++ b/src/cuminwall/outcomes.py
@@ -0,0 +1,207 @@
+"""What a caller is told when its request was not answered with a success.
+
+Each failure is a sentinel value: its kind says what is known about the effect
+and its reason says why. docs/callers/outcomes.md holds the same table.
+"""
+
+import enum
+from typing import NamedTuple
+
+
+class Kind(enum.Enum):
+    """What is known about the effect of a failed request.
+
+    Attributes:
+      NOT_RUN: No byte of the request reached a backend server.
+      OUTCOME_UNKNOWN: The request may have run, wholly or not at all.
+      FAILED: A backend server answered that it did not carry it out.
+    """
+
+    NOT_RUN = "not run"
+    OUTCOME_UNKNOWN = "outcome unknown"
+    FAILED = "failed"
+
+
+class Failure(NamedTuple):
+    """One way to fail.
+
+    Attributes:
+      kind: What is known about the effect.
+      reason: A short stable name, for logs and metrics.
+      sqlstate: The five-character code sent to the caller.
+      message: One sentence for the caller.
+      fatal: Whether the caller's connection ends with it.
+    """
+
+    kind: Kind
+    reason: str
+    sqlstate: str
+    message: str
+    fatal: bool = False
+
+
+RATE_EXCEEDED = Failure(
+    Kind.NOT_RUN,
+    "rate_exceeded",
+    "53400",
+    "not run: the workspace is over its rate",
+)
+KEY_REFUSED = Failure(
+    Kind.NOT_RUN, "key_refused", "28P01", "not run: the key is wrong", True
+)
+KEY_WITHDRAWN = Failure(
+    Kind.NOT_RUN,
+    "key_withdrawn",
+    "28000",
+    "not run: the key is withdrawn",
+    True,
+)
+KEY_WITHDRAWN_IN_TRANSACTION = Failure(
+    Kind.NOT_RUN,
+    "key_withdrawn_in_transaction",
+    "28000",
+    "not run: the key is withdrawn; the open transaction is rolled back",
+    True,
+)
+KEYS_NOT_CURRENT = Failure(
+    Kind.NOT_RUN,
+    "keys_not_current",
+    "57P03",
+    "not run: this instance cannot tell whether the key is still valid",
+)
+CONFIG_MISSING = Failure(
+    Kind.NOT_RUN,
+    "config_missing",
+    "57P03",
+    "not run: this instance has no configuration yet",
+)
+UNKNOWN_SERVICE = Failure(
+    Kind.NOT_RUN,
+    "unknown_service",
+    "3D000",
+    "not run: there is no such database",
+    True,
+)
+ZONE_OUT = Failure(
+    Kind.NOT_RUN,
+    "zone_out",
+    "57P03",
+    "not run: this availability zone is out of service",
+)
+SHUTTING_DOWN = Failure(
+    Kind.NOT_RUN,
+    "shutting_down",
+    "57P01",
+    "not run: this instance is leaving",
+    True,
+)
+NO_PRIMARY = Failure(
+    Kind.NOT_RUN,
+    "no_primary",
+    "57P03",
+    "not run: no primary accepts writes now",
+)
+NO_SERVER = Failure(
+    Kind.NOT_RUN,
+    "no_server",
+    "57P03",
+    "not run: no backend server is in reach",
+)
+NO_HOME = Failure(
+    Kind.NOT_RUN,
+    "no_home",
+    "57P03",
+    "not run: no instance that serves the database is in reach",
+)
+QUEUE_TIMEOUT = Failure(
+    Kind.NOT_RUN,
+    "queue_timeout",
+    "53300",
+    "not run: no connection became free in time",
+)
+QUEUE_FULL = Failure(
+    Kind.NOT_RUN,
+    "queue_full",
+    "53300",
+    "not run: too many requests wait for a connection",
+)
+FLOOR_NOT_REACHED = Failure(
+    Kind.NOT_RUN,
+    "floor_not_reached",
+    "57P03",
+    "not run: no server in reach has the session's own writes",
+)
+FLOOR_LOST = Failure(
+    Kind.NOT_RUN,
+    "floor_lost",
+    "40002",
+    "not run: a write of this session was lost when the primary changed",
+)
+BAD_TOKEN = Failure(
+    Kind.NOT_RUN,
+    "bad_token",
+    "22023",
+    "not run: the session token is malformed",
+    True,
+)
+NOT_CARRIED = Failure(
+    Kind.NOT_RUN,
+    "not_carried",
+    "0A000",
+    "not run: cuminwall does not carry this statement",
+)
+PROTOCOL_VIOLATION = Failure(
+    Kind.NOT_RUN,
+    "protocol_violation",
+    "08P01",
+    "not run: the client broke the protocol",
+    True,
+)
+CANCELED = Failure(
+    Kind.NOT_RUN,
+    "canceled",
+    "57014",
+    "not run: canceled on the caller's request",
+)
+DUPLICATE_REQUEST = Failure(
+    Kind.FAILED,
+    "duplicate_request",
+    "23505",
+    "failed: a request of this id was recorded before; it did not run again",
+)
+TRANSACTION_LOST = Failure(
+    Kind.FAILED,
+    "transaction_lost",
+    "40001",
+    "failed: the transaction's connection ended; it is rolled back",
+)
+WRITE_LEASE_LAPSED = Failure(
+    Kind.OUTCOME_UNKNOWN,
+    "write_lease_lapsed",
+    "08007",
+    "outcome unknown: the primary may have been replaced",
+)
+READ_LEASE_LAPSED = Failure(
+    Kind.FAILED,
+    "read_lease_lapsed",
+    "57P03",
+    "failed: the primary may have been replaced; the read has no effect",
+)
+ANSWER_LOST = Failure(
+    Kind.OUTCOME_UNKNOWN,
+    "answer_lost",
+    "08007",
+    "outcome unknown: the answer did not arrive",
+)
+READ_ANSWER_LOST = Failure(
+    Kind.FAILED,
+    "read_answer_lost",
+    "57P03",
+    "failed: the answer did not arrive whole; the read has no effect",
+)
+REPLICA_NOT_REACHED = Failure(
+    Kind.OUTCOME_UNKNOWN,
+    "replica_not_reached",
+    "08007",
+    "outcome unknown: the primary has the write, no replica confirmed it",
+)
--- /dev/null
+++ b/src/cuminwall/work.py
@@ -0,0 +1,164 @@
+"""What the caller side hands to the serving side, and what comes back.
+
+The caller side cuts a caller's messages into rounds. The serving side runs a
+round on a backend server, here or on another instance, and answers with the
+server's own messages, passed through byte for byte.
+"""
+
+import enum
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+from cuminwall import outcomes
+
+
+class Access(enum.IntEnum):
+    """What a statement may do; anything not proved to be a read is a WRITE."""
+
+    READ = 0
+    WRITE = 1
+
+
+class Position(NamedTuple):
+    """A point in the log of a database group.
+
+    Attributes:
+      term: The group's term.
+      lsn: The log sequence number, in bytes.
+    """
+
+    term: int
+    lsn: int
+
+
+class Prepared(NamedTuple):
+    """A statement that a round needs on whatever connection runs it.
+
+    Attributes:
+      name: The name on the backend connection, derived from the content.
+      sql: The statement.
+      type_oids: The types that the caller gave for the parameters.
+    """
+
+    name: str
+    sql: str
+    type_oids: tuple[int, ...]
+
+
+class Step(NamedTuple):
+    """One message of a round as it goes to the backend server.
+
+    Attributes:
+      message: The encoded message.
+      parses: The name of the statement that this Parse makes, or "".
+    """
+
+    message: bytes
+    parses: str = ""
+
+
+class Round(NamedTuple):
+    """A caller's messages up to and with a Query, Sync or Flush.
+
+    Attributes:
+      access: The strictest access among the statements.
+      steps: The messages in order, statement names already replaced.
+      prepared: Every statement that the steps use.
+      synced: Whether the round ends in a ReadyForQuery (Query or Sync).
+      begins: Whether a statement starts an explicit transaction.
+      settings: Session settings to be in force, name and value.
+      max_age_s: The oldest data that the caller accepts; None means its floor.
+      tables: The names of the tables read, for the rules; empty if unknown.
+      request_id: The caller's id for a write that is safe to repeat, or "".
+    """
+
+    access: Access
+    steps: tuple[Step, ...]
+    prepared: tuple[Prepared, ...] = ()
+    synced: bool = True
+    begins: bool = False
+    settings: tuple[tuple[str, str], ...] = ()
+    max_age_s: float | None = None
+    tables: tuple[str, ...] = ()
+    request_id: str = ""
+
+
+class RoundEnd(NamedTuple):
+    """How a round ended.
+
+    Attributes:
+      status: The transaction status: b"I", b"T" or b"E".
+      failure: Why it failed, or None; the sink has then got no completion.
+      token: The session token after the round, or "" if unchanged.
+      server: The backend server that ran it, or "".
+    """
+
+    status: bytes
+    failure: outcomes.Failure | None
+    token: str = ""
+    server: str = ""
+
+
+class Login(NamedTuple):
+    """A caller that proved its key, or uses an open route.
+
+    Attributes:
+      service: The name of the database service.
+      key_id: The id of the key, or "" on an open route.
+      workspace: The workspace of the key, or "" on an open route.
+      token: The session token that the caller brought, or "".
+      client: The caller's address, for the log.
+    """
+
+    service: str
+    key_id: str
+    workspace: str
+    token: str
+    client: str
+
+
+class Admitted(NamedTuple):
+    """A login was accepted under this session number."""
+
+    session: int
+
+
+class KeyEntry(NamedTuple):
+    """What the configuration in force says of a key.
+
+    Attributes:
+      workspace: The key's workspace.
+      verifier: The SCRAM-SHA-256 verifier in PostgreSQL's text form.
+    """
+
+    workspace: str
+    verifier: str
+
+
+Sink = Callable[[bytes], Awaitable[None]]
+
+
+class ServicePort(Protocol):
+    """What the caller side asks of the serving side."""
+
+    def find_key(self, key_id: str) -> KeyEntry | outcomes.Failure:
+        """Returns the key in force, or why there is none."""
+
+    def is_open(self, service: str) -> bool:
+        """Returns whether `service` may be read without a key."""
+
+    def open_session(self, login: Login) -> Admitted | outcomes.Failure:
+        """Admits a caller."""
+
+    async def run(self, session: int, round_: Round, sink: Sink) -> RoundEnd:
+        """Runs a round; `sink` gets encoded messages without ReadyForQuery.
+
+        A round that fails after messages went to `sink` ends with a failure,
+        and no CommandComplete of the last statement was given.
+        """
+
+    async def cancel(self, session: int) -> None:
+        """Asks the backend server to cancel what the session runs."""
+
+    async def close_session(self, session: int) -> None:
+        """Ends a session and rolls back its open transaction."""
