--- /dev/null
+++ b/src/cuminwall/redaction.py
@@ -0,0 +1,18 @@
+"""Hides secrets in what is shown to a person or written to a log."""
+
+from typing import Any
+
+HIDDEN = "***"
+SECRET_FIELDS = frozenset({"password"})
+
+
+def redact(value: Any) -> Any:
+    """Returns `value` with each secret in it replaced by `HIDDEN`."""
+    if isinstance(value, list):
+        return [redact(item) for item in value]
+    if not isinstance(value, dict):
+        return value
+    shown = {}
+    for name, item in value.items():
+        shown[name] = HIDDEN if name in SECRET_FIELDS else redact(item)
+    return shown
