--- a/src/cuminwall/configuration.py
+++ b/src/cuminwall/configuration.py
@@ -13,6 +13,7 @@
     ServiceDocument,
     WorkspaceDocument,
 )
+from cuminwall.work import KeyEntry
 
 
 class Server(NamedTuple):
@@ -83,18 +84,6 @@
     keys_grace_s: float
 
 
-class Key(NamedTuple):
-    """A key in force.
-
-    Attributes:
-      workspace: The workspace that it acts for.
-      verifier: The SCRAM-SHA-256 verifier in PostgreSQL's text form.
-    """
-
-    workspace: str
-    verifier: str
-
-
 class Configuration(NamedTuple):
     """One version of the configuration.
 
@@ -113,7 +102,7 @@
     zones: Mapping[str, bool]
     workspaces: Mapping[str, Workspace]
     services: Mapping[str, Service]
-    keys: Mapping[str, Key]
+    keys: Mapping[str, KeyEntry]
     ages: Mapping[tuple[str, str], staleness.Ages]
     open_tables: Mapping[str, frozenset[str] | None]
 
@@ -187,7 +176,7 @@
         services[name] = _parse_service(name, service)
     keys = {}
     for name, key in value["keys"].items():
-        keys[name] = Key(key["workspace"], key["verifier"])
+        keys[name] = KeyEntry(key["workspace"], key["verifier"])
     return Configuration(
         version=version,
         zones=zones,
