--- /dev/null
+++ b/src/cuminwall/charges.py
@@ -0,0 +1,143 @@
+"""What a steward lends to the homes of its database groups.
+
+A write lease is granted only for the term that stands confirmed in the
+store, and not while the primary is being changed.
+"""
+
+from cuminwall import calls, leases, membership, messages
+from cuminwall.effects import Effect, Say
+from cuminwall.state import Charge, Lent, State, Stewardship
+
+
+def load(hold: Stewardship, found: calls.Found) -> None:
+    """Takes over the record of a group as read from the store."""
+    service = found.key.rpartition("/")[2]
+    charge = hold.charges.get(service)
+    if charge is None:
+        charge = hold.charges[service] = Charge(service)
+    if found.revision < charge.revision:
+        return
+    charge.revision = found.revision
+    if found.value is not None:
+        charge.record = from_json(service, found.value)
+
+
+def asked(
+    state: State,
+    hold: Stewardship,
+    sender: str,
+    ask: messages.LeaseAsk,
+    out: list[Effect],
+) -> None:
+    """Keeps a home's reports and grants what may be granted."""
+    for report in ask.reports:
+        charge = hold.charges.get(report.service)
+        if charge is None:
+            charge = hold.charges[report.service] = Charge(report.service)
+        key = (sender, report.server)
+        charge.reports[key] = Lent(report, ask.zone, state.now)
+    grants = []
+    records = []
+    for service, term, confirmed in ask.terms:
+        charge = hold.charges.get(service)
+        if charge is None or charge.record is None:
+            continue
+        record = charge.record
+        newest = record.terms[-1].term
+        if (newest, record.active) > (term, confirmed):
+            records.append(record)
+        grants.append(_grant(state, charge, sender, record))
+    answer = messages.LeaseAnswer(
+        ask.number, ask.shard, tuple(grants), tuple(records)
+    )
+    out.append(Say(sender, answer))
+
+
+def handed_back(
+    hold: Stewardship, sender: str, message: messages.HandBack
+) -> None:
+    """Strikes a loan."""
+    charge = hold.charges.get(message.service)
+    if charge is None or charge.record is None:
+        return
+    if charge.record.terms[-1].term == message.term:
+        charge.loans.pop(sender, None)
+
+
+def has_loans(state: State, hold: Stewardship, charge: Charge) -> bool:
+    """Returns whether some write lease may still be counted on."""
+    if state.now < hold.quiet_until:
+        return True
+    for holder, lapses_at in list(charge.loans.items()):
+        if state.now >= lapses_at:
+            del charge.loans[holder]
+    return bool(charge.loans)
+
+
+def fresh_reports(
+    state: State, charge: Charge, since: float
+) -> dict[tuple[str, str], Lent]:
+    """Returns the reports that came at or after `since`, by home and server."""
+    found = {}
+    for key, lent in list(charge.reports.items()):
+        if state.now - lent.received_at > state.times.report_age_s:
+            del charge.reports[key]
+            continue
+        if lent.received_at >= since:
+            found[key] = lent
+    return found
+
+
+def from_json(service: str, value: dict) -> messages.GroupRecord:
+    """Returns a group's record from its form in the store."""
+    terms = []
+    for entry in value["terms"]:
+        terms.append(messages.TermEntry(*entry))
+    return messages.GroupRecord(service, value["active"], tuple(terms))
+
+
+def to_json(record: messages.GroupRecord, write_id: str) -> dict:
+    """Returns a group's record as it is kept in the store."""
+    return {
+        "active": record.active,
+        "terms": [list(entry) for entry in record.terms],
+        "write_id": write_id,
+    }
+
+
+def tell(
+    state: State,
+    charge: Charge,
+    record: messages.GroupRecord,
+    out: list[Effect],
+) -> None:
+    """Tells every home that reported, and every other known one."""
+    listeners = {home for home, _ in charge.reports}
+    listeners.update(membership.homes(state, charge.service))
+    for home in sorted(listeners):
+        out.append(Say(home, messages.RecordNews(record)))
+
+
+def _grant(
+    state: State,
+    charge: Charge,
+    holder: str,
+    record: messages.GroupRecord,
+) -> messages.WriteGrant:
+    """Lends a write lease, or refuses it with a duration of 0."""
+    term = record.terms[-1].term
+    if not record.active or charge.swapping:
+        return messages.WriteGrant(charge.service, term, 0.0)
+    if charge.change is not None and not _is_draining(state, charge, holder):
+        return messages.WriteGrant(charge.service, term, 0.0)
+    duration_s = state.times.write_lease_s
+    charge.loans[holder] = leases.lapses_at(state.now, duration_s)
+    return messages.WriteGrant(charge.service, term, duration_s)
+
+
+def _is_draining(state: State, charge: Charge, holder: str) -> bool:
+    """Returns whether a holder may end its transactions before a change."""
+    change = charge.change
+    if change is None or not change.planned or holder not in charge.loans:
+        return False
+    return state.now - change.began_at < state.times.planned_drain_s
--- /dev/null
+++ b/src/cuminwall/codec.py
@@ -0,0 +1,74 @@
+"""The CBOR form of typed messages between instances.
+
+A message is an array: the number of its type, then its fields. Fields that
+are messages or plain tuples are coded the same way; a failure travels as its
+reason.
+"""
+
+from typing import Any
+
+import cbor2
+
+from cuminwall import exceptions, outcomes
+
+_PLAIN = -1  # Marks an array that is a tuple and no message.
+_FAILURE = -2  # Marks a failure, followed by its reason.
+
+
+class Codec:
+    """Codes the given types.
+
+    Attributes:
+      types: The NamedTuple types; their place is their number.
+    """
+
+    def __init__(self, types: tuple[type, ...]):
+        self.types = types
+        self.numbers = {type_: number for number, type_ in enumerate(types)}
+
+    def encode(self, message: Any) -> bytes:
+        """Returns the CBOR form of a message."""
+        return cbor2.dumps(self._pack(message))
+
+    def decode(self, data: bytes) -> Any:
+        """Returns the message that `data` holds.
+
+        Raises:
+          exceptions.ProtocolError: The bytes are no message of these types.
+        """
+        try:
+            value = self._unpack(cbor2.loads(data))
+        except (
+            cbor2.CBORDecodeError,
+            IndexError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
+            raise exceptions.ProtocolError("malformed message") from error
+        if type(value) not in self.numbers:
+            raise exceptions.ProtocolError("message without type")
+        return value
+
+    def _pack(self, value: Any) -> Any:
+        if not isinstance(value, tuple):
+            return value
+        if isinstance(value, outcomes.Failure):
+            return [_FAILURE, value.reason]
+        packed: list[Any] = [self.numbers.get(type(value), _PLAIN)]
+        for field in value:
+            packed.append(self._pack(field))
+        return packed
+
+    def _unpack(self, value: Any) -> Any:
+        if not isinstance(value, list):
+            return value
+        number = value[0]
+        if number == _FAILURE:
+            return outcomes.BY_REASON[value[1]]
+        fields = [self._unpack(field) for field in value[1:]]
+        if number == _PLAIN:
+            return tuple(fields)
+        if number < 0:
+            raise ValueError(number)
+        return self.types[number](*fields)
--- /dev/null
+++ b/src/cuminwall/messages.py
@@ -0,0 +1,366 @@
+"""The control messages between instances.
+
+Their number on the wire is their place in `TYPES`.
+"""
+
+from typing import NamedTuple
+
+from cuminwall import codec
+
+
+class ServerReport(NamedTuple):
+    """What a home knows of one backend server.
+
+    Attributes:
+      service: The database service.
+      server: The id of the backend server.
+      reachable: Whether fresh connections get answers.
+      in_recovery: What the server says of itself.
+      timeline: Its timeline; 0 if it never answered.
+      lsn: Its log position.
+      age_s: Time since the probe that gave this was sent, in seconds.
+    """
+
+    service: str
+    server: str
+    reachable: bool
+    in_recovery: bool
+    timeline: int
+    lsn: int
+    age_s: float
+
+
+class LeaseAsk(NamedTuple):
+    """A home asks a steward for write leases and reports its servers.
+
+    Attributes:
+      number: Running number of the asker; older answers are ignored.
+      shard: The shard of the services.
+      zone: The asker's availability zone.
+      terms: Service, highest term known and whether it is confirmed there,
+        for each service asked for.
+      reports: What the asker knows of the backend servers.
+    """
+
+    number: int
+    shard: int
+    zone: str
+    terms: tuple[tuple[str, int, bool], ...]
+    reports: tuple[ServerReport, ...]
+
+
+class TermEntry(NamedTuple):
+    """One term of a database group.
+
+    Attributes:
+      term: Counts up with each change of primary.
+      primary: The id of the backend server.
+      timeline: The primary's timeline.
+      fork_lsn: Where its log left that of the term before.
+    """
+
+    term: int
+    primary: str
+    timeline: int
+    fork_lsn: int
+
+
+class GroupRecord(NamedTuple):
+    """The agreed state of a database group.
+
+    Attributes:
+      service: The database service.
+      active: Whether the newest term's primary is confirmed.
+      terms: The terms in order, the newest last.
+    """
+
+    service: str
+    active: bool
+    terms: tuple[TermEntry, ...]
+
+
+class WriteGrant(NamedTuple):
+    """A write lease for one service.
+
+    Attributes:
+      service: The database service.
+      term: The term that it holds for.
+      duration_s: Its length; 0 means that none is granted now.
+    """
+
+    service: str
+    term: int
+    duration_s: float
+
+
+class LeaseAnswer(NamedTuple):
+    """A steward's answer to a LeaseAsk.
+
+    Attributes:
+      number: The number of the ask.
+      shard: The shard.
+      grants: One for each service asked for.
+      records: The records that are newer than what the asker knows.
+    """
+
+    number: int
+    shard: int
+    grants: tuple[WriteGrant, ...]
+    records: tuple[GroupRecord, ...]
+
+
+class Recall(NamedTuple):
+    """A steward asks for a write lease back.
+
+    Attributes:
+      shard: The shard.
+      service: The database service.
+      term: The term of the lease.
+      planned: Whether open transactions shall be let to end first.
+    """
+
+    shard: int
+    service: str
+    term: int
+    planned: bool
+
+
+class HandBack(NamedTuple):
+    """A home gives its write lease of a term back and uses it no more."""
+
+    shard: int
+    service: str
+    term: int
+
+
+class RecordNews(NamedTuple):
+    """A steward tells a home of a new term."""
+
+    record: GroupRecord
+
+
+class PromoteOrder(NamedTuple):
+    """A steward wants a home to promote a backend server."""
+
+    shard: int
+    service: str
+    server: str
+    term: int
+
+
+class PermitAsk(NamedTuple):
+    """A home asks whether the order still stands, before it acts."""
+
+    number: int
+    shard: int
+    service: str
+    server: str
+    term: int
+
+
+class PermitGrant(NamedTuple):
+    """The order stands for this long, counted from before the ask."""
+
+    number: int
+    service: str
+    server: str
+    term: int
+    duration_s: float
+
+
+class PromoteReport(NamedTuple):
+    """How an order to promote ended.
+
+    Attributes:
+      shard: The shard.
+      service: The database service.
+      server: The id of the backend server.
+      term: The term of the order.
+      done: Whether the server now says that it is primary.
+      timeline: Its timeline afterwards.
+      fork_lsn: Its log position when it was promoted.
+    """
+
+    shard: int
+    service: str
+    server: str
+    term: int
+    done: bool
+    timeline: int
+    fork_lsn: int
+
+
+class PromiseAsk(NamedTuple):
+    """A steward without store asks a successor to hold still."""
+
+    number: int
+    shard: int
+    epoch: int
+
+
+class PromiseAnswer(NamedTuple):
+    """A successor's promise; duration 0 is a refusal."""
+
+    number: int
+    shard: int
+    epoch: int
+    duration_s: float
+
+
+class ShardRecord(NamedTuple):
+    """Who is the steward of a shard, and who may follow.
+
+    Attributes:
+      shard: The shard's number.
+      epoch: Counts up with each change of steward.
+      steward: The instance that lends.
+      successors: The instances that may take over.
+      held: Whether the steward's key stands in the store.
+      revision: The highest store revision of both.
+    """
+
+    shard: int
+    epoch: int
+    steward: str
+    successors: tuple[str, ...]
+    held: bool
+    revision: int
+
+
+class RelayAsk(NamedTuple):
+    """An instance asks its relay for what is new.
+
+    Attributes:
+      number: Running number of the asker.
+      version: The configuration version that the asker has.
+      revision: The highest shard revision that it knows.
+    """
+
+    number: int
+    version: int
+    revision: int
+
+
+class RelayAnswer(NamedTuple):
+    """What a relay knows.
+
+    Attributes:
+      number: The number of the ask, or 0 for unasked news.
+      version: The newest configuration version that the relay has.
+      age_s: How long ago that version was surely current; -1 if unknown.
+      shards: The shard records that are newer than what the asker knows.
+    """
+
+    number: int
+    version: int
+    age_s: float
+    shards: tuple[ShardRecord, ...]
+
+
+class ShareLine(NamedTuple):
+    """An amount of one shared limit.
+
+    Attributes:
+      name: The limit, for example "rate:clerks".
+      amounts: Its parts, for example rate and burst.
+    """
+
+    name: str
+    amounts: tuple[float, ...]
+
+
+class ShareAsk(NamedTuple):
+    """A holder states what it holds and what it needs of shared limits.
+
+    Attributes:
+      number: Running number of the asker for this shard.
+      shard: The shard of the limits.
+      accepted: The number of the last answer that the holder took.
+      holding: What the holder has.
+      given_back: What it gives back with this ask.
+      wanted: What it would like to hold in all.
+    """
+
+    number: int
+    shard: int
+    accepted: int
+    holding: tuple[ShareLine, ...]
+    given_back: tuple[ShareLine, ...]
+    wanted: tuple[ShareLine, ...]
+
+
+class ShareAnswer(NamedTuple):
+    """A lender's answer.
+
+    Attributes:
+      number: The number of the ask.
+      shard: The shard of the limits.
+      added: What the holder has from now on beyond `holding`.
+      duration_s: How long all of the holding is lent, from before the ask.
+      floor_duration_s: How long its reserved part is lent.
+    """
+
+    number: int
+    shard: int
+    added: tuple[ShareLine, ...]
+    duration_s: float
+    floor_duration_s: float
+
+
+TYPES: tuple[type, ...] = (
+    ServerReport,
+    LeaseAsk,
+    TermEntry,
+    GroupRecord,
+    WriteGrant,
+    LeaseAnswer,
+    Recall,
+    HandBack,
+    RecordNews,
+    PromoteOrder,
+    PermitAsk,
+    PermitGrant,
+    PromoteReport,
+    PromiseAsk,
+    PromiseAnswer,
+    ShardRecord,
+    RelayAsk,
+    RelayAnswer,
+    ShareLine,
+    ShareAsk,
+    ShareAnswer,
+)
+
+Message = (
+    LeaseAsk
+    | LeaseAnswer
+    | Recall
+    | HandBack
+    | RecordNews
+    | PromoteOrder
+    | PermitAsk
+    | PermitGrant
+    | PromoteReport
+    | PromiseAsk
+    | PromiseAnswer
+    | RelayAsk
+    | RelayAnswer
+    | ShareAsk
+    | ShareAnswer
+)
+
+CODEC = codec.Codec(TYPES)
+
+
+def encode(message: NamedTuple) -> bytes:
+    """Returns the CBOR form of a message."""
+    return CODEC.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message that `data` holds.
+
+    Raises:
+      exceptions.ProtocolError: The bytes are no message of this protocol.
+    """
+    return CODEC.decode(data)
--- a/src/cuminwall/outcomes.py
+++ b/src/cuminwall/outcomes.py
@@ -205,3 +205,15 @@
     "08007",
     "outcome unknown: the primary has the write, no replica confirmed it",
 )
+
+
+def _by_reason() -> dict[str, Failure]:
+    """Returns every sentinel of this module by its reason."""
+    found = {}
+    for value in globals().values():
+        if isinstance(value, Failure):
+            found[value.reason] = value
+    return found
+
+
+BY_REASON = _by_reason()
--- /dev/null
+++ b/src/cuminwall/placement.py
@@ -0,0 +1,45 @@
+"""Which instances are responsible for what, by rendezvous hashing.
+
+Every instance works this out by itself from the instance list. Views may
+differ for a while; what must be exact is settled by leases, not here.
+"""
+
+import functools
+import hashlib
+from collections.abc import Iterable
+
+RELAYS_PER_ZONE = 2
+MEMBERS_PER_RELAY = 100
+
+
+@functools.lru_cache(maxsize=65536)
+def _key_hash(name: str) -> int:
+    """Returns a 64-bit hash that is the same on every instance."""
+    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def score(name: str, member: str) -> int:
+    """Returns the rank of `member` for `name`; the highest is responsible."""
+    mixed = _key_hash(name) ^ (_key_hash(member) * 0x9E3779B97F4A7C15)
+    mixed &= 0xFFFFFFFFFFFFFFFF
+    mixed ^= mixed >> 29
+    mixed = mixed * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    return mixed ^ (mixed >> 32)
+
+
+def ranked(name: str, members: Iterable[str]) -> list[str]:
+    """Returns the members, the most responsible first."""
+    return sorted(
+        members, key=lambda member: (score(name, member), member), reverse=True
+    )
+
+
+def shard_of(name: str, shard_count: int) -> int:
+    """Returns the shard that a service or workspace belongs to."""
+    return _key_hash(name) % shard_count
+
+
+def relay_count(members_in_zone: int) -> int:
+    """Returns how many relays a zone of this size has."""
+    return RELAYS_PER_ZONE + members_in_zone // MEMBERS_PER_RELAY
--- /dev/null
+++ b/src/cuminwall/promotion.py
@@ -0,0 +1,642 @@
+"""Changing the primary of a database group, step by step, at its steward.
+
+Fence: nobody holds a write lease of the old term. Choose: the replica with
+the highest position. Agree: the new term stands in the store, unconfirmed.
+Promote: one home orders it, under a permit that lapses like a lease. Confirm:
+the term stands in the store with its timeline, and leases are lent again.
+"""
+
+import enum
+from typing import NamedTuple
+
+from cuminwall import (
+    calls,
+    charges,
+    events,
+    groups,
+    leases,
+    membership,
+    messages,
+    ports,
+)
+from cuminwall.effects import Effect, Log, Say
+from cuminwall.state import Change, Charge, Group, Lent, State, Stewardship
+
+PREFIX = "failover"
+
+MIN_ZONES = 2
+REPORT_WAIT_S = 0.3
+CATCH_UP_S = 3.0
+KEPT_TERMS = 20
+
+
+class Phase(enum.Enum):
+    """The steps of a change of primary."""
+
+    FENCING = "fencing"
+    CHOOSING = "choosing"
+    AGREEING = "agreeing"
+    PROMOTING = "promoting"
+    CONFIRMING = "confirming"
+
+
+class RecordAgreed(NamedTuple):
+    """The record of a new, unconfirmed term was written."""
+
+    shard: int
+    service: str
+    record: messages.GroupRecord
+    write_id: str
+
+
+class RecordConfirmed(NamedTuple):
+    """The record of a confirmed term was written."""
+
+    shard: int
+    service: str
+    record: messages.GroupRecord
+    write_id: str
+
+
+class RecordReadBack(NamedTuple):
+    """The record was read because a write of it was unclear."""
+
+    shard: int
+    service: str
+    then: RecordAgreed | RecordConfirmed
+
+
+def tick(state: State, hold: Stewardship, out: list[Effect]) -> None:
+    """Moves every change of the shard on, and begins those that are due."""
+    for charge in hold.charges.values():
+        if charge.swapping:
+            continue
+        if charge.record is None:
+            _find_first(state, hold, charge, out)
+            continue
+        if charge.change is None:
+            _begin_if_due(state, charge, out)
+        if charge.change is not None:
+            _advance(state, hold, charge, charge.change, out)
+
+
+def permit_asked(
+    state: State,
+    hold: Stewardship,
+    sender: str,
+    ask: messages.PermitAsk,
+    out: list[Effect],
+) -> None:
+    """Confirms an order to promote for a short time, if it still stands."""
+    charge = hold.charges.get(ask.service)
+    if charge is None or charge.change is None or charge.record is None:
+        return
+    change = charge.change
+    if change.phase is not Phase.PROMOTING or change.home != sender:
+        return
+    if charge.record.terms[-1].term != ask.term:
+        return
+    if change.server != ask.server:
+        return
+    if state.now - change.since >= state.times.promote_s:
+        return
+    duration_s = state.times.permit_s
+    change.permit_lapses_at = leases.lapses_at(state.now, duration_s)
+    grant = messages.PermitGrant(
+        ask.number, ask.service, ask.server, ask.term, duration_s
+    )
+    out.append(Say(sender, grant))
+
+
+def reported(
+    state: State,
+    hold: Stewardship,
+    report: messages.PromoteReport,
+    out: list[Effect],
+) -> None:
+    """Confirms a term whose server was promoted."""
+    charge = hold.charges.get(report.service)
+    if charge is None or charge.change is None or charge.record is None:
+        return
+    change = charge.change
+    newest = charge.record.terms[-1]
+    if change.phase is not Phase.PROMOTING or newest.term != report.term:
+        return
+    if newest.primary != report.server:
+        return
+    if not report.done:
+        text = f"{report.service}: {report.server} was not promoted"
+        out.append(Log(PREFIX, text))
+        return
+    _confirm(state, hold, charge, report.timeline, report.fork_lsn, out)
+
+
+def _begin_if_due(state: State, charge: Charge, out: list[Effect]) -> None:
+    """Begins a change when the primary fails or is taken out."""
+    record = charge.record
+    assert record is not None
+    primary = record.terms[-1].primary
+    if not record.active:
+        # A former steward left the term unconfirmed.
+        charge.change = Change(Phase.FENCING, state.now, False)
+        return
+    if _is_failed(state, charge, primary):
+        text = f"{charge.service}: primary {primary} does not serve"
+        out.append(Log(PREFIX, text))
+        _begin(state, charge, False, out)
+        return
+    if _is_taken_out(state, charge, primary):
+        text = f"{charge.service}: primary {primary} is taken out"
+        out.append(Log(PREFIX, text))
+        _begin(state, charge, True, out)
+
+
+def _begin(
+    state: State, charge: Charge, planned: bool, out: list[Effect]
+) -> None:
+    """Stops lending and recalls what is lent."""
+    assert charge.record is not None
+    charge.change = Change(Phase.FENCING, state.now, planned)
+    term = charge.record.terms[-1].term
+    shard = membership.shard_of(state, charge.service)
+    recall = messages.Recall(shard, charge.service, term, planned)
+    for holder in charge.loans:
+        out.append(Say(holder, recall))
+
+
+def _is_failed(state: State, charge: Charge, primary: str) -> bool:
+    """Returns whether homes of enough zones find the primary not serving."""
+    serving: set[str] = set()
+    failing: set[str] = set()
+    for (_, server), lent in charges.fresh_reports(
+        state, charge, leases.NEVER
+    ).items():
+        if server != primary:
+            continue
+        if _is_serving_primary(lent):
+            serving.add(lent.zone)
+        else:
+            failing.add(lent.zone)
+    failing -= serving
+    needed = min(MIN_ZONES, _home_zone_count(state, charge.service))
+    return len(failing) >= needed and len(failing) > len(serving)
+
+
+def _is_serving_primary(lent: Lent) -> bool:
+    """Returns whether a report shows a server that answers as a primary."""
+    return lent.report.reachable and not lent.report.in_recovery
+
+
+def _home_zone_count(state: State, service: str) -> int:
+    """Returns how many zones have homes of a service, at least 1."""
+    zones = set()
+    for home in membership.homes(state, service):
+        zones.add(membership.zone_of(state, home))
+    return max(1, len(zones))
+
+
+def _is_taken_out(state: State, charge: Charge, primary: str) -> bool:
+    """Returns whether the operators took the primary out and another may."""
+    entry = state.config.services.get(charge.service)
+    if entry is None or primary not in entry.servers:
+        return False
+    if state.config.is_server_serving(charge.service, primary):
+        return False
+    return any(
+        _is_candidate(state, charge, server) and server != primary
+        for server in entry.servers
+    )
+
+
+def _is_candidate(state: State, charge: Charge, server: str) -> bool:
+    """Returns whether a server may be chosen at all."""
+    return state.config.is_server_serving(charge.service, server)
+
+
+def _advance(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    change: Change,
+    out: list[Effect],
+) -> None:
+    """Moves a change on by at most one step."""
+    if _confirm_if_promoted(state, hold, charge, change, out):
+        return
+    if change.phase is Phase.FENCING:
+        if charges.has_loans(state, hold, charge):
+            return
+        change.phase = Phase.CHOOSING
+        change.since = change.fenced_at = state.now
+        text = f"{charge.service}: no write lease is held any more"
+        out.append(Log(PREFIX, text))
+        return
+    if change.phase is Phase.CHOOSING:
+        _choose(state, hold, charge, change, out)
+        return
+    if change.phase is Phase.PROMOTING:
+        _await_promotion(state, hold, charge, change, out)
+
+
+def _choose(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    change: Change,
+    out: list[Effect],
+) -> None:
+    """Chooses the replica with the highest position and agrees on it."""
+    if state.now - change.since < REPORT_WAIT_S:
+        if not _all_reported(state, charge, change.fenced_at):
+            return
+    record = charge.record
+    assert record is not None
+    primary = record.terms[-1].primary
+    if record.active and not _is_still_due(state, charge, change):
+        charge.change = None
+        text = f"{charge.service}: primary {primary} serves; no change"
+        out.append(Log(PREFIX, text))
+        return
+    best = _best_candidate(state, charge, change)
+    if best is None:
+        # Servers that failed before may have come back.
+        change.failed.clear()
+        return
+    server, lsn = best
+    if change.planned and not _has_caught_up(state, charge, change, lsn):
+        return
+    _agree(state, hold, charge, change, server, out)
+
+
+def _is_still_due(state: State, charge: Charge, change: Change) -> bool:
+    """Returns whether the reason for a change still stands."""
+    assert charge.record is not None
+    primary = charge.record.terms[-1].primary
+    if change.planned:
+        return _is_taken_out(state, charge, primary)
+    return _is_failed(state, charge, primary)
+
+
+def _agree(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    change: Change,
+    server: str,
+    out: list[Effect],
+) -> None:
+    """Writes the new term, not yet confirmed, to the store."""
+    assert charge.record is not None
+    change.server = server
+    change.phase = Phase.AGREEING
+    change.since = state.now
+    newest = charge.record.terms[-1]
+    kept = charge.record.terms
+    if not charge.record.active:
+        kept = kept[:-1]
+    entry = messages.TermEntry(newest.term + 1, server, 0, 0)
+    terms = (*kept, entry)[-KEPT_TERMS:]
+    record = messages.GroupRecord(charge.service, False, terms)
+    text = f"{charge.service} term {entry.term}: choosing {server}"
+    out.append(Log(PREFIX, text))
+    _write(state, hold, charge, record, RecordAgreed, out)
+
+
+def _all_reported(state: State, charge: Charge, since: float) -> bool:
+    """Returns whether every home that reports did so since the fence."""
+    all_homes = {home for home, _ in charge.reports}
+    fresh = {home for home, _ in charges.fresh_reports(state, charge, since)}
+    return bool(fresh) and fresh == all_homes
+
+
+def _best_candidate(
+    state: State, charge: Charge, change: Change
+) -> tuple[str, int] | None:
+    """Returns the server with the highest position that enough zones reach."""
+    assert charge.record is not None
+    old_primary = charge.record.terms[-1].primary
+    zones: dict[str, set[str]] = {}
+    ranks: dict[str, tuple[int, int, str]] = {}
+    reports = charges.fresh_reports(state, charge, change.fenced_at)
+    for (_, server), lent in reports.items():
+        report = lent.report
+        if not report.reachable or server in change.failed:
+            continue
+        if server == old_primary and charge.record.active:
+            continue
+        if not _is_candidate(state, charge, server):
+            continue
+        if not _is_on_or_after_history(charge, report):
+            continue
+        zones.setdefault(server, set()).add(lent.zone)
+        rank = (report.timeline, report.lsn, server)
+        ranks[server] = max(rank, ranks.get(server, rank))
+    needed = min(MIN_ZONES, _home_zone_count(state, charge.service))
+    able = [ranks[name] for name in ranks if len(zones[name]) >= needed]
+    if not able:
+        return None
+    best = max(able)
+    return best[2], best[1]
+
+
+def _is_on_or_after_history(
+    charge: Charge, report: messages.ServerReport
+) -> bool:
+    """Returns whether a server has nothing that the history left out.
+
+    A timeline past the last confirmed one comes of a promotion that was never
+    confirmed; nothing was acknowledged on it, so all of it may be kept.
+    """
+    history = _history(charge)
+    assert history.record is not None
+    if not history.record.terms:
+        return True
+    if report.timeline > history.record.terms[-1].timeline:
+        return True
+    return groups.is_on_history(history, report.timeline, report.lsn)
+
+
+def _history(charge: Charge) -> Group:
+    """Returns a group that holds the confirmed terms alone."""
+    history = Group(charge.service)
+    record = charge.record
+    assert record is not None
+    terms = [entry for entry in record.terms if entry.timeline]
+    history.record = messages.GroupRecord(charge.service, True, tuple(terms))
+    return history
+
+
+def _has_caught_up(
+    state: State, charge: Charge, change: Change, lsn: int
+) -> bool:
+    """Returns whether a planned change may go on without loss."""
+    if state.now - change.fenced_at >= CATCH_UP_S:
+        return True
+    assert charge.record is not None
+    primary = charge.record.terms[-1].primary
+    reports = charges.fresh_reports(state, charge, change.fenced_at)
+    positions = []
+    for (_, server), lent in reports.items():
+        if server == primary and _is_serving_primary(lent):
+            positions.append(lent.report.lsn)
+    return bool(positions) and lsn >= max(positions)
+
+
+def _await_promotion(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    change: Change,
+    out: list[Effect],
+) -> None:
+    """Orders the promotion, and gives it up when it takes too long."""
+    if not change.home:
+        _order(state, charge, change, out)
+        return
+    if state.now - change.since < state.times.promote_s:
+        return
+    if state.now < change.permit_lapses_at:
+        return
+    text = f"{charge.service}: {change.server} takes too long"
+    out.append(Log(PREFIX, text))
+    change.failed.add(change.server)
+    change.home = ""
+    change.phase = Phase.CHOOSING
+    change.since = change.fenced_at = state.now
+
+
+def _confirm_if_promoted(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    change: Change,
+    out: list[Effect],
+) -> bool:
+    """Confirms a term whose server is seen to be primary by now.
+
+    The report of a promotion may be lost, and a former steward's order may
+    have been carried out after it was gone.
+    """
+    assert charge.record is not None
+    if charge.record.active or len(charge.record.terms) < 2:
+        return False
+    newest = charge.record.terms[-1]
+    former = charge.record.terms[-2].timeline
+    for (_, server), lent in charges.fresh_reports(
+        state, charge, leases.NEVER
+    ).items():
+        if server != newest.primary or not _is_serving_primary(lent):
+            continue
+        if lent.report.timeline > former:
+            _confirm(
+                state,
+                hold,
+                charge,
+                lent.report.timeline,
+                lent.report.lsn,
+                out,
+            )
+            return True
+    return False
+
+
+def _order(
+    state: State, charge: Charge, change: Change, out: list[Effect]
+) -> None:
+    """Orders the promotion at a home that reaches the server."""
+    assert charge.record is not None
+    zone = ""
+    entry = state.config.services.get(charge.service)
+    if entry is not None and change.server in entry.servers:
+        zone = entry.servers[change.server].zone
+    best = ""
+    for (home, server), lent in charges.fresh_reports(
+        state, charge, leases.NEVER
+    ).items():
+        if server != change.server or not lent.report.reachable:
+            continue
+        if not best or lent.zone == zone:
+            best = home
+    if not best:
+        change.home = state.instance
+        return
+    change.home = best
+    change.since = state.now
+    shard = membership.shard_of(state, charge.service)
+    term = charge.record.terms[-1].term
+    order = messages.PromoteOrder(shard, charge.service, change.server, term)
+    out.append(Say(best, order))
+
+
+def _find_first(
+    state: State, hold: Stewardship, charge: Charge, out: list[Effect]
+) -> None:
+    """Writes the first record of a group from what its servers say."""
+    best: tuple[int, int, str] | None = None
+    for (_, server), lent in charges.fresh_reports(
+        state, charge, leases.NEVER
+    ).items():
+        if not _is_serving_primary(lent):
+            continue
+        rank = (lent.report.timeline, lent.report.lsn, server)
+        if best is None or rank > best:
+            best = rank
+    if best is None:
+        return
+    entry = messages.TermEntry(1, best[2], best[0], 0)
+    record = messages.GroupRecord(charge.service, True, (entry,))
+    _write(state, hold, charge, record, RecordConfirmed, out)
+
+
+def _confirm(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    timeline: int,
+    fork_lsn: int,
+    out: list[Effect],
+) -> None:
+    """Writes that the newest term's primary was promoted."""
+    assert charge.record is not None and charge.change is not None
+    charge.change.phase = Phase.CONFIRMING
+    charge.change.since = state.now
+    newest = charge.record.terms[-1]._replace(
+        timeline=timeline, fork_lsn=fork_lsn
+    )
+    terms = (*charge.record.terms[:-1], newest)
+    record = messages.GroupRecord(charge.service, True, terms)
+    _write(state, hold, charge, record, RecordConfirmed, out)
+
+
+def _write(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    record: messages.GroupRecord,
+    then_type: type[RecordAgreed] | type[RecordConfirmed],
+    out: list[Effect],
+) -> None:
+    """Compares and swaps a group's record."""
+    charge.swapping = True
+    write_id = f"{state.instance}:{state.next_number()}"
+    then = then_type(hold.shard, charge.service, record, write_id)
+    _swap(state, hold, charge, then, out)
+
+
+def _swap(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    then: RecordAgreed | RecordConfirmed,
+    out: list[Effect],
+) -> None:
+    """Sends the compare-and-swap, for the first time or again."""
+    key = f"{calls.GROUPS_PREFIX}{hold.shard}/{charge.service}"
+    value = charges.to_json(then.record, then.write_id)
+    calls.swap(state, key, charge.revision, value, then, out)
+
+
+def _written(
+    then: RecordAgreed | RecordConfirmed,
+    state: State,
+    event: events.StoreAnswered,
+    out: list[Effect],
+) -> tuple[Stewardship, Charge] | None:
+    """Handles the answer to a swap; returns the charge if it took effect."""
+    hold = state.stewardships.get(then.shard)
+    charge = hold.charges.get(then.service) if hold else None
+    if hold is None or charge is None or not charge.swapping:
+        return None
+    if isinstance(event.answer, ports.Swapped):
+        charge.swapping = False
+        charge.revision = event.answer.revision
+        charge.record = then.record
+        return hold, charge
+    key = f"{calls.GROUPS_PREFIX}{then.shard}/{then.service}"
+    read_back = RecordReadBack(then.shard, then.service, then)
+    calls.read(state, key, read_back, out)
+    return None
+
+
+@calls.resume.register
+def _agreed(
+    then: RecordAgreed,
+    state: State,
+    event: events.StoreAnswered,
+    out: list[Effect],
+) -> None:
+    written = _written(then, state, event, out)
+    if written is not None:
+        _go_on_after(state, written[0], written[1], then, out)
+
+
+@calls.resume.register
+def _confirmed(
+    then: RecordConfirmed,
+    state: State,
+    event: events.StoreAnswered,
+    out: list[Effect],
+) -> None:
+    written = _written(then, state, event, out)
+    if written is not None:
+        _go_on_after(state, written[0], written[1], then, out)
+
+
+@calls.resume.register
+def _read_back(
+    then: RecordReadBack,
+    state: State,
+    event: events.StoreAnswered,
+    out: list[Effect],
+) -> None:
+    hold = state.stewardships.get(then.shard)
+    charge = hold.charges.get(then.service) if hold else None
+    if hold is None or charge is None or not charge.swapping:
+        return
+    found = event.answer
+    if not isinstance(found, calls.Found):
+        # Nothing else is decided before the store has answered.
+        key = f"{calls.GROUPS_PREFIX}{then.shard}/{then.service}"
+        calls.read(state, key, then, out)
+        return
+    write_id = found.value["write_id"] if found.value else ""
+    if write_id == then.then.write_id:
+        charge.swapping = False
+        charge.revision = found.revision
+        charge.record = then.then.record
+        _go_on_after(state, hold, charge, then.then, out)
+        return
+    if found.revision == charge.revision:
+        # It may still arrive; the same swap again takes effect at most once.
+        _swap(state, hold, charge, then.then, out)
+        return
+    charge.swapping = False
+    charge.change = None
+    charges.load(hold, found)
+    text = f"{then.service}: another steward changed the record"
+    out.append(Log(PREFIX, text))
+
+
+def _go_on_after(
+    state: State,
+    hold: Stewardship,
+    charge: Charge,
+    then: RecordAgreed | RecordConfirmed,
+    out: list[Effect],
+) -> None:
+    """Goes on once a record stands in the store."""
+    charges.tell(state, charge, then.record, out)
+    if isinstance(then, RecordConfirmed):
+        newest = then.record.terms[-1]
+        text = f"{charge.service} term {newest.term}: {newest.primary} leads"
+        out.append(Log(PREFIX, text))
+        charge.change = None
+        charge.loans.clear()
+        return
+    change = charge.change
+    if change is None:
+        return
+    change.phase = Phase.PROMOTING
+    change.since = state.now
+    change.home = ""
+    _order(state, charge, change, out)
--- /dev/null
+++ b/src/cuminwall/sessions.py
@@ -0,0 +1,344 @@
+"""Callers at their entry instance: admission, floors and the way of a round.
+
+The workspace of a round is that of the key which the caller proved. The key
+is looked up again for every round, so that a withdrawn one stops at once.
+"""
+
+from cuminwall import jobs, membership, outcomes, rates, tokens, work
+from cuminwall.effects import (
+    Admit,
+    CancelRound,
+    CloseSession,
+    Complete,
+    Dispatch,
+    Effect,
+    Log,
+    Reject,
+    ReleasePin,
+)
+from cuminwall.state import Pending, Session, State
+
+PREFIX = "sessions"
+
+IDLE = b"I"
+IN_TRANSACTION = b"T"
+
+
+def open_session(
+    state: State, number: int, login: work.Login, out: list[Effect]
+) -> None:
+    """Admits a caller, or rejects it with the reason."""
+    session = Session(number, login)
+    failure = _check_login(state, session)
+    if failure is not None:
+        out.append(Reject(number, failure))
+        return
+    state.sessions[number] = session
+    out.append(Admit(number))
+
+
+def close_session(state: State, number: int, out: list[Effect]) -> None:
+    """Forgets a caller; its open transaction is rolled back."""
+    session = state.sessions.pop(number, None)
+    if session is None:
+        return
+    if session.running:
+        _abandon(state, session.running, out)
+    if session.home == state.instance:
+        jobs.release(state, (state.instance, number), out)
+    elif session.home:
+        out.append(ReleasePin(session.home, number))
+
+
+def round_arrived(
+    state: State,
+    session_number: int,
+    number: int,
+    order: work.WorkOrder,
+    is_request: bool,
+    out: list[Effect],
+) -> None:
+    """Checks a round and sends it to a home.
+
+    Args:
+      state: The state.
+      session_number: The caller's session.
+      number: The work's number on this instance.
+      order: What the engine knows; key, floor and home are filled in here.
+      is_request: Whether it counts against the rate.
+      out: Takes the effects.
+    """
+    session = state.sessions.get(session_number)
+    if session is None:
+        _refuse(number, IDLE, outcomes.SHUTTING_DOWN, out)
+        return
+    failure = check_round(state, session, order)
+    if failure is not None:
+        _refuse_checked(session, number, failure, out)
+        return
+    pending = Pending(
+        session_number, _complete_order(state, session, order), state.now
+    )
+    if is_request and not rates.take(state, session.login.workspace, number):
+        _refuse_checked(session, number, outcomes.RATE_EXCEEDED, out)
+        return
+    state.pending[number] = pending
+    session.running = number
+    send(state, number, pending, out)
+
+
+def send(
+    state: State, number: int, pending: Pending, out: list[Effect]
+) -> None:
+    """Sends a checked round to the best home."""
+    session = state.sessions.get(pending.session)
+    if session is None:
+        del state.pending[number]
+        return
+    session.running = number
+    home = session.home or _choose_home(state, pending)
+    if not home:
+        _end(state, number, pending, outcomes.NO_HOME, out)
+        return
+    pending.home = home
+    pending.tried.append(home)
+    if home == state.instance:
+        key = work.WorkKey(state.instance, number)
+        jobs.arrive(state, key, pending.order, out)
+        return
+    out.append(Dispatch(number, home, pending.order))
+    text = f"{pending.order.service} {number} goes to home {home}"
+    out.append(Log(PREFIX, text))
+
+
+def answered(
+    state: State, number: int, answer: work.WorkAnswer, out: list[Effect]
+) -> None:
+    """Ends a round with its home's answer."""
+    pending = state.pending.pop(number, None)
+    if pending is None:
+        return
+    session = state.sessions.get(pending.session)
+    if session is None:
+        return
+    session.running = 0
+    session.home = pending.home if answer.pinned else ""
+    token = _raise_floor(session, answer)
+    end = work.RoundEnd(answer.status, answer.failure, token, answer.server)
+    out.append(Complete(number, end))
+
+
+def home_lost(
+    state: State, number: int, sent: bool, delivered: bool, out: list[Effect]
+) -> None:
+    """Decides on a round whose home went silent."""
+    pending = state.pending.get(number)
+    if pending is None:
+        return
+    membership.pass_over(state, pending.home)
+    session = state.sessions.get(pending.session)
+    pinned = pending.order.pinned
+    is_read = pending.order.access == work.Access.READ
+    if not pinned and not delivered and (not sent or is_read):
+        # Nothing ran, or nothing that running twice could harm.
+        pending.home = ""
+        send(state, number, pending, out)
+        return
+    if session is not None:
+        session.home = ""
+    failure = outcomes.ANSWER_LOST
+    if is_read:
+        failure = outcomes.READ_ANSWER_LOST
+    elif pinned and not sent:
+        failure = outcomes.TRANSACTION_LOST
+    _end(state, number, pending, failure, out)
+
+
+def close_unserved(state: State, out: list[Effect]) -> None:
+    """Closes sessions whose key, zone or instance serves no more.
+
+    An open transaction may end before its zone or instance leaves. It may
+    not when the key is withdrawn: it is rolled back, and a statement that
+    still runs is canceled after a short time.
+    """
+    for session in list(state.sessions.values()):
+        failure = _standing_failure(state, session)
+        if failure is None:
+            session.unserved_since = None
+            continue
+        if session.unserved_since is None:
+            session.unserved_since = state.now
+        if failure is outcomes.KEY_WITHDRAWN:
+            _close_withdrawn(state, session, out)
+            continue
+        if session.home or session.running:
+            continue
+        out.append(CloseSession(session.number, failure))
+
+
+def _close_withdrawn(state: State, session: Session, out: list[Effect]) -> None:
+    """Ends a session whose key is withdrawn."""
+    if not session.running:
+        failure = outcomes.KEY_WITHDRAWN
+        if session.home:
+            failure = outcomes.KEY_WITHDRAWN_IN_TRANSACTION
+        out.append(CloseSession(session.number, failure))
+        return
+    assert session.unserved_since is not None
+    running_s = state.now - session.unserved_since
+    if running_s >= state.times.withdrawn_grace_s:
+        out.append(CancelRound(session.number))
+
+
+def check_round(
+    state: State, session: Session, order: work.WorkOrder
+) -> outcomes.Failure | None:
+    """Returns why a round must not run, or None."""
+    failure = _check_key(state, session.login)
+    if failure is not None:
+        if session.home and failure is outcomes.KEY_WITHDRAWN:
+            return outcomes.KEY_WITHDRAWN_IN_TRANSACTION
+        return failure
+    if not session.login.key_id and order.access != work.Access.READ:
+        return outcomes.NOT_CARRIED
+    if session.home:
+        return None
+    return _standing_failure(state, session)
+
+
+def _abandon(state: State, number: int, out: list[Effect]) -> None:
+    """Drops what runs for a caller that is gone."""
+    pending = state.pending.pop(number, None)
+    if pending is None or not pending.home:
+        return
+    if pending.home == state.instance:
+        jobs.abandon(state, work.WorkKey(state.instance, number), out)
+        return
+    out.append(ReleasePin(pending.home, pending.session))
+
+
+def _check_login(state: State, session: Session) -> outcomes.Failure | None:
+    """Returns why a caller is not admitted, or None; takes its token."""
+    login = session.login
+    if not state.config.version:
+        return outcomes.CONFIG_MISSING
+    if login.service not in state.config.services:
+        return outcomes.UNKNOWN_SERVICE
+    failure = _check_key(state, login) or _standing_failure(state, session)
+    if failure is not None:
+        return failure
+    if login.token:
+        floor = tokens.decode(login.service, login.token)
+        if isinstance(floor, outcomes.Failure):
+            return floor
+        session.floor = floor
+    return None
+
+
+def _check_key(state: State, login: work.Login) -> outcomes.Failure | None:
+    """Returns why a caller's key is not good now, or None."""
+    config = state.config
+    if not login.key_id:
+        if config.has_open_route(login.service):
+            return None
+        return outcomes.KEY_WITHDRAWN
+    key = config.keys.get(login.key_id)
+    if key is None or key.workspace != login.workspace:
+        return outcomes.KEY_WITHDRAWN
+    if not config.may_use(login.workspace, login.service):
+        return outcomes.KEY_WITHDRAWN
+    grace_s = config.workspaces[login.workspace].keys_grace_s
+    if state.now >= state.fresh_until + grace_s:
+        return outcomes.KEYS_NOT_CURRENT
+    return None
+
+
+def _standing_failure(
+    state: State, session: Session
+) -> outcomes.Failure | None:
+    """Returns why a session gets no new work here, or None."""
+    if state.draining:
+        return outcomes.SHUTTING_DOWN
+    if not state.config.is_zone_serving(state.zone):
+        return outcomes.ZONE_OUT
+    failure = _check_key(state, session.login)
+    if failure is outcomes.KEY_WITHDRAWN:
+        return failure
+    return None
+
+
+def _complete_order(
+    state: State, session: Session, order: work.WorkOrder
+) -> work.WorkOrder:
+    """Returns the order with what this instance decides."""
+    login = session.login
+    return order._replace(
+        workspace=login.workspace,
+        pinned=bool(session.home),
+        floor=session.floor,
+        config_version=state.config.version,
+    )
+
+
+def _choose_home(state: State, pending: Pending) -> str:
+    """Returns the best home that was not tried, or ""."""
+    homes = membership.homes(state, pending.order.service)
+    if state.instance in homes and state.instance not in pending.tried:
+        return state.instance
+    fallback = ""
+    for home in homes:
+        if home in pending.tried:
+            continue
+        if not membership.is_passed_over(state, home):
+            return home
+        fallback = fallback or home
+    return fallback
+
+
+def _raise_floor(session: Session, answer: work.WorkAnswer) -> str:
+    """Raises the session's floor; returns its token if it changed."""
+    floor = answer.floor
+    if floor is None:
+        return ""
+    if session.floor is not None and floor <= session.floor:
+        return ""
+    session.floor = floor
+    return tokens.encode(session.login.service, floor)
+
+
+def _refuse_checked(
+    session: Session,
+    number: int,
+    failure: outcomes.Failure,
+    out: list[Effect],
+) -> None:
+    """Refuses a round before it has gone anywhere."""
+    status = IN_TRANSACTION if session.home else IDLE
+    text = f"session {session.number}: {failure.reason}"
+    out.append(Log(PREFIX, text))
+    _refuse(number, status, failure, out)
+
+
+def _refuse(
+    number: int, status: bytes, failure: outcomes.Failure, out: list[Effect]
+) -> None:
+    """Ends a round that was not taken in."""
+    out.append(Complete(number, work.RoundEnd(status, failure)))
+
+
+def _end(
+    state: State,
+    number: int,
+    pending: Pending,
+    failure: outcomes.Failure,
+    out: list[Effect],
+) -> None:
+    """Ends a round that was taken in, without an answer of its home."""
+    state.pending.pop(number, None)
+    session = state.sessions.get(pending.session)
+    status = IDLE
+    if session is not None:
+        session.running = 0
+        if session.home:
+            status = IN_TRANSACTION
+    out.append(Complete(number, work.RoundEnd(status, failure)))
--- /dev/null
+++ b/src/cuminwall/state.py
@@ -0,0 +1,533 @@
+"""All that the reducer knows, in small tables that are changed in place.
+
+Each subject's module owns the tables named after it and is the only one that
+writes them.
+"""
+
+import enum
+from collections import deque
+from typing import Any, NamedTuple
+
+from cuminwall import (
+    configuration,
+    fairness,
+    leases,
+    messages,
+    ports,
+    timings,
+    work,
+)
+
+MAX_MARKS = 600  # Remembered probes of a primary: a minute at 0.1 s.
+
+
+class Session:
+    """A caller, as its entry instance knows it.
+
+    Attributes:
+      number: The session's number on this instance.
+      login: How the caller came in.
+      floor: The oldest position that its reads may show, or None.
+      home: The home that holds its open transaction, or "".
+      running: The number of the work that runs for it, or 0.
+      unserved_since: Since when it gets no new work, or None.
+    """
+
+    __slots__ = (
+        "number",
+        "login",
+        "floor",
+        "home",
+        "running",
+        "unserved_since",
+    )
+
+    def __init__(self, number: int, login: work.Login):
+        self.number = number
+        self.login = login
+        self.floor: work.Position | None = None
+        self.home = ""
+        self.running = 0
+        self.unserved_since: float | None = None
+
+
+class Pending:
+    """A round at its entry instance until its answer is there.
+
+    Attributes:
+      session: The session's number.
+      order: What the home was told.
+      home: The home that has it, or "" while it waits here.
+      tried: The homes that were tried.
+      arrived_at: Seconds.
+    """
+
+    __slots__ = ("session", "order", "home", "tried", "arrived_at")
+
+    def __init__(self, session: int, order: work.WorkOrder, arrived_at: float):
+        self.session = session
+        self.order = order
+        self.home = ""
+        self.tried: list[str] = []
+        self.arrived_at = arrived_at
+
+
+class Job:
+    """A round at its home.
+
+    Attributes:
+      key: The work's key.
+      order: What the entry instance said.
+      arrived_at: Seconds.
+      server: The backend server that runs it, or "" while it waits.
+      as_primary: Whether it counts on the server being primary.
+      term: The group's term when it was placed.
+      floor: The position that it must show, once known.
+      attempts: How often it was sent to a backend server.
+      abandoned: Whether nobody waits for its answer.
+      answer: The answer, kept until a replica has the write.
+      wrote: Whether its transaction has written before.
+    """
+
+    __slots__ = (
+        "key",
+        "order",
+        "arrived_at",
+        "server",
+        "as_primary",
+        "term",
+        "floor",
+        "attempts",
+        "abandoned",
+        "answer",
+        "wrote",
+    )
+
+    def __init__(
+        self, key: work.WorkKey, order: work.WorkOrder, arrived_at: float
+    ):
+        self.key = key
+        self.order = order
+        self.arrived_at = arrived_at
+        self.server = ""
+        self.as_primary = False
+        self.term = 0
+        self.floor = order.floor
+        self.attempts = 0
+        self.abandoned = False
+        self.answer: work.WorkAnswer | None = None
+        self.wrote = False
+
+
+class Pin(NamedTuple):
+    """A session's hold on a connection to a backend server.
+
+    Attributes:
+      service: The database service.
+      server: The id of the backend server.
+      term: The group's term when the hold began.
+      wrote: Whether its transaction has written.
+    """
+
+    service: str
+    server: str
+    term: int
+    wrote: bool
+
+
+class Server:
+    """A backend server, as a home knows it.
+
+    Attributes:
+      name: Its id in the service.
+      zone: Its availability zone.
+      out: Whether it or its zone is taken out.
+      reachable: Whether fresh connections get answers.
+      in_recovery: What it says of itself.
+      lsn: Its log position.
+      timeline: Its timeline; 0 until it answered.
+      answered_at: When the last answered probe was sent.
+      failing_since: Since when probes fail, or None.
+      shows_since: It shows all that the primary had at this time.
+      permits: How many connections this instance may have to it.
+      in_use: How many are busy.
+      queue: Jobs that wait for a connection.
+    """
+
+    __slots__ = (
+        "name",
+        "zone",
+        "out",
+        "reachable",
+        "in_recovery",
+        "lsn",
+        "timeline",
+        "answered_at",
+        "failing_since",
+        "shows_since",
+        "permits",
+        "in_use",
+        "queue",
+    )
+
+    def __init__(self, name: str, zone: str):
+        self.name = name
+        self.zone = zone
+        self.out = False
+        self.reachable = False
+        self.in_recovery = True
+        self.lsn = 0
+        self.timeline = 0
+        self.answered_at = leases.NEVER
+        self.failing_since: float | None = None
+        self.shows_since = leases.NEVER
+        self.permits = 0
+        self.in_use = 0
+        self.queue: fairness.FairQueue[Job] = fairness.FairQueue()
+
+
+class Group:
+    """A database group, as one of its homes knows it.
+
+    Attributes:
+      service: The database service.
+      servers: By id.
+      record: The agreed state, or None before it is known.
+      lease_term: The term of the write lease.
+      lease_until: Until when it may be counted on.
+      marks: Probes of the primary under a valid lease: (sent at, lsn).
+      parked: Jobs that no server may serve now.
+      unconfirmed: Writes that wait for a replica: (lsn, until, job).
+      wants_mark_since: A job waits for a probe sent at or after this time.
+      reports_changed: Whether the steward should hear from here soon.
+      recalled: Who wants the lease back, and its message, or None.
+      recall_until: Until when open transactions may hold that up.
+      ignored_asks: Answers to asks up to this number grant nothing.
+    """
+
+    __slots__ = (
+        "service",
+        "servers",
+        "record",
+        "lease_term",
+        "lease_until",
+        "marks",
+        "parked",
+        "unconfirmed",
+        "wants_mark_since",
+        "reports_changed",
+        "recalled",
+        "recall_until",
+        "ignored_asks",
+    )
+
+    def __init__(self, service: str):
+        self.service = service
+        self.servers: dict[str, Server] = {}
+        self.record: messages.GroupRecord | None = None
+        self.lease_term = 0
+        self.lease_until = leases.NEVER
+        self.marks: deque[tuple[float, int]] = deque(maxlen=MAX_MARKS)
+        self.parked: list[Job] = []
+        self.unconfirmed: list[tuple[int, float, Job]] = []
+        self.wants_mark_since: float | None = None
+        self.reports_changed = False
+        self.recalled: tuple[str, messages.Recall] | None = None
+        self.recall_until = 0.0
+        self.ignored_asks = 0
+
+    @property
+    def term(self) -> int:
+        """The newest agreed term, or 0."""
+        return self.record.terms[-1].term if self.record else 0
+
+    @property
+    def primary(self) -> Server | None:
+        """The confirmed primary, or None during a change."""
+        if self.record is None or not self.record.active:
+            return None
+        return self.servers.get(self.record.terms[-1].primary)
+
+
+class Member:
+    """An instance of the system.
+
+    Attributes:
+      record: Its line in the instance list.
+      missing_since: Since when the list lacks it, or None.
+      passed_over_until: Until when it is not chosen as a home.
+    """
+
+    __slots__ = ("record", "missing_since", "passed_over_until")
+
+    def __init__(self, record: ports.InstanceRecord):
+        self.record = record
+        self.missing_since: float | None = None
+        self.passed_over_until = leases.NEVER
+
+
+class Lent(NamedTuple):
+    """A server report, as a steward keeps it.
+
+    Attributes:
+      report: What the home said.
+      zone: The home's availability zone.
+      received_at: Steward's clock.
+    """
+
+    report: messages.ServerReport
+    zone: str
+    received_at: float
+
+
+class Change:
+    """A change of primary that a steward carries out.
+
+    Attributes:
+      phase: Which step it is at.
+      since: When that step began.
+      planned: Whether the old primary still works.
+      began_at: When the change began.
+      fenced_at: When nobody held a lease any more.
+      server: The backend server to be promoted, or "".
+      home: The home that was ordered to promote it, or "".
+      permit_lapses_at: When the order is void.
+      failed: Servers that could not be promoted.
+    """
+
+    __slots__ = (
+        "phase",
+        "since",
+        "planned",
+        "began_at",
+        "fenced_at",
+        "server",
+        "home",
+        "permit_lapses_at",
+        "failed",
+    )
+
+    def __init__(self, phase: enum.Enum, now: float, planned: bool):
+        self.phase = phase
+        self.since = now
+        self.planned = planned
+        self.began_at = now
+        self.fenced_at = now
+        self.server = ""
+        self.home = ""
+        self.permit_lapses_at = leases.NEVER
+        self.failed: set[str] = set()
+
+
+class Charge:
+    """A database group, as its steward knows it.
+
+    Attributes:
+      service: The database service.
+      record: What stands in the store, or None.
+      revision: Its store revision; 0 if there is none.
+      loans: When each holder's write lease lapses.
+      reports: The newest report by home and server.
+      change: The change of primary under way, or None.
+      swapping: Whether an answer about the record is awaited.
+    """
+
+    __slots__ = (
+        "service",
+        "record",
+        "revision",
+        "loans",
+        "reports",
+        "change",
+        "swapping",
+    )
+
+    def __init__(self, service: str):
+        self.service = service
+        self.record: messages.GroupRecord | None = None
+        self.revision = 0
+        self.loans: dict[str, float] = {}
+        self.reports: dict[tuple[str, str], Lent] = {}
+        self.change: Change | None = None
+        self.swapping = False
+
+
+class Stewardship:
+    """This instance's hold, or attempt at a hold, on a shard.
+
+    Attributes:
+      shard: The shard's number.
+      active: Whether it lends.
+      epoch: The epoch under which it holds the shard.
+      lease_id: The store lease that the key hangs on.
+      valid_until: Until when the hold may be counted on.
+      renewed_at: When the last renewal was sent.
+      record: What stands in the store under the shard's key, or None.
+      revision: Its store revision.
+      record_pending: Whether an answer about the record is awaited.
+      former_successors: Those of a change of the record not yet certain.
+      quiet_until: Until when leases of an earlier steward may be held.
+      charges: The groups of the shard by service.
+      promise_number: The number of the newest round of promises.
+      promise_asked_at: When it was sent.
+      promises: Who promised in it.
+      store_failing: Whether the last renewal got no answer.
+      retaking: Whether the lapsed key is being set again.
+    """
+
+    __slots__ = (
+        "shard",
+        "active",
+        "epoch",
+        "lease_id",
+        "valid_until",
+        "renewed_at",
+        "record",
+        "revision",
+        "record_pending",
+        "former_successors",
+        "quiet_until",
+        "charges",
+        "promise_number",
+        "promise_asked_at",
+        "promises",
+        "store_failing",
+        "retaking",
+    )
+
+    def __init__(self, shard: int):
+        self.shard = shard
+        self.active = False
+        self.epoch = 0
+        self.lease_id = 0
+        self.valid_until = leases.NEVER
+        self.renewed_at = leases.NEVER
+        self.record: dict | None = None
+        self.revision = 0
+        self.record_pending = False
+        self.former_successors: tuple[str, ...] = ()
+        self.quiet_until = leases.NEVER
+        self.charges: dict[str, Charge] = {}
+        self.promise_number = 0
+        self.promise_asked_at = leases.NEVER
+        self.promises: set[str] = set()
+        self.store_failing = False
+        self.retaking = False
+
+
+class RelayView:
+    """What this instance knows of the newest configuration.
+
+    Attributes:
+      head_version: The highest version heard of.
+      proof_at: When the newest version was surely `head_version`.
+      fetching: The version being loaded, or 0.
+      asked: The last ask of each source: number and time.
+      answers: In a store outage, the other zones' answers to this round.
+      round_at: When the round of asking began.
+      store_answered_at: When the last answered read of the store was sent.
+      reading: Whether an answer of the store is awaited.
+      subscribers: Who asked this instance lately, and when.
+      records: What was seen of each shard's two keys.
+    """
+
+    __slots__ = (
+        "head_version",
+        "proof_at",
+        "fetching",
+        "asked",
+        "answers",
+        "round_at",
+        "store_answered_at",
+        "reading",
+        "subscribers",
+        "records",
+    )
+
+    def __init__(self) -> None:
+        self.head_version = 0
+        self.proof_at = leases.NEVER
+        self.fetching = 0
+        self.asked: dict[str, tuple[int, float]] = {}
+        self.answers: dict[str, tuple[int, float]] = {}
+        self.round_at = leases.NEVER
+        self.store_answered_at = leases.NEVER
+        self.reading = False
+        self.subscribers: dict[str, float] = {}
+        self.records: dict[int, ShardKeys] = {}
+
+
+class ShardKeys:
+    """A shard's two keys in the store, as a relay saw them.
+
+    Attributes:
+      record: The lasting record, or None.
+      record_revision: Its revision.
+      held_by: The instance whose key stands, or "".
+      held_revision: The revision of that key or of its deletion.
+    """
+
+    __slots__ = ("record", "record_revision", "held_by", "held_revision")
+
+    def __init__(self) -> None:
+        self.record: dict | None = None
+        self.record_revision = 0
+        self.held_by = ""
+        self.held_revision = 0
+
+
+class State:
+    """The whole state of one instance."""
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        times: timings.Timings,
+        shard_count: int,
+        started_at: float,
+    ):
+        self.instance = instance
+        self.zone = zone
+        self.times = times
+        self.shard_count = shard_count
+        self.started_at = started_at
+        self.now = started_at
+        self.draining = False
+
+        self.config: configuration.Configuration = configuration.none_yet()
+        self.fresh_until = leases.NEVER
+
+        self.sessions: dict[int, Session] = {}
+        self.pending: dict[int, Pending] = {}
+
+        self.groups: dict[str, Group] = {}
+        self.jobs: dict[work.WorkKey, Job] = {}
+        self.pins: dict[tuple[str, int], Pin] = {}
+
+        self.members: dict[str, Member] = {}
+        self.homes_cache: dict[str, tuple[str, ...]] = {}
+
+        self.shards: dict[int, messages.ShardRecord] = {}
+        self.lease_asks: dict[int, tuple[int, float]] = {}
+        self.promised_until: dict[int, float] = {}
+        self.vacant_since: dict[int, float] = {}
+        self.stewardships: dict[int, Stewardship] = {}
+        self.relay = RelayView()
+        self.relay_asks: dict[int, tuple[str, float]] = {}
+        self.shards_revision = 0
+        self.permit_asks: dict[
+            int, tuple[str, float, messages.PromoteOrder]
+        ] = {}
+        self.orders: dict[
+            tuple[str, int], tuple[messages.PromoteOrder, str]
+        ] = {}
+
+        self.buckets: dict[str, Any] = {}
+        self.calls: dict[int, tuple[Any, ...]] = {}
+        self.last_number = 0
+
+    def next_number(self) -> int:
+        """Returns a number not used before on this instance."""
+        self.last_number += 1
+        return self.last_number
--- /dev/null
+++ b/src/cuminwall/timings.py
@@ -0,0 +1,60 @@
+"""The durations that decisions are made by, in seconds."""
+
+from typing import NamedTuple
+
+
+class Timings(NamedTuple):
+    """All durations, in seconds.
+
+    Attributes:
+      tick_s: How often the reducer is told that time went on.
+      probe_interval_s: Between two probes of a backend server.
+      probe_timeout_s: How long a probe may take.
+      write_lease_s: Length of a write lease.
+      lease_renew_s: Between two asks for write leases.
+      steward_lease_s: Time to live of a steward's lease in the store.
+      steward_renew_s: Between two renewals of it.
+      promise_s: How long a successor holds still.
+      successor_delay_s: How much later each next successor tries.
+      orphan_s: How long a shard without steward and successors waits.
+      report_age_s: How old a report may be to count.
+      suspect_s: How long a server must be suspected before it counts.
+      permit_s: How long an order to promote stands.
+      planned_drain_s: How long open transactions may hold up a planned
+        change of primary.
+      promote_s: How long a promotion may take before another is tried.
+      park_s: How long a request waits for a server that may serve it.
+      replica_wait_s: How long a read waits for a replica to catch up.
+      replica_ack_s: How long a write waits for a replica to have it.
+      relay_ask_s: Between two asks of the relay.
+      fresh_s: How long a configuration counts as current after the last
+        proof.
+      withdrawn_grace_s: How long a running round of a withdrawn key may
+        go on.
+      members_keep_s: How long an instance missing from the list is kept.
+      home_retry_s: How long an unreachable home is passed over.
+    """
+
+    tick_s: float = 0.05
+    probe_interval_s: float = 0.1
+    probe_timeout_s: float = 0.25
+    write_lease_s: float = 1.5
+    lease_renew_s: float = 0.4
+    steward_lease_s: float = 3.0
+    steward_renew_s: float = 0.75
+    promise_s: float = 2.5
+    successor_delay_s: float = 0.5
+    orphan_s: float = 5.0
+    report_age_s: float = 1.5
+    suspect_s: float = 0.2
+    permit_s: float = 1.0
+    planned_drain_s: float = 4.0
+    promote_s: float = 1.5
+    park_s: float = 10.0
+    replica_wait_s: float = 0.03
+    replica_ack_s: float = 5.0
+    relay_ask_s: float = 1.0
+    fresh_s: float = 4.5
+    withdrawn_grace_s: float = 1.0
+    members_keep_s: float = 3.0
+    home_retry_s: float = 1.0
--- a/src/cuminwall/work.py
+++ b/src/cuminwall/work.py
@@ -66,6 +66,7 @@
       prepared: Every statement that the steps use.
       synced: Whether the round ends in a ReadyForQuery (Query or Sync).
       begins: Whether a statement starts an explicit transaction.
+      ends_transaction: Whether it holds nothing but the end of one.
       settings: Session settings to be in force, name and value.
       max_age_s: The oldest data that the caller accepts; None means its floor.
       tables: The names of the tables read, for the rules; empty if unknown.
@@ -77,6 +78,7 @@
     prepared: tuple[Prepared, ...] = ()
     synced: bool = True
     begins: bool = False
+    ends_transaction: bool = False
     settings: tuple[tuple[str, str], ...] = ()
     max_age_s: float | None = None
     tables: tuple[str, ...] = ()
@@ -162,3 +164,93 @@
 
     async def close_session(self, session: int) -> None:
         """Ends a session and rolls back its open transaction."""
+
+
+class WorkKey(NamedTuple):
+    """Names one round over all instances.
+
+    Attributes:
+      origin: The entry instance.
+      number: Its running number there.
+    """
+
+    origin: str
+    number: int
+
+
+class WorkOrder(NamedTuple):
+    """What a home needs to know to place a round.
+
+    Attributes:
+      service: The database service.
+      workspace: The workspace that the key proved, or "".
+      session: The caller's session at the entry instance.
+      access: The strictest access of its statements.
+      begins: Whether it starts an explicit transaction.
+      pinned: Whether the session's transaction is open at this home.
+      floor: The oldest position to be read, or None if the session has none.
+      max_age_s: The oldest data accepted instead of the floor, or None.
+      config_version: The version that the entry instance decided by.
+    """
+
+    service: str
+    workspace: str
+    session: int
+    access: Access
+    begins: bool
+    pinned: bool
+    floor: Position | None
+    max_age_s: float | None
+    config_version: int
+
+
+class Loss(enum.IntEnum):
+    """Why a backend server's answer is not there.
+
+    Attributes:
+      NONE: The answer is there.
+      NOT_SENT: No byte of the round left.
+      SENT: The connection ended or timed out after a byte may have left.
+    """
+
+    NONE = 0
+    NOT_SENT = 1
+    SENT = 2
+
+
+class ServerResult(NamedTuple):
+    """What became of a round on a backend server.
+
+    Attributes:
+      status: The transaction status after it.
+      loss: Whether the answer was lost.
+      delivered: Whether a byte of the answer reached the caller.
+      errored: Whether the server answered with an error.
+      in_recovery: What the server says of itself behind the round.
+      lsn: The server's log position behind the round; 0 if not asked.
+    """
+
+    status: bytes
+    loss: Loss
+    delivered: bool
+    errored: bool
+    in_recovery: bool
+    lsn: int
+
+
+class WorkAnswer(NamedTuple):
+    """What a home tells the entry instance about a round.
+
+    Attributes:
+      status: The transaction status after it.
+      failure: Why it failed, or None.
+      floor: The session's floor from now on, or None if unchanged.
+      server: The backend server that ran it, or "".
+      pinned: Whether the session's transaction stays open at the home.
+    """
+
+    status: bytes
+    failure: outcomes.Failure | None
+    floor: Position | None
+    server: str
+    pinned: bool
--- /dev/null
+++ b/src/cuminwall/writeleases.py
@@ -0,0 +1,261 @@
+"""Write leases at a home: asking, counting and handing back.
+
+A write is acknowledged only while the lease of its term is held. The lease
+is asked for together with a report of the backend servers, so that a steward
+learns in one message who holds what and which server answers whom.
+"""
+
+from cuminwall import groups, jobs, leases, membership, messages, placement
+from cuminwall.effects import (
+    Effect,
+    Log,
+    Probe,
+    Say,
+    SetPermits,
+    WatchServers,
+)
+from cuminwall.state import Group, Server, State
+
+PREFIX = "leases"
+
+
+def update_groups(state: State, out: list[Effect]) -> None:
+    """Takes up the groups this instance is a home of, and drops others."""
+    changed = False
+    for service in state.config.services:
+        is_home = membership.is_home(state, service)
+        if is_home and not state.draining:
+            changed |= _take_up(state, service)
+    for service, group in list(state.groups.items()):
+        wanted = membership.is_home(state, service) and not state.draining
+        if wanted or _is_busy(state, group):
+            continue
+        _hand_back(state, group, out)
+        del state.groups[service]
+        changed = True
+    for group in state.groups.values():
+        changed |= _update_servers(state, group)
+    if changed:
+        watch_servers(state, out)
+
+
+def watch_servers(state: State, out: list[Effect]) -> None:
+    """Tells the engine which backend servers to probe."""
+    watched = set()
+    for service, group in state.groups.items():
+        for name in group.servers:
+            watched.add((service, name))
+    out.append(WatchServers(frozenset(watched)))
+
+
+def ask_due(state: State, out: list[Effect]) -> None:
+    """Asks the stewards for leases where it is time."""
+    by_shard: dict[int, list[Group]] = {}
+    for service, group in state.groups.items():
+        shard = placement.shard_of(service, state.shard_count)
+        by_shard.setdefault(shard, []).append(group)
+    for shard, members in by_shard.items():
+        view = state.shards.get(shard)
+        if view is None or not view.steward:
+            continue
+        urgent = any(_is_urgent(state, group) for group in members)
+        wait_s = state.times.tick_s if urgent else state.times.lease_renew_s
+        last = state.lease_asks.get(shard)
+        if last is not None and state.now - last[1] < wait_s:
+            continue
+        _ask(state, shard, view.steward, members, out)
+
+
+def answered(
+    state: State,
+    sender: str,
+    answer: messages.LeaseAnswer,
+    out: list[Effect],
+) -> None:
+    """Takes over a steward's answer to the newest ask."""
+    for record in answer.records:
+        learn(state, record, out)
+    last = state.lease_asks.get(answer.shard)
+    if last is None or last[0] != answer.number:
+        return
+    asked_at = last[1]
+    for grant in answer.grants:
+        group = state.groups.get(grant.service)
+        if group is None or not grant.duration_s:
+            continue
+        if answer.number <= group.ignored_asks:
+            continue
+        had = groups.is_lease_valid(state, group, grant.term)
+        group.lease_term = grant.term
+        group.lease_until = leases.held_until(asked_at, grant.duration_s)
+        if not had and groups.is_lease_valid(state, group, grant.term):
+            text = f"{group.service} term {grant.term}: lease from {sender}"
+            out.append(Log(PREFIX, text))
+            jobs.retry_parked(state, group, out)
+
+
+def learn(
+    state: State, record: messages.GroupRecord, out: list[Effect]
+) -> None:
+    """Takes over a group's newer record."""
+    group = state.groups.get(record.service)
+    if group is None or not groups.learn_record(state, group, record, out):
+        return
+    if group.primary is not None:
+        out.append(Probe(group.service, group.primary.name))
+    jobs.retry_parked(state, group, out)
+
+
+def recalled(
+    state: State, sender: str, recall: messages.Recall, out: list[Effect]
+) -> None:
+    """Hands a lease back, at once or when open transactions have ended."""
+    group = state.groups.get(recall.service)
+    if group is None:
+        answer = messages.HandBack(recall.shard, recall.service, recall.term)
+        out.append(Say(sender, answer))
+        return
+    if recall.planned and not group.recall_until:
+        group.recall_until = state.now + state.times.planned_drain_s
+    group.recalled = (sender, recall)
+    finish_recall(state, group, out)
+
+
+def finish_recall(state: State, group: Group, out: list[Effect]) -> None:
+    """Hands back what was recalled, once nothing speaks against it."""
+    if group.recalled is None:
+        return
+    sender, recall = group.recalled
+    waits = recall.planned and state.now < group.recall_until
+    if waits and _uses_primary(state, group):
+        return
+    group.recalled = None
+    group.recall_until = 0.0
+    if group.lease_term == recall.term:
+        group.lease_until = leases.NEVER
+    last = state.lease_asks.get(recall.shard)
+    group.ignored_asks = last[0] if last else 0
+    answer = messages.HandBack(recall.shard, recall.service, recall.term)
+    out.append(Say(sender, answer))
+    text = f"{group.service} term {recall.term}: lease handed back"
+    out.append(Log(PREFIX, text))
+
+
+def hand_back_all(state: State, out: list[Effect]) -> None:
+    """Hands every lease back, when the instance leaves."""
+    for group in state.groups.values():
+        _hand_back(state, group, out)
+
+
+def _take_up(state: State, service: str) -> bool:
+    """Becomes a home of `service`; returns whether that is new."""
+    if service in state.groups:
+        return False
+    state.groups[service] = Group(service)
+    return True
+
+
+def _update_servers(state: State, group: Group) -> bool:
+    """Follows the configuration; returns whether the servers changed."""
+    entry = state.config.services.get(group.service)
+    if entry is None:
+        return False
+    changed = False
+    for name, wanted in entry.servers.items():
+        server = group.servers.get(name)
+        if server is None:
+            server = group.servers[name] = Server(name, wanted.zone)
+            changed = True
+        server.out = not state.config.is_server_serving(group.service, name)
+    for name in list(group.servers):
+        if name not in entry.servers:
+            group.servers[name].out = True
+    return changed
+
+
+def _is_busy(state: State, group: Group) -> bool:
+    """Returns whether jobs or transactions of a group are still open."""
+    for job in state.jobs.values():
+        if job.order.service == group.service:
+            return True
+    return any(pin.service == group.service for pin in state.pins.values())
+
+
+def _uses_primary(state: State, group: Group) -> bool:
+    """Returns whether a transaction or write is open on the primary."""
+    primary = group.primary
+    if primary is None:
+        return False
+    return primary.in_use > 0 or bool(group.unconfirmed)
+
+
+def _is_urgent(state: State, group: Group) -> bool:
+    """Returns whether a group cannot wait for the next regular ask."""
+    if group.reports_changed:
+        return True
+    return not groups.is_lease_valid(state, group, group.term)
+
+
+def _ask(
+    state: State,
+    shard: int,
+    steward: str,
+    members: list[Group],
+    out: list[Effect],
+) -> None:
+    """Sends one ask for all groups of a shard."""
+    number = state.next_number()
+    state.lease_asks[shard] = (number, state.now)
+    terms = []
+    reports = []
+    for group in members:
+        group.reports_changed = False
+        confirmed = group.record is not None and group.record.active
+        terms.append((group.service, group.term, confirmed))
+        for server in group.servers.values():
+            reports.append(_report(state, group, server))
+    ask = messages.LeaseAsk(
+        number, shard, state.zone, tuple(terms), tuple(reports)
+    )
+    out.append(Say(steward, ask))
+
+
+def _report(
+    state: State, group: Group, server: Server
+) -> messages.ServerReport:
+    """Returns what this instance knows of a server."""
+    failing = server.failing_since is not None
+    age_s = state.now - server.answered_at if server.timeline else -1.0
+    return messages.ServerReport(
+        group.service,
+        server.name,
+        not failing and bool(server.timeline),
+        server.in_recovery,
+        server.timeline,
+        server.lsn,
+        age_s,
+    )
+
+
+def _hand_back(state: State, group: Group, out: list[Effect]) -> None:
+    """Gives a lease back unasked."""
+    if not groups.is_lease_valid(state, group, group.lease_term):
+        return
+    group.lease_until = leases.NEVER
+    shard = placement.shard_of(group.service, state.shard_count)
+    view = state.shards.get(shard)
+    if view is None or not view.steward:
+        return
+    answer = messages.HandBack(shard, group.service, group.lease_term)
+    out.append(Say(view.steward, answer))
+
+
+def set_permits(
+    state: State, group: Group, server: Server, permits: int, out: list[Effect]
+) -> None:
+    """Takes over a new share of a server's connections."""
+    if permits == server.permits:
+        return
+    server.permits = permits
+    out.append(SetPermits(group.service, server.name, permits))
+    jobs.start_queued(state, group, server, out)
