--- /dev/null
+++ b/src/cuminwall/configparts.py
@@ -0,0 +1,79 @@
+"""The document in parts, so that a small change writes and reads little.
+
+Each section is cut into a fixed number of buckets by a hash of the item's
+name; rules and open routes follow their service. Readers take whatever parts
+the head names, so the numbers of buckets may change from one version to the
+next.
+"""
+
+import hashlib
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from cuminwall import document
+from cuminwall.document import Document
+
+BUCKETS = {
+    "zones": 1,
+    "workspaces": 64,
+    "services": 256,
+    "keys": 256,
+    "rules": 64,
+    "open_routes": 16,
+}
+DIGEST_CHARS = 32
+
+
+def digest(text: bytes) -> str:
+    """Returns the digest of a part's text."""
+    return hashlib.sha256(text).hexdigest()[:DIGEST_CHARS]
+
+
+def part_name(section: str, name: str) -> str:
+    """Returns the name of the part that holds the item `name`."""
+    number = int.from_bytes(hashlib.sha256(name.encode()).digest()[:4], "big")
+    return f"{section}/{number % BUCKETS[section]:02x}"
+
+
+def split(value: Document) -> dict[str, bytes]:
+    """Returns the text of each part that is not empty, by the part's name."""
+    contents: dict[str, Any] = {}
+    sections: Any = value
+    for section in document.MAPPED_SECTIONS:
+        for name, item in sections[section].items():
+            part = contents.setdefault(part_name(section, name), {})
+            part[name] = item
+    for section in document.LISTED_SECTIONS:
+        for item in sections[section]:
+            name = part_name(section, item["service"])
+            contents.setdefault(name, []).append(item)
+    return {name: encode(content) for name, content in contents.items()}
+
+
+def join(parts: Iterable[tuple[str, Any]]) -> Document:
+    """Returns the document of the parts, each a name and a decoded content.
+
+    The items are the very objects of the contents, so that a reader can tell
+    by identity what did not change.
+    """
+    whole: dict[str, Any] = dict(document.empty())
+    for name, content in parts:
+        section = name.partition("/")[0]
+        if section in document.LISTED_SECTIONS:
+            whole[section].extend(content)
+            continue
+        whole[section].update(content)
+    return document.normalize(whole)
+
+
+def encode(content: Any) -> bytes:
+    """Returns the one text of a part's content."""
+    return json.dumps(
+        content, sort_keys=True, separators=(",", ":"), ensure_ascii=False
+    ).encode()
+
+
+def decode(text: bytes) -> Any:
+    """Returns the content of a part's text."""
+    return json.loads(text)
--- a/src/cuminwall/configuration.py
+++ b/src/cuminwall/configuration.py
@@ -3,18 +3,24 @@
 `parse` expects a document that `cuminwall.document.check` has passed.
 """
 
-from collections.abc import Mapping
-from typing import NamedTuple
+import operator
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, TypeVar
 
 from cuminwall import document, staleness
 from cuminwall.document import (
     Document,
+    KeyDocument,
     ServerDocument,
     ServiceDocument,
     WorkspaceDocument,
+    ZoneDocument,
 )
 from cuminwall.work import KeyEntry
 
+Source = TypeVar("Source")
+Parsed = TypeVar("Parsed")
+
 
 class Server(NamedTuple):
     """A backend server.
@@ -158,36 +164,92 @@
         return staleness.age_of_read(ages, tables)
 
 
-def none_yet() -> Configuration:
-    """Returns the configuration of an instance that has none."""
-    return parse(document.empty(), 0)
-
-
-def parse(value: Document, version: int) -> Configuration:
-    """Returns the configuration that a checked document describes."""
-    zones = {}
-    for name, zone in value["zones"].items():
-        zones[name] = _is_serving(zone.get("state"))
-    workspaces = {}
-    for name, workspace in value["workspaces"].items():
-        workspaces[name] = _parse_workspace(name, workspace)
-    services = {}
-    for name, service in value["services"].items():
-        services[name] = _parse_service(name, service)
-    keys = {}
-    for name, key in value["keys"].items():
-        keys[name] = KeyEntry(key["workspace"], key["verifier"])
+EMPTY = Configuration(
+    version=0,
+    zones={},
+    workspaces={},
+    services={},
+    keys={},
+    ages={},
+    open_tables={},
+)
+
+
+def parse(
+    value: Document,
+    version: int,
+    previous: tuple[Document, Configuration] | None = None,
+) -> Configuration:
+    """Returns the configuration that a checked document describes.
+
+    Args:
+      value: The document.
+      version: Its version.
+      previous: An earlier document and its configuration. An item that is the
+        same object in both documents is taken over, which makes a small
+        change of a large document cheap.
+    """
+    if previous is None:
+        previous = document.empty(), EMPTY
+    old, parsed = previous
     return Configuration(
         version=version,
-        zones=zones,
-        workspaces=workspaces,
-        services=services,
-        keys=keys,
-        ages=staleness.collect(value["rules"]),
+        zones=_parse_items(
+            _parse_zone, value["zones"], old["zones"], parsed.zones
+        ),
+        workspaces=_parse_items(
+            _parse_workspace,
+            value["workspaces"],
+            old["workspaces"],
+            parsed.workspaces,
+        ),
+        services=_parse_items(
+            _parse_service, value["services"], old["services"], parsed.services
+        ),
+        keys=_parse_items(_parse_key, value["keys"], old["keys"], parsed.keys),
+        ages=_parse_rules(value, old, parsed),
         open_tables=_parse_open_routes(value),
     )
 
 
+def _parse_items(
+    parse_item: Callable[[str, Source], Parsed],
+    items: Mapping[str, Source],
+    old_items: Mapping[str, Source],
+    old_parsed: Mapping[str, Parsed],
+) -> dict[str, Parsed]:
+    """Returns each item parsed, or taken over when it is the same object."""
+    parsed = {}
+    for name, item in items.items():
+        if item is old_items.get(name):
+            parsed[name] = old_parsed[name]
+            continue
+        parsed[name] = parse_item(name, item)
+    return parsed
+
+
+def _parse_rules(
+    value: Document, old: Document, parsed: Configuration
+) -> Mapping[tuple[str, str], staleness.Ages]:
+    """Returns the rules, or the earlier ones when none changed."""
+    rules = value["rules"]
+    old_rules = old["rules"]
+    is_same_length = len(rules) == len(old_rules)
+    if is_same_length and all(map(operator.is_, rules, old_rules)):
+        return parsed.ages
+    return staleness.collect(rules)
+
+
+def _parse_zone(_name: str, value: ZoneDocument) -> bool:
+    """Returns whether a zone serves."""
+    return _is_serving(value.get("state"))
+
+
+def _parse_key(_name: str, value: KeyDocument) -> KeyEntry:
+    """Returns a key."""
+    return KeyEntry(value["workspace"], value["verifier"])
+
+
 def _is_serving(state: str | None) -> bool:
     """Returns whether a state, or its absence, means serving."""
     return state != document.OUT
