Add a stand-in backend server that speaks PostgreSQL's protocol

SQLite holds the data in memory: one database with what the log holds serves the reads, another also holds what the one open writing transaction changed, so readers never meet uncommitted rows. pglast splits, checks and types the statements.

A real PostgreSQL refuses a CASE with received_tli (integer) beside pg_walfile_name() (text), error 42804; the stand-in takes it as text.

--- /dev/null
+++ b/src/cuminwall_standins/functions.py
@@ -0,0 +1,194 @@
+"""PostgreSQL's functions and views on the connections of the engine."""
+
+import datetime
+import sqlite3
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from cuminwall_standins import errors, inference, settings, values
+
+WAL_SEGMENT_BYTES = 16 * 1024 * 1024
+_SEGMENTS_PER_FILE_GROUP = 0x100000000 // WAL_SEGMENT_BYTES
+
+VERSION = "PostgreSQL 16.4 (cuminwall stand-in)"
+DATABASE_NAME = "standin"
+
+VIEWS = {
+    "pg_stat_wal_receiver": (
+        inference.Field("status", values.TEXT),
+        inference.Field("received_tli", values.INT4),
+        inference.Field("flushed_lsn", values.TEXT),
+    ),
+}
+_VIEW_TEXTS = (
+    "CREATE TEMP VIEW pg_stat_wal_receiver AS SELECT 'streaming' AS status,"
+    " received_tli() AS received_tli,"
+    " pg_last_wal_receive_lsn() AS flushed_lsn"
+    " WHERE received_tli() IS NOT NULL",
+)
+
+
+class Caller(Protocol):
+    """What a function may know and change of the session that calls it."""
+
+    process_id: int
+    user: str
+    sleep_s: float
+    settings: settings.Settings
+
+
+class Host(Protocol):
+    """What the functions need of the engine."""
+
+    is_primary: bool
+    lsn: int
+    received_lsn: int
+    now_s: float
+    caller: Caller | None
+    function_error: errors.SqlError | None
+
+    @property
+    def timeline(self) -> int:
+        """Returns the timeline of the log's end."""
+
+    @property
+    def received_timeline(self) -> int | None:
+        """Returns the timeline received; None when no primary streams."""
+
+    def promote(self) -> None:
+        """Makes the replica a primary."""
+
+
+def format_lsn(lsn: int) -> str:
+    """Returns a log position in PostgreSQL's form "X/Y"."""
+    return f"{lsn >> 32:X}/{lsn & 0xFFFFFFFF:X}"
+
+
+def parse_lsn(text: str) -> int:
+    """Returns the log position of a text "X/Y".
+
+    Raises:
+      errors.SqlError: The text has another form.
+    """
+    high, _, low = text.partition("/")
+    try:
+        return (int(high, 16) << 32) | int(low, 16)
+    except ValueError as error:
+        raise errors.SqlError("22P02", f"invalid pg_lsn: {text}") from error
+
+
+def _walfile_name(timeline: int, lsn: int) -> str:
+    segment = max(lsn - 1, 0) // WAL_SEGMENT_BYTES
+    group, rest = divmod(segment, _SEGMENTS_PER_FILE_GROUP)
+    return f"{timeline:08X}{group:08X}{rest:08X}"
+
+
+def _to_bool(value: Any) -> int | None:
+    if value is None:
+        return None
+    if isinstance(value, str):
+        return values.parse_bool(value)
+    return int(value != 0)
+
+
+def _to_bytea(value: Any) -> bytes | None:
+    return values.parse_bytea(value) if isinstance(value, str) else value
+
+
+class _Functions:
+    def __init__(self, host: Host):
+        self.host = host
+
+    def require(self, is_primary: bool) -> None:
+        if self.host.is_primary is is_primary:
+            return
+        state = "is not" if not is_primary else "is"
+        raise errors.SqlError("55000", f"recovery {state} in progress")
+
+    def current_lsn(self) -> str:
+        self.require(True)
+        return format_lsn(self.host.lsn)
+
+    def replayed_lsn(self) -> str | None:
+        return None if self.host.is_primary else format_lsn(self.host.lsn)
+
+    def received_lsn(self) -> str | None:
+        if self.host.is_primary:
+            return None
+        return format_lsn(self.host.received_lsn)
+
+    def walfile_name(self, lsn: str) -> str:
+        self.require(True)
+        return _walfile_name(self.host.timeline, parse_lsn(lsn))
+
+    def promote(self, *_: Any) -> int:
+        self.require(False)
+        self.host.promote()
+        return 1
+
+    def now(self) -> str:
+        moment = datetime.datetime.fromtimestamp(self.host.now_s, datetime.UTC)
+        return values.format_time(moment)
+
+    def sleep(self, seconds: float) -> str:
+        # SQLite can't wait without stopping the loop; the session does.
+        if self.host.caller:
+            self.host.caller.sleep_s += seconds
+        return ""
+
+    def setting(self, name: str, *_: Any) -> str | None:
+        caller = self.host.caller
+        return caller.settings.values.get(name.lower()) if caller else None
+
+    def table(self) -> dict[str, tuple[int, Callable[..., Any]]]:
+        host = self.host
+        return {
+            "pg_is_in_recovery": (0, lambda: int(not host.is_primary)),
+            "pg_current_wal_lsn": (0, self.current_lsn),
+            "pg_current_wal_flush_lsn": (0, self.current_lsn),
+            "pg_last_wal_replay_lsn": (0, self.replayed_lsn),
+            "pg_last_wal_receive_lsn": (0, self.received_lsn),
+            "pg_walfile_name": (1, self.walfile_name),
+            "pg_wal_lsn_diff": (2, lambda a, b: parse_lsn(a) - parse_lsn(b)),
+            "received_tli": (0, lambda: host.received_timeline),
+            "pg_promote": (-1, self.promote),
+            "pg_sleep": (1, self.sleep),
+            "pg_backend_pid": (
+                0,
+                lambda: host.caller.process_id if host.caller else 0,
+            ),
+            "pg_advisory_unlock_all": (0, lambda: ""),
+            "version": (0, lambda: VERSION),
+            "now": (0, self.now),
+            "transaction_timestamp": (0, self.now),
+            "current_user": (
+                0,
+                lambda: host.caller.user if host.caller else "",
+            ),
+            "current_database": (0, lambda: DATABASE_NAME),
+            "current_schema": (0, lambda: "public"),
+            "current_setting": (-1, self.setting),
+            "to_bool": (1, _to_bool),
+            "to_bytea": (1, _to_bytea),
+        }
+
+
+def register(connection: sqlite3.Connection, host: Host) -> None:
+    """Defines the functions and views on a connection."""
+    for name, (count, function) in _Functions(host).table().items():
+        connection.create_function(name, count, _guard(function, host))
+    for text in _VIEW_TEXTS:
+        connection.execute(text)
+
+
+def _guard(function: Callable[..., Any], host: Host) -> Callable[..., Any]:
+    """Keeps the error of a function, of which SQLite would lose the type."""
+
+    def run(*arguments: Any) -> Any:
+        try:
+            return function(*arguments)
+        except errors.SqlError as error:
+            host.function_error = error
+            raise
+
+    return run
--- /dev/null
+++ b/src/cuminwall_standins/rewriting.py
@@ -0,0 +1,232 @@
+"""Rewrites the text of one statement, token by token, for SQLite."""
+
+from typing import NamedTuple
+
+from pglast import parser
+
+_COMMENTS = ("SQL_COMMENT", "C_COMMENT")
+_SCHEMAS = ("public", "pg_catalog")
+_OPEN = "("
+_CLOSE = ")"
+_TIME_WORDS = ("CURRENT_TIMESTAMP", "LOCALTIMESTAMP")
+_USER_WORDS = ("CURRENT_USER", "SESSION_USER", "USER")
+_LOCK_WORDS = ("UPDATE", "SHARE", "NO", "KEY", "OF", "NOWAIT", "SKIP", "LOCKED")
+_SERIALS = ("serial", "bigserial", "smallserial", "serial4", "serial8")
+_TYPE_SUFFIXES = ("precision", "varying", "with", "without", "time", "zone")
+_CAST_TYPES = {
+    "smallint": "INTEGER",
+    "int2": "INTEGER",
+    "int": "INTEGER",
+    "int4": "INTEGER",
+    "integer": "INTEGER",
+    "bigint": "INTEGER",
+    "int8": "INTEGER",
+    "oid": "INTEGER",
+    "real": "REAL",
+    "float": "REAL",
+    "float4": "REAL",
+    "float8": "REAL",
+    "double": "REAL",
+    "numeric": "NUMERIC",
+    "decimal": "NUMERIC",
+}
+_CAST_FUNCTIONS = {
+    "bool": "to_bool",
+    "boolean": "to_bool",
+    "bytea": "to_bytea",
+}
+
+
+class _Piece(NamedTuple):
+    text: str
+    name: str
+
+
+def rewrite(text: str, is_create_table: bool) -> str:
+    """Returns a statement that has the same meaning on SQLite.
+
+    Args:
+      text: One statement that the PostgreSQL grammar accepts.
+      is_create_table: Whether it is a CREATE TABLE.
+    """
+    pieces = _Rewriter(_tokens(text)).run()
+    if is_create_table:
+        pieces = _rewrite_columns(pieces)
+    return " ".join(piece.text for piece in pieces)
+
+
+def _tokens(text: str) -> list[_Piece]:
+    pieces = []
+    for token in parser.scan(text):
+        if token.name in _COMMENTS or token.name == "ASCII_59":
+            continue
+        pieces.append(_Piece(text[token.start : token.end + 1], token.name))
+    return pieces
+
+
+class _Rewriter:
+    """One pass from left to right over the tokens of a statement."""
+
+    def __init__(self, tokens: list[_Piece]):
+        self.tokens = tokens
+        self.index = 0
+        self.output: list[_Piece] = []
+        # For each open parenthesis, where its CAST began, or -1.
+        self.casts: list[int] = []
+
+    def run(self) -> list[_Piece]:
+        while self.index < len(self.tokens):
+            self.step()
+        return self.output
+
+    def peek(self, offset: int = 0) -> _Piece:
+        index = self.index + offset
+        if index < len(self.tokens):
+            return self.tokens[index]
+        return _Piece("", "")
+
+    def step(self) -> None:
+        piece = self.peek()
+        self.index += 1
+        if piece.name == "TYPECAST":
+            self.cast(self.operand_start())
+        elif piece.name == "FOR" and self.peek().name in _LOCK_WORDS:
+            self.skip_locking_clause()
+        elif piece.text.lower() in _SCHEMAS and self.peek().text == ".":
+            self.index += 1
+        elif piece.name == "AS" and self.casts and self.casts[-1] >= 0:
+            start = self.casts.pop()
+            del self.output[start : start + 2]
+            self.cast(start)
+            self.index += 1
+        else:
+            self.copy(piece)
+
+    def copy(self, piece: _Piece) -> None:
+        if piece.text == _OPEN:
+            is_cast = bool(self.output) and self.output[-1].name == "CAST"
+            self.casts.append(len(self.output) - 1 if is_cast else -1)
+        elif piece.text == _CLOSE and self.casts:
+            self.casts.pop()
+        self.output.append(_rewrite_token(piece))
+
+    def operand_start(self) -> int:
+        """Returns where the operand of a `::` begins in the output."""
+        index = len(self.output) - 1
+        if self.output[index].text == _CLOSE:
+            depth = 0
+            while True:
+                depth += self.output[index].text == _CLOSE
+                depth -= self.output[index].text == _OPEN
+                if depth == 0:
+                    break
+                index -= 1
+            if index and self.output[index - 1].name == "IDENT":
+                index -= 1
+        while index > 1 and self.output[index - 1].text == ".":
+            index -= 2
+        return index
+
+    def cast(self, start: int) -> None:
+        """Turns the output from `start` on and the type ahead into a cast."""
+        operand = " ".join(piece.text for piece in self.output[start:])
+        del self.output[start:]
+        word = self.type_word()
+        if word in _CAST_FUNCTIONS:
+            text = f"{_CAST_FUNCTIONS[word]}({operand})"
+        else:
+            text = f"CAST({operand} AS {_CAST_TYPES.get(word, 'TEXT')})"
+        self.output.append(_Piece(text, "CAST_DONE"))
+
+    def type_word(self) -> str:
+        if self.peek(1).text == ".":
+            self.index += 2
+        word = self.peek().text.lower().strip('"')
+        self.index += 1
+        while True:
+            if self.peek().text.lower() in _TYPE_SUFFIXES:
+                self.index += 1
+            elif self.peek().text == _OPEN:
+                while self.peek(-1).text != _CLOSE:
+                    self.index += 1
+            else:
+                return word
+
+    def skip_locking_clause(self) -> None:
+        while self.peek().name in _LOCK_WORDS:
+            is_list = self.peek().name == "OF"
+            self.index += 1
+            while is_list and self.peek().name in ("IDENT", "ASCII_44"):
+                self.index += 1
+
+
+def _rewrite_token(piece: _Piece) -> _Piece:
+    if piece.name == "PARAM":
+        return _Piece("?" + piece.text[1:], piece.name)
+    if piece.name in _TIME_WORDS:
+        return _Piece("now()", piece.name)
+    if piece.name in _USER_WORDS:
+        return _Piece("current_user()", piece.name)
+    if piece.name == "SCONST":
+        return _Piece(_rewrite_string(piece.text), piece.name)
+    return piece
+
+
+def _rewrite_string(text: str) -> str:
+    if text.startswith("$"):
+        tag = text[: text.index("$", 1) + 1]
+        body = text[len(tag) : -len(tag)]
+        return "'" + body.replace("'", "''") + "'"
+    if text[0] in "eE":
+        body = text[2:-1].replace("\\'", "''")
+        return "'" + body.replace("\\\\", "\\") + "'"
+    return text
+
+
+def _rewrite_columns(pieces: list[_Piece]) -> list[_Piece]:
+    """Gives generated keys and defaults the form that SQLite takes."""
+    output: list[_Piece] = []
+    index = 0
+    generated = False
+    while index < len(pieces):
+        piece = pieces[index]
+        following = pieces[index + 1] if index + 1 < len(pieces) else piece
+        index += 1
+        if piece.text.lower() in _SERIALS:
+            output.append(_Piece("INTEGER", "IDENT"))
+            generated = True
+        elif piece.name == "GENERATED":
+            output[-1] = _Piece("INTEGER", "IDENT")
+            generated = True
+            while pieces[index - 1].name != "IDENTITY_P":
+                index += 1
+        elif piece.name == "KEY" and generated:
+            output.append(_Piece("KEY AUTOINCREMENT", "KEY"))
+            generated = False
+        elif piece.name == "DEFAULT" and following.name in (
+            "IDENT",
+            "CAST_DONE",
+            *_TIME_WORDS,
+        ):
+            output.append(piece)
+            index = _copy_default(pieces, index, output)
+        else:
+            output.append(piece)
+    return output
+
+
+def _copy_default(
+    pieces: list[_Piece], index: int, output: list[_Piece]
+) -> int:
+    """Copies a default that is an expression, in the parentheses it needs."""
+    output.append(_Piece(_OPEN, ""))
+    output.append(pieces[index])
+    index += 1
+    if index < len(pieces) and pieces[index].text == _OPEN:
+        while pieces[index].text != _CLOSE:
+            output.append(pieces[index])
+            index += 1
+        output.append(pieces[index])
+        index += 1
+    output.append(_Piece(_CLOSE, ""))
+    return index
