--- a/src/cuminwall/store.py
+++ b/src/cuminwall/store.py
@@ -232,7 +232,10 @@
 
 
 def _parse_keepalive(answer: _Json) -> float:
-    return float(answer["result"].get("TTL", 0))
+    result = answer["result"]
+    # Only an answer about a lease tells by its missing TTL that it lapsed.
+    int(result["ID"])
+    return float(result.get("TTL", 0))
 
 
 def _parse_watch(message: _Json) -> Snapshot:
--- a/src/cuminwall/storehttp.py
+++ b/src/cuminwall/storehttp.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import AsyncGenerator
 from typing import NamedTuple
 
@@ -136,31 +137,38 @@
           exceptions.StoreUnavailableError: The stream broke off or ended, or
             its first line did not come within the timeout.
         """
-        lines = LineBuffer()
-        started = False
         async with self._new_session(_NO_LIMITS) as session:
             response = await self._open_stream(session, path, body)
-            while True:
-                limit_s = idle_s if started else self.timeout_s
-                try:
-                    async with asyncio.timeout(limit_s):
-                        data = await response.content.readany()
-                except TimeoutError as error:
-                    if started:
-                        return
-                    reason = f"no first line for {limit_s:g} s"
-                    raise self.failure(path, reason) from error
-                except (aiohttp.ClientError, OSError) as error:
-                    raise self.failure(path, _describe(error)) from error
-                if not data:
-                    raise self.failure(path, "the stream ended")
-                if lines.add(data) > MAX_LINE_BYTES:
-                    raise self.failure(path, "a line is too long")
-                for line in lines.take():
+            with contextlib.closing(response):
+                async for line in self._lines(path, response, idle_s):
                     self._note_answer()
-                    started = True
                     yield line
 
+    async def _lines(
+        self, path: str, response: aiohttp.ClientResponse, idle_s: float
+    ) -> AsyncGenerator[bytes, None]:
+        lines = LineBuffer()
+        started = False
+        while True:
+            limit_s = idle_s if started else self.timeout_s
+            try:
+                async with asyncio.timeout(limit_s):
+                    data = await response.content.readany()
+            except TimeoutError as error:
+                if started:
+                    return
+                reason = f"no first line for {limit_s:g} s"
+                raise self.failure(path, reason) from error
+            except (aiohttp.ClientError, OSError) as error:
+                raise self.failure(path, _describe(error)) from error
+            if not data:
+                raise self.failure(path, "the stream ended")
+            if lines.add(data) > MAX_LINE_BYTES:
+                raise self.failure(path, "a line is too long")
+            for line in lines.take():
+                started = True
+                yield line
+
     async def _open_stream(
         self, session: aiohttp.ClientSession, path: str, body: bytes
     ) -> aiohttp.ClientResponse:
@@ -203,9 +211,7 @@
         if not self.failed_calls:
             return
         logger.info(
-            "{}: answers again after {} failed calls",
-            self.part,
-            self.failed_calls,
+            "{}: answers again, {} calls failed", self.part, self.failed_calls
         )
         self.failed_calls = 0
 
--- a/src/cuminwall_standins/platform.py
+++ b/src/cuminwall_standins/platform.py
@@ -214,7 +214,10 @@
             result["header"] = platform_gateway.header(self.keys)
             line = json.dumps({"result": result}).encode() + b"\n"
             self.accounting.add("watches", WATCH_PATH, "bytes_out", len(line))
-            await response.write(line)
+            try:
+                await response.write(line)
+            except ConnectionError:
+                return
             result = {}
             while not result:
                 changed = self.signal.changed
