Run rounds on backend connections

Any message that does not belong to the running round closes the connection.

Settings that a server has not taken before are awaited ahead of the round: in one write the round would run under the wrong settings after a refusal. In a failed transaction a known statement is parsed again without a name, since only the server can tell whether it is refused there.

--- /dev/null
+++ b/src/cuminwall/backend.py
@@ -0,0 +1,346 @@
+"""A connection to a backend server, and the rounds that it runs.
+
+Session state that can exist on a connection between rounds:
+
+* Prepared statements. They are named by content, shared by all sessions, and
+  bounded in number.
+* Settings that rounds name in `settings`. Each round states them all, so what
+  differs from those in force is changed ahead of it.
+* Settings that a statement changed itself. They end with the transaction: a
+  RESET ALL goes ahead of the next round outside of it.
+
+The caller side refuses what leaves other state (temporary tables, LISTEN,
+advisory locks, WITH HOLD cursors, PREPARE, LOAD, COPY from the client). A
+connection on which LISTEN, PREPARE or LOAD ran all the same, or to which a
+CancelRequest was sent, is not `reusable`. DISCARD ALL is not used, since it
+drops the prepared statements.
+
+Two known differences from a connection without shared statements: a Parse of
+a statement that exists is not checked again, so that a table dropped since
+shows at its Bind; and a named statement stays when a session closes it.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
+
+from cuminwall import (
+    backend_answers,
+    backend_channel,
+    backend_errors,
+    backend_login,
+    backend_plan,
+    backend_settings,
+    exceptions,
+    probes,
+    wire,
+    work,
+)
+from cuminwall.backend_plan import Answer, Pending, Purpose
+
+
+class RoundAnswer(NamedTuple):
+    """How a round ended on a backend connection.
+
+    Attributes:
+      status: The transaction status: b"I", b"T" or b"E".
+      tail: What was withheld: the last completion and all that follows it,
+        or the whole of a small answer; without the ReadyForQuery.
+      server_error: The fields of the server's last error by letter, or None.
+      position: The answer to the position query, or None.
+      delivered: Whether a byte went to the sink.
+    """
+
+    status: bytes
+    tail: bytes
+    server_error: Mapping[str, str] | None
+    position: probes.ProbeAnswer | None
+    delivered: bool
+
+
+async def connect(
+    host: str,
+    port: int,
+    user: str,
+    password: str,
+    database: str,
+    deadline: float,
+    on_closed: Callable[["BackendConnection"], None] | None = None,
+) -> "BackendConnection":
+    """Opens a connection and logs in.
+
+    Args:
+      host: The server's IP number.
+      port: The server's port.
+      user: The daemon's own user at the server.
+      password: That user's password.
+      database: The database to use.
+      deadline: When to give up, on the event loop's clock in seconds.
+      on_closed: Called once the socket is closed, if it was ever open.
+
+    Raises:
+      backend_errors.LoginRefusedError: The server refused the login.
+      backend_errors.LoginMethodError: It asked for a method not carried.
+      backend_errors.BackendLostError: It was not reached, or hung up.
+      backend_errors.BackendTimeoutError: It was silent until `deadline`.
+      backend_errors.BackendProtocolError: It broke the protocol.
+    """
+    login = backend_login.Login(user, password, database)
+    connection = BackendConnection(host, port, login, on_closed)
+    channel = connection.channel
+    try:
+        async with asyncio.timeout_at(deadline):
+            await channel.loop.create_connection(lambda: channel, host, port)
+            await channel.finish_login()
+    except TimeoutError as error:
+        channel.abort()
+        raise backend_errors.BackendTimeoutError(
+            f"no login at {host}:{port} before the deadline"
+        ) from error
+    except OSError as error:
+        channel.abort()
+        raise backend_errors.BackendLostError(
+            f"{host}:{port} not reached: {error}"
+        ) from error
+    except BaseException:
+        channel.abort()
+        raise
+    return connection
+
+
+class BackendConnection:
+    """One connection; it runs one round at a time.
+
+    Attributes:
+      channel: Its socket.
+      status: The transaction status told last.
+      batch_open: Whether the last round ended without a ReadyForQuery.
+      skipping: Whether the server discards everything up to a Sync.
+      statements: The prepared statements that exist on it.
+      settings: The session settings in force on it.
+      cancel_sent: Whether a CancelRequest was sent for it.
+      lasting: Whether a statement left what no reset removes.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        login: backend_login.Login,
+        on_closed: Callable[["BackendConnection"], None] | None = None,
+    ):
+        self.on_closed = on_closed
+        self.login = login
+        self.channel = backend_channel.Channel(
+            host, port, login, self.note_closed
+        )
+        self.status = b"I"
+        self.batch_open = False
+        self.skipping = False
+        self.cancel_sent = False
+        self.lasting = False
+        self.statements = backend_plan.Statements()
+        self.settings = backend_settings.SessionSettings()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another session may use the connection now."""
+        if self.channel.broken is not None or self.channel.answers is not None:
+            return False
+        if self.cancel_sent or self.lasting:
+            return False
+        return self.status == b"I" and not (self.batch_open or self.skipping)
+
+    def note_closed(self) -> None:
+        """Tells the owner that the socket is closed."""
+        if self.on_closed is not None:
+            self.on_closed(self)
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self.channel.abort()
+
+    async def close(self) -> None:
+        """Says goodbye to the server and waits for the socket to close."""
+        await self.channel.close()
+
+    async def cancel(self, deadline: float) -> None:
+        """Sends a CancelRequest for the running round.
+
+        The server may act on it late, so no other session gets the connection
+        afterwards.
+
+        Raises:
+          backend_errors.BackendLostError: The server was not reached.
+          backend_errors.BackendTimeoutError: It was silent until `deadline`.
+        """
+        self.cancel_sent = True
+        packet = wire.cancel_packet(self.login.process_id, self.login.secret)
+        writer = None
+        try:
+            async with asyncio.timeout_at(deadline):
+                reader, writer = await asyncio.open_connection(
+                    self.channel.host, self.channel.port
+                )
+                writer.write(packet)
+                await reader.read()
+        except TimeoutError as error:
+            raise backend_errors.BackendTimeoutError(
+                "no answer to a cancel request before the deadline", True
+            ) from error
+        except OSError as error:
+            raise backend_errors.BackendLostError(
+                f"cancel request failed: {error}", True
+            ) from error
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+
+    async def run_steps(
+        self,
+        steps: Sequence[work.Step],
+        prepared: Sequence[work.Prepared],
+        settings: Sequence[backend_settings.Setting],
+        sink: work.Sink,
+        timeout_s: float,
+        position: bool = False,
+        may_change_session: bool = False,
+    ) -> RoundAnswer | backend_settings.SettingRefused:
+        """Runs a round; at most its last step is a Query, Sync or Flush.
+
+        A position query drops the unnamed portal, so it belongs behind what
+        ends a transaction. It is left out of a round that ends in a Flush.
+
+        Args:
+          steps: The messages, statement names already replaced.
+          prepared: Every statement that the steps use.
+          settings: The session's settings, all of them.
+          sink: Gets the caller's messages, in batches.
+          timeout_s: For how long the server may be silent, in seconds.
+          position: Whether to ask for the log position right behind.
+          may_change_session: Whether the steps may change settings unseen.
+
+        Returns:
+          The answer, or why nothing of the round was sent.
+
+        Raises:
+          backend_errors.BackendLostError: The connection ended.
+          backend_errors.BackendTimeoutError: The server was silent.
+          backend_errors.BackendProtocolError: The answer was not the round's.
+        """
+        refused = backend_settings.find_refused(settings)
+        if refused:
+            return backend_settings.SettingRefused(refused, {})
+        change = self.plan_settings(settings)
+        if not self.settings.is_accepted(change):
+            refusal = await self.apply_settings(change, timeout_s)
+            if refusal is not None:
+                return refusal
+            change = backend_settings.NO_CHANGE
+        plan = self.plan_steps(steps, prepared)
+        request, answers = self.surround(plan, change, steps, position)
+        delivered = await self.channel.exchange(
+            request, answers, sink, timeout_s
+        )
+        self.settings.note_change(change, self.status)
+        if may_change_session:
+            self.settings.reset_needed = True
+        self.note_round(answers, bool(steps))
+        return RoundAnswer(
+            answers.status,
+            answers.take_tail(),
+            answers.server_error,
+            answers.position,
+            delivered,
+        )
+
+    def plan_settings(
+        self, settings: Sequence[backend_settings.Setting]
+    ) -> backend_settings.Change:
+        """Returns what puts `settings` in force."""
+        if self.batch_open:
+            # A query in the middle of a batch would commit its first half.
+            return backend_settings.NO_CHANGE
+        return self.settings.plan(settings, self.status)
+
+    async def apply_settings(
+        self, change: backend_settings.Change, timeout_s: float
+    ) -> backend_settings.SettingRefused | None:
+        """Puts a change in force and waits for the server's answer."""
+        pending = [Pending(Answer.QUERY, Purpose.SETTINGS)]
+        answers = backend_answers.Answers(pending, self.statements, self.status)
+        try:
+            await self.channel.exchange(
+                wire.query(change.sql), answers, _no_sink, timeout_s
+            )
+        except backend_errors.ExchangeError as error:
+            # Nothing of the round itself has left.
+            error.sent = False
+            raise
+        if answers.setting_error is not None:
+            self.status = answers.status
+            names = tuple(name for name, _ in change.assigned)
+            return backend_settings.SettingRefused(names, answers.setting_error)
+        self.settings.note_change(change, self.status)
+        return None
+
+    def plan_steps(
+        self, steps: Sequence[work.Step], prepared: Sequence[work.Prepared]
+    ) -> backend_plan.Plan:
+        """Plans a round against the statements that exist here."""
+        planner = backend_plan.Planner(self.statements, prepared)
+        try:
+            return planner.plan(steps, self.skipping, self.status == b"E")
+        except exceptions.ProtocolError as error:
+            self.channel.break_off(
+                backend_errors.BackendProtocolError, str(error)
+            )
+            raise backend_errors.BackendProtocolError(str(error)) from error
+
+    def surround(
+        self,
+        plan: backend_plan.Plan,
+        change: backend_settings.Change,
+        steps: Sequence[work.Step],
+        position: bool,
+    ) -> tuple[bytes, backend_answers.Answers]:
+        """Puts a change of settings and a position query around a plan."""
+        request = plan.request
+        pending = plan.pending
+        if change.sql:
+            request = wire.query(change.sql) + request
+            pending = [
+                Pending(Answer.QUERY, Purpose.SETTINGS_BEFORE),
+                *pending,
+            ]
+        if position and self.ends_synced(steps):
+            request += wire.query(probes.POSITION_SQL)
+            pending = [*pending, Pending(Answer.QUERY, Purpose.POSITION)]
+        answers = backend_answers.Answers(
+            pending, self.statements, self.status, plan.used
+        )
+        return request, answers
+
+    def ends_synced(self, steps: Sequence[work.Step]) -> bool:
+        """Returns whether the server is ready for queries after `steps`."""
+        if not steps:
+            return not self.batch_open
+        return steps[-1].message[:1] in (b"Q", b"S")
+
+    def note_round(
+        self, answers: backend_answers.Answers, has_steps: bool
+    ) -> None:
+        """Takes over what a round did to the connection's state."""
+        self.status = answers.status
+        if answers.synced:
+            self.skipping = False
+        self.skipping = self.skipping or answers.skipping
+        if has_steps:
+            self.batch_open = not answers.synced
+        if answers.settings_changed:
+            self.settings.reset_needed = True
+        self.lasting = self.lasting or answers.lasting
+
+
+async def _no_sink(data: bytes) -> None:
+    raise exceptions.ProtocolError("an answer came where none was asked for")
--- /dev/null
+++ b/src/cuminwall/backend_channel.py
@@ -0,0 +1,286 @@
+"""The socket to a backend server: framing, one exchange at a time, its end.
+
+Whatever does not belong to the running exchange ends the connection, since
+its next answer could be another request's.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, cast
+
+from loguru import logger
+
+from cuminwall import (
+    backend_answers,
+    backend_errors,
+    backend_login,
+    exceptions,
+    wire,
+    work,
+)
+
+# Reading pauses while more than this waits for the sink.
+HIGH_WATER_BYTES = 256 * 1024
+CLOSE_TIMEOUT_S = 1.0
+
+
+class Break(NamedTuple):
+    """Why a connection cannot be used any more."""
+
+    kind: type[backend_errors.ExchangeError]
+    message: str
+    fields: Mapping[str, str]
+
+
+_CLOSED_HERE = Break(backend_errors.BackendLostError, "closed here", {})
+
+
+class Channel(asyncio.Protocol):
+    """The socket of one backend connection.
+
+    Attributes:
+      host: The server's IP number.
+      port: The server's port.
+      broken: Why it cannot be used any more, or None.
+      closed: Set once the socket is closed.
+      idle_since: When its last exchange ended, on the event loop's clock.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        login: backend_login.Login,
+        on_closed: Callable[[], None],
+    ):
+        self.host = host
+        self.port = port
+        self.login = login
+        self.on_closed = on_closed
+        self.loop = asyncio.get_running_loop()
+        self.framer = wire.Framer()
+        self.transport: asyncio.Transport | None = None
+        self.closed = asyncio.Event()
+        self.broken: Break | None = None
+        self.login_error: backend_errors.ExchangeError | None = None
+        self.answers: backend_answers.Answers | None = None
+        self.waiter: asyncio.Future[None] | None = None
+        self.reading_paused = False
+        self.active_at = self.loop.time()
+        self.idle_since = self.active_at
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the first packet."""
+        self.transport = cast(asyncio.Transport, transport)
+        if self.broken is not None:
+            self.transport.abort()
+            return
+        self.transport.write(self.login.first_packet())
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the server."""
+        if self.broken is not None:
+            return
+        self.active_at = self.loop.time()
+        try:
+            for message in self.framer.feed(data):
+                self.handle(message)
+        except exceptions.ProtocolError as error:
+            self.break_off(backend_errors.BackendProtocolError, str(error))
+            return
+        except exceptions.ConnectionLostError as error:
+            fields = self.answers.fatal if self.answers else None
+            self.break_off(backend_errors.BackendLostError, str(error), fields)
+            return
+        except backend_errors.ExchangeError as error:
+            self.login_error = error
+            self.break_off(type(error), str(error), error.fields)
+            return
+        self.wake_for_answer()
+
+    def handle(self, message: wire.Message) -> None:
+        """Takes one message of the server."""
+        if self.answers is not None:
+            self.answers.accept(message)
+            return
+        if not self.login.done:
+            reply = self.login.accept(message)
+            if reply and self.transport is not None:
+                self.transport.write(reply)
+            if self.login.done:
+                self.wake()
+            return
+        # Between rounds a server may report only these on its own.
+        if message.tag in (b"S", b"N"):
+            return
+        if message.tag == b"E":
+            fields = wire.read_error_fields(message.payload)
+            raise exceptions.ConnectionLostError(
+                f"the server ended the connection: {fields.get('M', '')}"
+            )
+        raise exceptions.ProtocolError(
+            f"message {message.tag!r} came between rounds"
+        )
+
+    def wake_for_answer(self) -> None:
+        """Wakes the running round if there is something to do for it."""
+        answers = self.answers
+        if answers is None:
+            return
+        if answers.done or (answers.streaming and answers.ready):
+            self.wake()
+        if answers.ready_bytes > HIGH_WATER_BYTES and not self.reading_paused:
+            self.reading_paused = True
+            cast(asyncio.Transport, self.transport).pause_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the socket is closed."""
+        if self.broken is None:
+            reason = str(exc) if exc else "the server closed the connection"
+            self.break_off(backend_errors.BackendLostError, reason)
+        self.closed.set()
+        self.wake()
+        self.on_closed()
+
+    def break_off(
+        self,
+        kind: type[backend_errors.ExchangeError],
+        message: str,
+        fields: Mapping[str, str] | None = None,
+    ) -> None:
+        """Closes the connection for a fault; it is never used again."""
+        if self.broken is not None:
+            return
+        self.broken = Break(kind, message, fields or {})
+        logger.info(
+            "backend: connection to {}:{} ended: {}",
+            self.host,
+            self.port,
+            message,
+        )
+        if self.transport is not None:
+            self.transport.abort()
+        self.wake()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self.broken is None:
+            self.broken = _CLOSED_HERE
+        if self.transport is not None:
+            self.transport.abort()
+        self.wake()
+
+    async def close(self) -> None:
+        """Says goodbye to the server and waits for the socket to close."""
+        transport = self.transport
+        if transport is None or self.broken is not None:
+            self.abort()
+        else:
+            self.broken = _CLOSED_HERE
+            transport.write(wire.terminate())
+            transport.close()
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self.closed.wait()
+        except TimeoutError:
+            # A silent peer never takes what is left in the write buffer.
+            self.abort()
+            await self.closed.wait()
+
+    async def finish_login(self) -> None:
+        """Waits until the server is ready for queries."""
+        while not self.login.done and self.broken is None:
+            await self.wait()
+        if self.login_error is not None:
+            raise self.login_error
+        if self.broken is not None:
+            raise self.make_error(self.broken, sent=False, delivered=False)
+
+    async def exchange(
+        self,
+        request: bytes,
+        answers: backend_answers.Answers,
+        sink: work.Sink,
+        timeout_s: float,
+    ) -> bool:
+        """Sends `request` and collects its answers.
+
+        Returns:
+          Whether a byte went to the sink.
+        """
+        if self.broken is not None:
+            raise self.make_error(self.broken, sent=False, delivered=False)
+        if self.answers is not None:
+            raise backend_errors.BackendProtocolError("a round is running")
+        delivered = False
+        self.answers = answers
+        self.active_at = self.loop.time()
+        self.timer = self.loop.call_later(
+            timeout_s, self.check_silence, timeout_s
+        )
+        try:
+            if request:
+                cast(asyncio.Transport, self.transport).write(request)
+            while True:
+                if self.broken is not None:
+                    raise self.make_error(self.broken, True, delivered)
+                if answers.streaming and answers.ready:
+                    delivered = True
+                    await self.deliver(answers, sink)
+                    continue
+                if answers.done:
+                    return delivered
+                await self.wait()
+        except BaseException:
+            self.abort()
+            raise
+        finally:
+            self.timer.cancel()
+            self.answers = None
+            self.idle_since = self.loop.time()
+
+    async def deliver(
+        self, answers: backend_answers.Answers, sink: work.Sink
+    ) -> None:
+        """Gives out what is ready; the server waits while the sink is slow."""
+        await sink(answers.take_ready())
+        self.active_at = self.loop.time()
+        if self.reading_paused and self.broken is None:
+            self.reading_paused = False
+            cast(asyncio.Transport, self.transport).resume_reading()
+
+    def check_silence(self, timeout_s: float) -> None:
+        """Breaks off if the server was silent for `timeout_s`."""
+        quiet_s = self.loop.time() - self.active_at
+        if self.waiter is None:
+            # The sink is what takes long, not the server.
+            quiet_s = 0.0
+        if quiet_s >= timeout_s:
+            self.break_off(
+                backend_errors.BackendTimeoutError,
+                f"no byte of an answer for {timeout_s} s",
+            )
+            return
+        self.timer = self.loop.call_later(
+            timeout_s - quiet_s, self.check_silence, timeout_s
+        )
+
+    def make_error(
+        self, broken: Break, sent: bool, delivered: bool
+    ) -> backend_errors.ExchangeError:
+        """Returns the exception for a broken connection."""
+        return broken.kind(broken.message, sent, delivered, broken.fields)
+
+    async def wait(self) -> None:
+        """Waits until `wake`."""
+        self.waiter = self.loop.create_future()
+        try:
+            await self.waiter
+        finally:
+            self.waiter = None
+
+    def wake(self) -> None:
+        """Lets the waiting round or login go on."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
--- /dev/null
+++ b/src/cuminwall/backend_plan.py
@@ -0,0 +1,299 @@
+"""From the steps of a round to the bytes sent and the answers expected.
+
+Statements carry names derived from their content, so that many sessions share
+them on one connection. A Parse of a statement that exists is not sent, and a
+statement that is missing is parsed ahead of its first use. Nothing here does
+I/O.
+"""
+
+import enum
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
+
+from cuminwall import exceptions, wire, work
+
+MAX_STATEMENTS = 256
+
+
+class Answer(enum.Enum):
+    """What the server answers to one message."""
+
+    PARSE_COMPLETE = enum.auto()
+    BIND_COMPLETE = enum.auto()
+    CLOSE_COMPLETE = enum.auto()
+    PARAMETERS = enum.auto()
+    ROW_SHAPE = enum.auto()
+    EXECUTION = enum.auto()
+    READY = enum.auto()
+    QUERY = enum.auto()
+    LOCAL = enum.auto()
+
+
+class Purpose(enum.Enum):
+    """On whose behalf a message was sent.
+
+    SETTINGS is a change whose answer is awaited before the round is sent;
+    SETTINGS_BEFORE goes in the same write as the round.
+    """
+
+    CALLER = enum.auto()
+    STATEMENTS = enum.auto()
+    SETTINGS = enum.auto()
+    SETTINGS_BEFORE = enum.auto()
+    POSITION = enum.auto()
+
+
+class Pending(NamedTuple):
+    """An answer that is still to come.
+
+    Attributes:
+      answer: Its kind.
+      purpose: Who asked; only the caller's answers reach the sink.
+      statement: The statement that is parsed or closed, or "".
+      message: For a LOCAL answer the encoded message itself.
+    """
+
+    answer: Answer
+    purpose: Purpose = Purpose.CALLER
+    statement: str = ""
+    message: bytes = b""
+
+
+class Plan(NamedTuple):
+    """What to send, and what to expect in return.
+
+    Attributes:
+      request: The bytes to write.
+      pending: The answers in the order in which they come.
+      used: The names of the statements that the round makes or uses.
+    """
+
+    request: bytes
+    pending: list[Pending]
+    used: frozenset[str]
+
+
+class Statements:
+    """The prepared statements on one connection, least recently used first.
+
+    Attributes:
+      names: The statements that exist.
+      stale: Those among them that must be closed before any use.
+    """
+
+    def __init__(self, limit: int = MAX_STATEMENTS):
+        self.limit = limit
+        self.names: dict[str, None] = {}
+        self.stale: set[str] = set()
+
+    def add(self, name: str) -> None:
+        """Notes that a statement exists now."""
+        self.names[name] = None
+
+    def discard(self, name: str) -> None:
+        """Notes that a statement does not exist any more."""
+        self.names.pop(name, None)
+        self.stale.discard(name)
+
+    def clear(self) -> None:
+        """Notes that no statement exists any more."""
+        self.names.clear()
+        self.stale.clear()
+
+    def touch(self, names: Iterable[str]) -> None:
+        """Marks statements as used just now."""
+        for name in names:
+            if name in self.names:
+                del self.names[name]
+                self.names[name] = None
+
+    def mark_stale(self, names: Iterable[str]) -> None:
+        """Has statements closed ahead of the next round.
+
+        A name that was thought not to exist is included, since closing what
+        does not exist is no error.
+        """
+        for name in names:
+            self.names.setdefault(name)
+            self.stale.add(name)
+
+    def choose_closed(self, wanted: Collection[str]) -> list[str]:
+        """Returns what to close so that `wanted` fits under the limit."""
+        closed = list(self.stale)
+        surplus = len(self.names) - len(closed) - self.limit
+        for name in wanted:
+            if name not in self.names or name in self.stale:
+                surplus += 1
+        for name in self.names:
+            if surplus <= 0:
+                break
+            if name in wanted or name in self.stale:
+                continue
+            closed.append(name)
+            surplus -= 1
+        return closed
+
+
+PARSE_COMPLETE = wire.Message(b"1", b"").encode()
+CLOSE_COMPLETE = wire.Message(b"3", b"").encode()
+
+_SIMPLE_ANSWERS = {
+    b"B": (Answer.BIND_COMPLETE,),
+    b"E": (Answer.EXECUTION,),
+    b"S": (Answer.READY,),
+    b"Q": (Answer.QUERY,),
+    b"H": (),
+}
+
+
+class Planner:
+    """Plans one round against the statements of a connection."""
+
+    def __init__(
+        self, statements: Statements, prepared: Sequence[work.Prepared]
+    ):
+        self.statements = statements
+        self.by_name = {entry.name: entry for entry in prepared}
+        self.known: set[str] = set()
+        self.failed = False
+        self.request: list[bytes] = []
+        self.pending: list[Pending] = []
+
+    def plan(
+        self,
+        steps: Sequence[work.Step],
+        skipping: bool = False,
+        failed: bool = False,
+    ) -> Plan:
+        """Returns what to send for `steps`.
+
+        Args:
+          steps: The round; at most its last step is a Query, Sync or Flush.
+          skipping: Whether the server discards everything up to a Sync.
+          failed: Whether the round starts in a failed transaction.
+
+        Raises:
+          exceptions.ProtocolError: The server would never answer a step.
+        """
+        self.failed = failed
+        used = set(self.by_name)
+        for step in steps:
+            if step.parses:
+                used.add(step.parses)
+        if skipping:
+            self.add_skipped(steps)
+        else:
+            self.open(used)
+            for step in steps:
+                self.add(step)
+        return Plan(b"".join(self.request), self.pending, frozenset(used))
+
+    def open(self, wanted: Collection[str]) -> None:
+        """Closes surplus statements ahead of the steps."""
+        closed = self.statements.choose_closed(wanted)
+        for name in closed:
+            self.request.append(wire.close_statement(name))
+            self.expect(Answer.CLOSE_COMPLETE, Purpose.STATEMENTS, name)
+        self.known = set(self.statements.names).difference(closed)
+        self.statements.touch(wanted)
+
+    def add(self, step: work.Step) -> None:
+        """Adds one step."""
+        tag = step.message[:1]
+        if tag == b"P":
+            self.add_parse(step)
+            return
+        if tag == b"C" and self.is_named_statement(step.message):
+            # Other sessions share the statement, so it stays.
+            self.answer_locally(CLOSE_COMPLETE)
+            return
+        if tag in (b"B", b"D"):
+            self.provide(_used_statement(step.message))
+        self.request.append(step.message)
+        for answer in _answers_to(step.message):
+            self.expect(answer)
+
+    def add_parse(self, step: work.Step) -> None:
+        """Adds a Parse, unless its statement exists."""
+        name = step.parses
+        if name and name in self.known:
+            if not self.failed:
+                self.answer_locally(PARSE_COMPLETE)
+                return
+            # A failed transaction refuses most statements, and only the
+            # server can tell which.
+            self.request.append(_without_name(step.message))
+            self.expect(Answer.PARSE_COMPLETE)
+            return
+        self.request.append(step.message)
+        self.expect(Answer.PARSE_COMPLETE, Purpose.CALLER, name)
+        if name:
+            self.known.add(name)
+
+    def provide(self, name: str) -> None:
+        """Parses the statement `name` if it is missing."""
+        if name in self.known or name not in self.by_name:
+            return
+        entry = self.by_name[name]
+        self.request.append(
+            wire.parse_message(name, entry.sql, entry.type_oids)
+        )
+        self.expect(Answer.PARSE_COMPLETE, Purpose.STATEMENTS, name)
+        self.known.add(name)
+
+    def add_skipped(self, steps: Sequence[work.Step]) -> None:
+        """Adds steps that the server discards up to a Sync."""
+        for step in steps:
+            tag = step.message[:1]
+            if tag == b"Q":
+                raise exceptions.ProtocolError(
+                    "a Query came where the server waits for a Sync"
+                )
+            if tag == b"S":
+                self.request.append(step.message)
+                self.expect(Answer.READY)
+
+    def answer_locally(self, message: bytes) -> None:
+        """Expects nothing of the server, and gives out `message` in turn."""
+        self.pending.append(Pending(Answer.LOCAL, message=message))
+
+    def expect(
+        self,
+        answer: Answer,
+        purpose: Purpose = Purpose.CALLER,
+        statement: str = "",
+    ) -> None:
+        """Expects an answer of the server."""
+        self.pending.append(Pending(answer, purpose, statement))
+
+    @staticmethod
+    def is_named_statement(message: bytes) -> bool:
+        """Returns whether a Close or Describe is of a named statement."""
+        return message[5:6] == b"S" and message[6:7] != b"\0"
+
+
+def _answers_to(message: bytes) -> tuple[Answer, ...]:
+    tag = message[:1]
+    if tag == b"D":
+        if message[5:6] == b"S":
+            return (Answer.PARAMETERS, Answer.ROW_SHAPE)
+        return (Answer.ROW_SHAPE,)
+    if tag == b"C":
+        return (Answer.CLOSE_COMPLETE,)
+    if tag not in _SIMPLE_ANSWERS:
+        raise exceptions.ProtocolError(f"step {tag!r} is not carried")
+    return _SIMPLE_ANSWERS[tag]
+
+
+def _used_statement(message: bytes) -> str:
+    if message[:1] == b"D":
+        if message[5:6] != b"S":
+            return ""
+        return wire.read_cstring(message, 6)[0]
+    _, offset = wire.read_cstring(message, 5)
+    return wire.read_cstring(message, offset)[0]
+
+
+def _without_name(message: bytes) -> bytes:
+    _, offset = wire.read_cstring(message, 5)
+    return wire.Message(b"P", b"\0" + message[offset:]).encode()
