--- a/src/cuminwall/backend.py
+++ b/src/cuminwall/backend.py
@@ -38,6 +38,8 @@
 )
 from cuminwall.backend_plan import Answer, Pending, Purpose
 
+PING_SQL = "SELECT 1"
+
 
 class RoundAnswer(NamedTuple):
     """How a round ended on a backend connection.
@@ -58,23 +60,35 @@
     delivered: bool
 
 
+class Target(NamedTuple):
+    """A backend server, and the daemon's own credentials there.
+
+    Attributes:
+      name: The server's name, for logs and reports.
+      host: Its IP number.
+      port: Its port.
+      user: The daemon's own user.
+      password: That user's password.
+      database: The database to use.
+    """
+
+    name: str
+    host: str
+    port: int
+    user: str
+    password: str
+    database: str
+
+
 async def connect(
-    host: str,
-    port: int,
-    user: str,
-    password: str,
-    database: str,
+    target: Target,
     deadline: float,
     on_closed: Callable[["BackendConnection"], None] | None = None,
 ) -> "BackendConnection":
     """Opens a connection and logs in.
 
     Args:
-      host: The server's IP number.
-      port: The server's port.
-      user: The daemon's own user at the server.
-      password: That user's password.
-      database: The database to use.
+      target: The server, and the daemon's own credentials there.
       deadline: When to give up, on the event loop's clock in seconds.
       on_closed: Called once the socket is closed, if it was ever open.
 
@@ -85,25 +99,27 @@
       backend_errors.BackendTimeoutError: It was silent until `deadline`.
       backend_errors.BackendProtocolError: It broke the protocol.
     """
-    login = backend_login.Login(user, password, database)
-    connection = BackendConnection(host, port, login, on_closed)
+    connection = BackendConnection(target, on_closed)
     channel = connection.channel
+    address = f"{target.host}:{target.port}"
     try:
         async with asyncio.timeout_at(deadline):
-            await channel.loop.create_connection(lambda: channel, host, port)
+            await channel.loop.create_connection(
+                lambda: channel, target.host, target.port
+            )
             await channel.finish_login()
     except TimeoutError as error:
-        channel.abort()
+        await channel.abort_and_wait()
         raise backend_errors.BackendTimeoutError(
-            f"no login at {host}:{port} before the deadline"
+            f"no login at {address} before the deadline"
         ) from error
     except OSError as error:
-        channel.abort()
+        await channel.abort_and_wait()
         raise backend_errors.BackendLostError(
-            f"{host}:{port} not reached: {error}"
+            f"{address} not reached: {error}"
         ) from error
     except BaseException:
-        channel.abort()
+        await channel.abort_and_wait()
         raise
     return connection
 
@@ -112,6 +128,8 @@
     """One connection; it runs one round at a time.
 
     Attributes:
+      target: The server.
+      login: What the server told at login.
       channel: Its socket.
       status: The transaction status told last.
       batch_open: Whether the last round ended without a ReadyForQuery.
@@ -124,15 +142,16 @@
 
     def __init__(
         self,
-        host: str,
-        port: int,
-        login: backend_login.Login,
+        target: Target,
         on_closed: Callable[["BackendConnection"], None] | None = None,
     ):
+        self.target = target
         self.on_closed = on_closed
-        self.login = login
+        self.login = backend_login.Login(
+            target.user, target.password, target.database
+        )
         self.channel = backend_channel.Channel(
-            host, port, login, self.note_closed
+            target.host, target.port, self.login, self.note_closed
         )
         self.status = b"I"
         self.batch_open = False
@@ -161,7 +180,7 @@
         self.channel.abort()
 
     async def close(self) -> None:
-        """Says goodbye to the server and waits for the socket to close."""
+        """Says goodbye to the server and waits until it has hung up."""
         await self.channel.close()
 
     async def cancel(self, deadline: float) -> None:
@@ -254,6 +273,22 @@
             delivered,
         )
 
+    async def ping(self, timeout_s: float) -> None:
+        """Makes sure that the server still answers on this connection.
+
+        Raises:
+          backend_errors.ExchangeError: It does not; the connection is closed.
+        """
+        steps = (work.Step(wire.query(PING_SQL)),)
+        in_force = tuple(self.settings.in_force.items())
+        answer = await self.run_steps(steps, (), in_force, _no_sink, timeout_s)
+        if (
+            isinstance(answer, backend_settings.SettingRefused)
+            or answer.server_error
+        ):
+            self.abort()
+            raise backend_errors.BackendLostError("a ping was refused")
+
     def plan_settings(
         self, settings: Sequence[backend_settings.Setting]
     ) -> backend_settings.Change:
--- a/src/cuminwall/backend_channel.py
+++ b/src/cuminwall/backend_channel.py
@@ -172,20 +172,27 @@
         self.wake()
 
     async def close(self) -> None:
-        """Says goodbye to the server and waits for the socket to close."""
-        transport = self.transport
-        if transport is None or self.broken is not None:
-            self.abort()
-        else:
+        """Says goodbye to the server and waits until it has hung up.
+
+        Only then has the server given the connection's place free.
+        """
+        if self.transport is not None and self.broken is None:
             self.broken = _CLOSED_HERE
-            transport.write(wire.terminate())
-            transport.close()
-        try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
-                await self.closed.wait()
-        except TimeoutError:
-            # A silent peer never takes what is left in the write buffer.
-            self.abort()
+            self.transport.write(wire.terminate())
+            self.wake()
+            try:
+                async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                    await self.closed.wait()
+            except TimeoutError:
+                logger.info(
+                    "backend: {}:{} did not hang up", self.host, self.port
+                )
+        await self.abort_and_wait()
+
+    async def abort_and_wait(self) -> None:
+        """Closes the connection at once and waits until the socket is."""
+        self.abort()
+        if self.transport is not None:
             await self.closed.wait()
 
     async def finish_login(self) -> None:
--- a/src/cuminwall/backend_errors.py
+++ b/src/cuminwall/backend_errors.py
@@ -8,6 +8,8 @@
 
 from cuminwall import exceptions
 
+Fields = Mapping[str, str]
+
 
 class ExchangeError(exceptions.CuminwallError):
     """An exchange with a backend server broke off.
@@ -23,7 +25,7 @@
         message: str,
         sent: bool = False,
         delivered: bool = False,
-        fields: Mapping[str, str] | None = None,
+        fields: Fields | None = None,
     ):
         super().__init__(message)
         self.sent = sent
@@ -49,3 +51,7 @@
 
 class LoginMethodError(ExchangeError):
     """A backend server asked for a login method that is not carried."""
+
+
+class ProbeRefusedError(ExchangeError):
+    """The server answered a position query with an error."""
--- /dev/null
+++ b/src/cuminwall/prober.py
@@ -0,0 +1,220 @@
+"""Probes of backend servers, each over a connection of its own.
+
+A connection can go silent for good while the server is well. So a probe that
+is not answered is tried once more on a fresh connection, and only its failure
+speaks against the server.
+"""
+
+import asyncio
+import enum
+import functools
+import time
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from loguru import logger
+
+from cuminwall import backend, backend_errors, backend_settings, probes
+
+PROBE_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 0.5
+
+
+class ProbeFailureReason(enum.Enum):
+    """Why a server gave no answer, on a fresh connection either.
+
+    Attributes:
+      UNREACHABLE: No connection was made, or it ended.
+      SILENT: It did not answer before the deadline.
+      REFUSED: It answered with an error.
+      MALFORMED: Its answer was not that of a probe.
+    """
+
+    UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    REFUSED = "refused"
+    MALFORMED = "malformed"
+
+
+class ProbeFailure(NamedTuple):
+    """A server gave no usable answer.
+
+    Attributes:
+      reason: In what way.
+      message: What was seen, for the log.
+    """
+
+    reason: ProbeFailureReason
+    message: str
+
+
+# Called with the server's name, the monotonic time in seconds before the
+# probe was sent, and what came of it.
+Report = Callable[[str, float, probes.ProbeAnswer | ProbeFailure], None]
+
+
+class Prober:
+    """Probes servers at an interval.
+
+    Attributes:
+      report: Gets what comes of each probe.
+      interval_s: From the start of one probe to the start of the next.
+      timeout_s: For how long a server may take for one step of a probe.
+      probed: The servers that are probed, by name.
+    """
+
+    def __init__(
+        self,
+        report: Report,
+        interval_s: float = PROBE_INTERVAL_S,
+        timeout_s: float = PROBE_TIMEOUT_S,
+    ):
+        self.report = report
+        self.interval_s = interval_s
+        self.timeout_s = timeout_s
+        self.probed: dict[str, ServerProbe] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.ending: set[asyncio.Task[None]] = set()
+
+    def set_targets(self, targets: Iterable[backend.Target]) -> None:
+        """Probes exactly these servers from now on."""
+        wanted = {target.name: target for target in targets}
+        for name, probed in list(self.probed.items()):
+            if wanted.get(name) != probed.target:
+                self.stop_probing(name)
+        for name, target in wanted.items():
+            if name in self.probed:
+                continue
+            probed = ServerProbe(target, self.timeout_s)
+            self.probed[name] = probed
+            self.tasks[name] = asyncio.create_task(self.keep_probing(probed))
+
+    def stop_probing(self, name: str) -> None:
+        """Stops probing a server and closes the connection to it."""
+        del self.probed[name]
+        task = self.tasks.pop(name)
+        task.cancel()
+        self.ending.add(task)
+        task.add_done_callback(self.ending.discard)
+
+    async def close(self) -> None:
+        """Stops all probes and waits until their connections are closed."""
+        for name in list(self.probed):
+            self.stop_probing(name)
+        await asyncio.gather(*self.ending, return_exceptions=True)
+
+    async def keep_probing(self, probed: "ServerProbe") -> None:
+        """Probes one server until canceled."""
+        try:
+            while True:
+                started_at = time.monotonic()
+                sent_at, answer = await probed.probe()
+                self.report(probed.target.name, sent_at, answer)
+                passed_s = time.monotonic() - started_at
+                await asyncio.sleep(max(0.0, self.interval_s - passed_s))
+        finally:
+            await probed.close()
+
+
+class ServerProbe:
+    """The probes of one server.
+
+    Attributes:
+      target: The server.
+      timeout_s: For how long it may take for one step.
+      connection: The connection that is kept for probes, or None.
+    """
+
+    def __init__(self, target: backend.Target, timeout_s: float):
+        self.target = target
+        self.timeout_s = timeout_s
+        self.connection: backend.BackendConnection | None = None
+
+    async def probe(self) -> tuple[float, probes.ProbeAnswer | ProbeFailure]:
+        """Probes once.
+
+        Returns:
+          The monotonic time before the probe was sent, and its outcome.
+        """
+        started_at = time.monotonic()
+        if self.connection is not None:
+            try:
+                return started_at, await ask(self.connection, self.timeout_s)
+            except backend_errors.ExchangeError as error:
+                logger.info(
+                    "backend: probe connection to {} replaced: {}",
+                    self.target.name,
+                    error,
+                )
+                await self.close()
+        try:
+            # The answer's age counts from here, not from the first attempt.
+            sent_at, answer = await self.probe_afresh()
+        except backend_errors.ExchangeError as error:
+            await self.close()
+            return started_at, describe_failure(error)
+        return sent_at, answer
+
+    async def probe_afresh(self) -> tuple[float, probes.ProbeAnswer]:
+        """Probes over a fresh connection and keeps it."""
+        loop = asyncio.get_running_loop()
+        self.connection = await backend.connect(
+            self.target, loop.time() + self.timeout_s
+        )
+        sent_at = time.monotonic()
+        return sent_at, await ask(self.connection, self.timeout_s)
+
+    async def close(self) -> None:
+        """Closes the connection that is kept."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            await connection.close()
+
+
+async def ask(
+    connection: backend.BackendConnection, timeout_s: float
+) -> probes.ProbeAnswer:
+    """Asks for the server's position.
+
+    Raises:
+      backend_errors.ExchangeError: No usable answer came.
+    """
+    answer = await connection.run_steps(
+        (), (), (), _refuse_data, timeout_s, position=True
+    )
+    if isinstance(answer, backend_settings.SettingRefused):
+        raise backend_errors.ProbeRefusedError(
+            "the server refused a reset", sent=True
+        )
+    if answer.position is None:
+        raise backend_errors.ProbeRefusedError(
+            "the server refused the query", sent=True
+        )
+    return answer.position
+
+
+@functools.singledispatch
+def describe_failure(error: backend_errors.ExchangeError) -> ProbeFailure:
+    """Returns what a failed probe says of its server."""
+    return ProbeFailure(ProbeFailureReason.REFUSED, str(error))
+
+
+@describe_failure.register
+def _(error: backend_errors.BackendLostError) -> ProbeFailure:
+    return ProbeFailure(ProbeFailureReason.UNREACHABLE, str(error))
+
+
+@describe_failure.register
+def _(error: backend_errors.BackendTimeoutError) -> ProbeFailure:
+    return ProbeFailure(ProbeFailureReason.SILENT, str(error))
+
+
+@describe_failure.register
+def _(error: backend_errors.BackendProtocolError) -> ProbeFailure:
+    return ProbeFailure(ProbeFailureReason.MALFORMED, str(error))
+
+
+async def _refuse_data(data: bytes) -> None:
+    raise backend_errors.ProbeRefusedError(
+        "data came where none was asked for", sent=True
+    )
--- /dev/null
+++ b/src/cuminwall/promotion.py
@@ -0,0 +1,125 @@
+"""Promoting a replica by its own function `pg_promote`."""
+
+import asyncio
+import enum
+from typing import NamedTuple
+
+from loguru import logger
+
+from cuminwall import (
+    backend,
+    backend_errors,
+    backend_settings,
+    exceptions,
+    wire,
+    work,
+)
+
+PROMOTE_SQL = "SELECT pg_promote()"
+# pg_promote itself waits for 60 s before it gives up.
+PROMOTE_TIMEOUT_S = 65.0
+CONNECT_TIMEOUT_S = 1.0
+
+# An operator's intervention can end the wait after the promotion was ordered.
+_INTERVENTION_CLASS = "57"
+
+
+class PromotionOutcome(enum.Enum):
+    """What is known after a promotion was asked for.
+
+    Attributes:
+      DONE: The server is a primary now.
+      REFUSED: The request changes nothing; the server did not carry it out
+        or was never asked.
+      UNKNOWN: The server may become a primary, now or later.
+    """
+
+    DONE = "done"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Promotion(NamedTuple):
+    """What came of a request to promote.
+
+    Attributes:
+      outcome: What is known.
+      message: What was seen, for the log.
+    """
+
+    outcome: PromotionOutcome
+    message: str
+
+
+async def promote(
+    target: backend.Target,
+    timeout_s: float = PROMOTE_TIMEOUT_S,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+) -> Promotion:
+    """Asks a replica to become the primary, over a fresh connection.
+
+    Args:
+      target: The replica.
+      timeout_s: For how long it may be silent.
+      connect_timeout_s: For how long the connection may take.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        connection = await backend.connect(
+            target, loop.time() + connect_timeout_s
+        )
+    except backend_errors.ExchangeError as error:
+        return _conclude(target, PromotionOutcome.REFUSED, str(error))
+    try:
+        return _conclude(target, *await _ask(connection, timeout_s))
+    finally:
+        await connection.close()
+
+
+async def _ask(
+    connection: backend.BackendConnection, timeout_s: float
+) -> Promotion:
+    steps = (work.Step(wire.query(PROMOTE_SQL)),)
+    try:
+        answer = await connection.run_steps(
+            steps, (), (), _refuse_data, timeout_s
+        )
+    except backend_errors.ExchangeError as error:
+        if error.sent:
+            return Promotion(PromotionOutcome.UNKNOWN, str(error))
+        return Promotion(PromotionOutcome.REFUSED, str(error))
+    if isinstance(answer, backend_settings.SettingRefused):
+        return Promotion(PromotionOutcome.REFUSED, "a reset was refused")
+    if answer.server_error is not None:
+        return _judge_error(answer.server_error)
+    for message in wire.Framer().feed(answer.tail):
+        if message.tag != b"D":
+            continue
+        if wire.read_data_row(message.payload) == [b"t"]:
+            return Promotion(PromotionOutcome.DONE, "the server promoted")
+    return Promotion(
+        PromotionOutcome.UNKNOWN, "the server did not promote in time"
+    )
+
+
+def _judge_error(fields: backend_errors.Fields) -> Promotion:
+    message = f"{fields.get('C')} {fields.get('M')}"
+    if fields.get("C", _INTERVENTION_CLASS).startswith(_INTERVENTION_CLASS):
+        return Promotion(PromotionOutcome.UNKNOWN, message)
+    return Promotion(PromotionOutcome.REFUSED, message)
+
+
+def _conclude(
+    target: backend.Target, outcome: PromotionOutcome, message: str
+) -> Promotion:
+    logger.info(
+        "backend: promotion of {}: {}: {}",
+        target.name,
+        outcome.value,
+        message,
+    )
+    return Promotion(outcome, message)
+
+
+async def _refuse_data(data: bytes) -> None:
+    raise exceptions.ProtocolError("a promotion answered with too much data")
