--- a/src/cuminwall/effects.py
+++ b/src/cuminwall/effects.py
@@ -41,7 +41,8 @@
       service: The database service.
       server: The id of the backend server.
       pin: The session whose connection to use or keep, at the entry instance.
-      wants_position: Whether to ask for the log position behind the round.
+      wants_position: Whether the log position behind the round is needed.
+      pipelines_position: Whether to ask for it in the same write.
     """
 
     key: work.WorkKey
@@ -49,6 +50,7 @@
     server: str
     pin: tuple[str, int]
     wants_position: bool
+    pipelines_position: bool
 
 
 class Answer(NamedTuple):
--- /dev/null
+++ b/src/cuminwall/engine.py
@@ -0,0 +1,421 @@
+"""The engine: turns what happens into events and carries effects out.
+
+Events go through one queue, so that an effect that causes an event never
+re-enters the reducer. Nothing is decided here.
+"""
+
+import asyncio
+import collections
+import functools
+import time
+from typing import Any
+
+from loguru import logger
+
+from cuminwall import (
+    effects,
+    events,
+    execution,
+    forwarding,
+    frames,
+    links,
+    messages,
+    outcomes,
+    peers,
+    reducer,
+    serving,
+    sessions,
+    state,
+    storecalls,
+    work,
+)
+
+PREFIX = "engine"
+
+
+class Round:
+    """A caller's round until it is complete.
+
+    Attributes:
+      round_: The caller's messages.
+      sink: Takes the answer.
+      done: Set to how it ended.
+    """
+
+    __slots__ = ("round_", "sink", "done")
+
+    def __init__(
+        self,
+        round_: work.Round,
+        sink: work.Sink,
+        done: asyncio.Future[work.RoundEnd],
+    ):
+        self.round_ = round_
+        self.sink = sink
+        self.done = done
+
+
+class Engine:
+    """Drives the reducer of one instance.
+
+    Attributes:
+      state: The reducer's state.
+      queue: Events that wait for their turn.
+      rounds: The callers' rounds in hand, by number.
+      executor: Runs rounds on backend servers.
+      forwarder: Sends rounds to other instances.
+      peers: The links to other instances.
+      servers: Pools and probes of backend servers.
+      store: Carries out calls of the platform's store.
+      admissions: The answers to logins under way, by session.
+      closing: Called to end a caller's connection.
+      fetching: Called to load a newer configuration.
+      counters: Counts by metric name and label.
+    """
+
+    def __init__(
+        self,
+        state_: state.State,
+        store: storecalls.StoreCalls,
+        servers: serving.Servers,
+    ):
+        self.state = state_
+        self.queue: collections.deque[events.Event] = collections.deque()
+        self.is_reducing = False
+        self.rounds: dict[int, Round] = {}
+        self.executor = execution.Executor(self._ran, self._answer_given)
+        self.forwarder = forwarding.Forwarder(
+            self._home_answered, self._home_lost, self._work_arrived
+        )
+        self.peers: peers.Peers | None = None
+        self.servers = servers
+        self.executor.pools = servers.pools
+        self.store = store
+        self.admissions: dict[int, work.Admitted | outcomes.Failure] = {}
+        self.closing = _close_nothing
+        self.fetching = _fetch_nothing
+        self.counters: collections.Counter[tuple[str, str]]
+        self.counters = collections.Counter()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def attach(self, peers_: peers.Peers) -> None:
+        """Connects the engine with the links to other instances."""
+        self.peers = peers_
+        self.forwarder.peers = peers_
+
+    def feed(self, event: events.Event) -> None:
+        """Takes in an event, and those that its effects cause."""
+        self.queue.append(event)
+        if self.is_reducing:
+            return
+        self.is_reducing = True
+        try:
+            while self.queue:
+                for effect in reducer.reduce(self.state, self.queue.popleft()):
+                    perform(effect, self)
+        finally:
+            self.is_reducing = False
+
+    def carry_out(self, out: list[effects.Effect]) -> None:
+        """Carries out effects that came of no event."""
+        for effect in out:
+            perform(effect, self)
+
+    def spawn(self, coroutine: Any) -> None:
+        """Runs a coroutine beside."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._task_ended)
+
+    def control_handler(self) -> links.LinkHandler:
+        """Returns what happens on control links."""
+        return links.LinkHandler(self._control_received, _ignore_end)
+
+    def data_handler(self) -> links.LinkHandler:
+        """Returns what happens on data links."""
+        return links.LinkHandler(self._data_received, self._data_ended)
+
+    # What the caller side asks for: `work.ServicePort`.
+
+    def find_key(self, key_id: str) -> work.KeyEntry | outcomes.Failure:
+        """Returns the key in force, or why there is none."""
+        if not self.state.config.version:
+            return outcomes.CONFIG_MISSING
+        key = self.state.config.keys.get(key_id)
+        return key if key is not None else outcomes.KEY_REFUSED
+
+    def is_open(self, service: str) -> bool:
+        """Returns whether `service` may be read without a key."""
+        return self.state.config.has_open_route(service)
+
+    def open_session(
+        self, login: work.Login
+    ) -> work.Admitted | outcomes.Failure:
+        """Admits a caller."""
+        session = self.state.next_number()
+        self.feed(events.SessionOpened(time.monotonic(), session, login))
+        return self.admissions.pop(session)
+
+    def add_token(self, session: int, token: str) -> outcomes.Failure | None:
+        """Raises a session's floor to that of a token."""
+        return sessions.add_token(self.state, session, token)
+
+    async def run(
+        self, session: int, round_: work.Round, sink: work.Sink
+    ) -> work.RoundEnd:
+        """Runs a caller's round."""
+        number = self.state.next_number()
+        done = asyncio.get_running_loop().create_future()
+        self.rounds[number] = Round(round_, sink, done)
+        self.feed(
+            events.RoundArrived(
+                time.monotonic(),
+                session,
+                number,
+                round_.access,
+                round_.begins,
+                round_.ends_transaction,
+                round_.max_age_s,
+                round_.tables,
+            )
+        )
+        try:
+            return await done
+        finally:
+            self.rounds.pop(number, None)
+
+    async def cancel(self, session: int) -> None:
+        """Asks the backend server to cancel what the session runs."""
+        found = self.state.sessions.get(session)
+        if found is None:
+            return
+        pending = self.state.pending.get(found.running)
+        home = pending.home if pending else found.home
+        if home == self.state.instance:
+            await self.executor.cancel((home, session))
+        elif home:
+            await self.forwarder.tell(home, frames.Cancel(session))
+
+    async def close_session(self, session: int) -> None:
+        """Ends a session and rolls back its open transaction."""
+        self.feed(events.SessionClosed(time.monotonic(), session))
+
+    # What the other parts report.
+
+    def _ran(self, key: work.WorkKey, result: work.ServerResult) -> None:
+        self.feed(events.WorkRan(time.monotonic(), key, result))
+
+    def _answer_given(self, key: work.WorkKey, answer: work.WorkAnswer) -> None:
+        """Tells the entry instance that an answer was given whole."""
+        if key.origin != self.state.instance:
+            self.forwarder.give(key, answer)
+            return
+        self._home_answered(key.number, answer)
+
+    def _home_answered(self, number: int, answer: work.WorkAnswer) -> None:
+        self.feed(events.WorkAnswered(time.monotonic(), number, answer))
+
+    def _home_lost(self, number: int, sent: bool, delivered: bool) -> None:
+        self.feed(events.HomeLost(time.monotonic(), number, sent, delivered))
+
+    def _work_arrived(
+        self, key: work.WorkKey, run: frames.Run, sink: work.Sink
+    ) -> None:
+        self.executor.take(key, run.round_, sink)
+        self.feed(events.WorkArrived(time.monotonic(), key, run.order))
+
+    def _control_received(self, link: links.Link, data: bytes) -> None:
+        message = messages.decode(data)
+        sender = link.peer.instance
+        self.feed(events.PeerSaid(time.monotonic(), sender, message))
+
+    def _data_received(self, link: links.Link, data: bytes) -> None:
+        receive(forwarding.decode(data), self, link)
+
+    def _data_ended(self, link: links.Link) -> None:
+        self.forwarder.link_ended(link)
+        origin = link.peer.instance
+        self.feed(events.OriginLost(time.monotonic(), origin))
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("{}: a task failed: {!r}", PREFIX, task.exception())
+
+
+def _close_nothing(session: int, failure: outcomes.Failure) -> None:
+    """Stands in until the caller side is there."""
+
+
+def _fetch_nothing(version: int) -> None:
+    """Stands in until the configuration can be loaded."""
+
+
+def _ignore_end(link: links.Link) -> None:
+    """Control messages are repeated over the next link."""
+
+
+@functools.singledispatch
+def receive(frame: Any, engine: Engine, link: links.Link) -> None:
+    """Takes in a frame of a data link; one function for each type."""
+    raise TypeError(type(frame))
+
+
+@receive.register
+def _(frame: frames.Run, engine: Engine, link: links.Link) -> None:
+    engine.forwarder.take(link, frame)
+
+
+@receive.register(frames.Chunk)
+@receive.register(frames.End)
+def _(
+    frame: frames.Chunk | frames.End, engine: Engine, link: links.Link
+) -> None:
+    engine.forwarder.receive_chunk(frame)
+
+
+@receive.register
+def _(frame: frames.Took, engine: Engine, link: links.Link) -> None:
+    engine.forwarder.receive_took(link, frame)
+
+
+@receive.register
+def _(frame: frames.Gone, engine: Engine, link: links.Link) -> None:
+    pin = (link.peer.instance, frame.session)
+    engine.feed(events.PinReleased(time.monotonic(), pin))
+
+
+@receive.register
+def _(frame: frames.Cancel, engine: Engine, link: links.Link) -> None:
+    pin = (link.peer.instance, frame.session)
+    engine.spawn(engine.executor.cancel(pin))
+
+
+@functools.singledispatch
+def perform(effect: Any, engine: Engine) -> None:
+    """Carries an effect out; one function for each type."""
+    raise TypeError(type(effect))
+
+
+@perform.register
+def _(effect: effects.Admit, engine: Engine) -> None:
+    engine.admissions[effect.session] = work.Admitted(effect.session)
+
+
+@perform.register
+def _(effect: effects.Reject, engine: Engine) -> None:
+    engine.admissions[effect.session] = effect.failure
+
+
+@perform.register
+def _(effect: effects.CloseSession, engine: Engine) -> None:
+    engine.closing(effect.session, effect.failure)
+
+
+@perform.register
+def _(effect: effects.Dispatch, engine: Engine) -> None:
+    found = engine.rounds.get(effect.number)
+    if found is None:
+        return
+    key = work.WorkKey(engine.state.instance, effect.number)
+    engine.executor.drop(key)
+    engine.forwarder.dispatch(
+        effect.number, effect.home, effect.order, found.round_, found.sink
+    )
+
+
+@perform.register
+def _(effect: effects.Execute, engine: Engine) -> None:
+    key = effect.key
+    if key.origin == engine.state.instance and (
+        key not in engine.executor.running
+    ):
+        found = engine.rounds.get(key.number)
+        if found is not None:
+            engine.executor.take(key, found.round_, found.sink)
+    engine.executor.execute(effect)
+
+
+@perform.register
+def _(effect: effects.Answer, engine: Engine) -> None:
+    if engine.executor.answer(effect.key, effect.answer):
+        return
+    engine._answer_given(effect.key, effect.answer)
+
+
+@perform.register
+def _(effect: effects.Complete, engine: Engine) -> None:
+    found = engine.rounds.get(effect.number)
+    if found is not None and not found.done.done():
+        found.done.set_result(effect.end)
+
+
+@perform.register
+def _(effect: effects.Unpin, engine: Engine) -> None:
+    engine.executor.unpin(effect.pin)
+
+
+@perform.register
+def _(effect: effects.ReleasePin, engine: Engine) -> None:
+    gone = frames.Gone(effect.session)
+    engine.spawn(engine.forwarder.tell(effect.home, gone))
+
+
+@perform.register
+def _(effect: effects.CancelRound, engine: Engine) -> None:
+    engine.spawn(engine.cancel(effect.session))
+
+
+@perform.register
+def _(effect: effects.Probe, engine: Engine) -> None:
+    engine.servers.probe_now(effect.service, effect.server)
+
+
+@perform.register
+def _(effect: effects.WatchServers, engine: Engine) -> None:
+    engine.servers.watch(engine.state.config, effect.servers)
+
+
+@perform.register
+def _(effect: effects.SetPermits, engine: Engine) -> None:
+    engine.servers.set_permits(effect.service, effect.server, effect.permits)
+
+
+@perform.register
+def _(effect: effects.Say, engine: Engine) -> None:
+    if effect.instance == engine.state.instance:
+        now = time.monotonic()
+        engine.feed(events.PeerSaid(now, effect.instance, effect.message))
+        return
+    if engine.peers is not None:
+        engine.peers.say(effect.instance, messages.encode(effect.message))
+
+
+@perform.register(effects.SwapValue)
+@perform.register(effects.GrantStoreLease)
+@perform.register(effects.KeepStoreLease)
+@perform.register(effects.RevokeStoreLease)
+@perform.register(effects.ReadValue)
+@perform.register(effects.ReadPrefix)
+def _(effect: storecalls.StoreEffect, engine: Engine) -> None:
+    engine.spawn(engine.store.carry_out(effect, engine.feed))
+
+
+@perform.register
+def _(effect: effects.Promote, engine: Engine) -> None:
+    engine.spawn(engine.servers.promote(effect, engine.feed))
+
+
+@perform.register
+def _(effect: effects.FetchConfig, engine: Engine) -> None:
+    engine.fetching(effect.version)
+
+
+@perform.register
+def _(effect: effects.Log, engine: Engine) -> None:
+    logger.info("{}: {}", effect.part, effect.text)
+
+
+@perform.register
+def _(effect: effects.Count, engine: Engine) -> None:
+    engine.counters[(effect.name, effect.label)] += 1
--- a/src/cuminwall/frames.py
+++ b/src/cuminwall/frames.py
@@ -78,6 +78,10 @@
     document: bytes
 
 
+LOST = Chunk(0, b"")  # Put in place of a frame when the link has ended.
+
+LINK_FRAMES = (Run, Chunk, Took, End, Gone, Cancel, ConfigAsk, ConfigAnswer)
+
 TYPES: tuple[type, ...] = (
     Run,
     Chunk,
--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -297,9 +297,7 @@
     job.attempts += 1
     pin = (job.key.origin, job.order.session)
     state.pins[pin] = Pin(group.service, server.name, job.term, False)
-    out.append(
-        Execute(job.key, group.service, server.name, pin, job.as_primary)
-    )
+    out.append(_execute(group, job, pin))
     role = "primary" if job.as_primary else "replica"
     text = f"{group.service} {job.key.number} goes to {role} {server.name}"
     out.append(Log(PREFIX, text))
@@ -325,7 +323,21 @@
     if job.order.access == work.Access.WRITE:
         job.as_primary = True
     job.attempts += 1
-    out.append(Execute(job.key, group.service, job.server, pin, job.as_primary))
+    out.append(_execute(group, job, pin))
+
+
+def _execute(group: Group, job: Job, pin: tuple[str, int]) -> Execute:
+    """Returns the effect that runs a job on its server."""
+    order = job.order
+    stays_open = order.begins or (order.pinned and not order.ends_transaction)
+    return Execute(
+        job.key,
+        group.service,
+        job.server,
+        pin,
+        job.as_primary,
+        job.as_primary and not stays_open,
+    )
 
 
 def _still_fits(state: State, group: Group, server: Server, job: Job) -> bool:
@@ -481,7 +493,6 @@
     state.jobs.pop(job.key, None)
     if job.abandoned:
         release(state, (job.key.origin, job.order.session), out)
-        return
     out.append(Answer(job.key, answer))
 
 
--- a/src/cuminwall/links.py
+++ b/src/cuminwall/links.py
@@ -10,7 +10,7 @@
 import hashlib
 import hmac
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import NamedTuple
 
 import cbor2
@@ -64,21 +64,41 @@
       peer: The other end.
       connection: The websocket.
       outgoing: Messages that wait to be sent; None ends the link.
+      over: Whether nothing is sent any more.
     """
 
     def __init__(self, peer: Peer, connection: Connection):
         self.peer = peer
         self.connection = connection
         self.outgoing: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED)
+        self.over = False
 
     def post(self, data: bytes) -> bool:
-        """Queues a message; returns False if the peer takes none any more."""
+        """Queues a message; returns False if the peer takes none any more.
+
+        A peer that leaves so much unread that the queue is full is cut off.
+        """
+        if self.over:
+            return False
         try:
             self.outgoing.put_nowait(data)
         except asyncio.QueueFull:
+            self.end()
             return False
         return True
 
+    async def put(self, data: bytes) -> None:
+        """Queues a message once there is room; drops it on an ended link."""
+        if not self.over:
+            await self.outgoing.put(data)
+
+    def end(self) -> None:
+        """Takes no more messages and cuts the connection."""
+        self.over = True
+        while not self.outgoing.empty():
+            self.outgoing.get_nowait()
+        self.connection.transport.abort()
+
     async def send_queued(self) -> None:
         """Sends what is queued until the link ends."""
         while True:
@@ -108,9 +128,17 @@
     ended: Ended
 
 
+Listener = websockets.asyncio.server.Server
+
+
+def port_of(listener: Listener) -> int:
+    """Returns the port that a listener has."""
+    return next(iter(listener.sockets)).getsockname()[1]
+
+
 async def listen(
     identity: Identity, host: str, port: int, handler: LinkHandler
-) -> websockets.asyncio.server.Server:
+) -> Listener:
     """Takes links from peers."""
 
     async def serve(connection: Connection) -> None:
@@ -184,6 +212,7 @@
         sender.cancel()
         with contextlib.suppress(asyncio.CancelledError, WebSocketException):
             await sender
+        link.end()
         handler.ended(link)
         await link.close()
 
@@ -240,6 +269,3 @@
     wanted = _proof(identity.secret, nonce, instance)
     if not hmac.compare_digest(proof, wanted):
         raise exceptions.ProtocolError(f"{instance} has another secret")
-
-
-Opener = Callable[[str], Awaitable[Link]]
--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -11,12 +11,12 @@
     calls,
     charges,
     events,
+    failover,
     groups,
     jobs,
     membership,
     messages,
     orders,
-    promotion,
     relays,
     sessions,
     stewards,
@@ -59,6 +59,7 @@
         event.session,
         event.access,
         event.begins,
+        event.ends_transaction,
         False,
         None,
         max_age_s,
@@ -193,7 +194,7 @@
     stewards.tick(state, out)
     for hold in state.stewardships.values():
         if stewards.is_active(state, hold.shard):
-            promotion.tick(state, hold, out)
+            failover.tick(state, hold, out)
     writeleases.ask_due(state, out)
     relays.tick(state, out)
     relays.expire(state)
@@ -236,7 +237,7 @@
     if hold is not None:
         charges.handed_back(hold, sender, message)
         if stewards.is_active(state, hold.shard):
-            promotion.tick(state, hold, out)
+            failover.tick(state, hold, out)
 
 
 @hear.register
@@ -262,7 +263,7 @@
 ) -> None:
     hold = _active_hold(state, message.shard)
     if hold is not None:
-        promotion.permit_asked(state, hold, sender, message, out)
+        failover.permit_asked(state, hold, sender, message, out)
 
 
 @hear.register
@@ -281,7 +282,7 @@
 ) -> None:
     hold = _active_hold(state, message.shard)
     if hold is not None:
-        promotion.reported(state, hold, message, out)
+        failover.reported(state, hold, message, out)
 
 
 @hear.register
--- a/src/cuminwall/relays.py
+++ b/src/cuminwall/relays.py
@@ -298,3 +298,8 @@
     _learn_version(state, version, out)
     if version >= relay.head_version:
         _prove(state, event.asked_at)
+
+
+def needs_watch(state: State) -> bool:
+    """Returns whether this instance shall watch the store itself."""
+    return is_relay(state) or not _sources(state)
--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -50,6 +50,21 @@
         out.append(ReleasePin(session.home, number))
 
 
+def add_token(
+    state: State, number: int, token: str
+) -> outcomes.Failure | None:
+    """Raises a session's floor to that of a token that the caller brings."""
+    session = state.sessions.get(number)
+    if session is None:
+        return outcomes.SHUTTING_DOWN
+    floor = tokens.decode(session.login.service, token)
+    if isinstance(floor, outcomes.Failure):
+        return floor
+    if session.floor is None or floor > session.floor:
+        session.floor = floor
+    return None
+
+
 def round_arrived(
     state: State,
     session_number: int,
--- a/src/cuminwall/settings.py
+++ b/src/cuminwall/settings.py
@@ -30,6 +30,14 @@
     port: int
 
 
+class Peers(NamedTuple):
+    """Where other instances connect, and the secret that they share."""
+
+    host: str
+    port: int
+    secret: str
+
+
 class Platform(NamedTuple):
     """Where the platform's services are."""
 
@@ -106,7 +114,7 @@
     instance: str
     zone: str
     listen: Listen
-    peers: Address
+    peers: Peers
     http: Address
     platform: Platform
     credentials: Mapping[str, Credentials]
@@ -117,7 +125,7 @@
 
 SECTIONS: dict[str, Any] = {
     "listen": Listen,
-    "peers": Address,
+    "peers": Peers,
     "http": Address,
     "platform": Platform,
     "log": Log,
--- a/src/cuminwall/settingstable.py
+++ b/src/cuminwall/settingstable.py
@@ -93,6 +93,12 @@
         REQUIRED,
         "The IP number on which other instances reach this one.",
     ),
+    _text(
+        "peers",
+        "secret",
+        REQUIRED,
+        "The fleet's secret, by which instances know each other.",
+    ),
     _port("peers", 7432, "The port for other instances."),
     _text(
         "http",
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -10,6 +10,7 @@
 
 from cuminwall import (
     configuration,
+    document,
     fairness,
     leases,
     messages,
@@ -495,7 +496,9 @@
         self.now = started_at
         self.draining = False
 
-        self.config: configuration.Configuration = configuration.none_yet()
+        self.config: configuration.Configuration = configuration.parse(
+            document.empty(), 0
+        )
         self.fresh_until = leases.NEVER
 
         self.sessions: dict[int, Session] = {}
--- a/src/cuminwall/work.py
+++ b/src/cuminwall/work.py
@@ -187,6 +187,7 @@
       session: The caller's session at the entry instance.
       access: The strictest access of its statements.
       begins: Whether it starts an explicit transaction.
+      ends_transaction: Whether it holds nothing but the end of one.
       pinned: Whether the session's transaction is open at this home.
       floor: The oldest position to be read, or None if the session has none.
       max_age_s: The oldest data accepted instead of the floor, or None.
@@ -198,6 +199,7 @@
     session: int
     access: Access
     begins: bool
+    ends_transaction: bool
     pinned: bool
     floor: Position | None
     max_age_s: float | None
--- a/src/cuminwall/writeleases.py
+++ b/src/cuminwall/writeleases.py
@@ -5,7 +5,15 @@
 learns in one message who holds what and which server answers whom.
 """
 
-from cuminwall import groups, jobs, leases, membership, messages, placement
+from cuminwall import (
+    configuration,
+    groups,
+    jobs,
+    leases,
+    membership,
+    messages,
+    placement,
+)
 from cuminwall.effects import (
     Effect,
     Log,
@@ -34,7 +42,7 @@
         del state.groups[service]
         changed = True
     for group in state.groups.values():
-        changed |= _update_servers(state, group)
+        changed |= _update_servers(state, group, out)
     if changed:
         watch_servers(state, out)
 
@@ -155,7 +163,16 @@
     return True
 
 
-def _update_servers(state: State, group: Group) -> bool:
+def _equal_part(
+    state: State, group: Group, entry: configuration.Service
+) -> int:
+    """Returns this home's equal part of a server's connections."""
+    homes = max(1, len(membership.homes(state, group.service)))
+    free = entry.connections_per_server - entry.reserved_connections
+    return max(1, free // homes)
+
+
+def _update_servers(state: State, group: Group, out: list[Effect]) -> bool:
     """Follows the configuration; returns whether the servers changed."""
     entry = state.config.services.get(group.service)
     if entry is None:
@@ -167,6 +184,8 @@
             server = group.servers[name] = Server(name, wanted.zone)
             changed = True
         server.out = not state.config.is_server_serving(group.service, name)
+        permits = _equal_part(state, group, entry)
+        set_permits(state, group, server, permits, out)
     for name in list(group.servers):
         if name not in entry.servers:
             group.servers[name].out = True
