Carry callers from login to rounds

Cause: the serving side needs rounds cut from callers' messages, with the session's state kept out of the shared server connections. SET is sent as SET LOCAL and kept per session, so that a server connection is the same after a round as before it; a plain SET was ruled out, since the pool could not tell what it had left behind. ServicePort gains add_token, for a token brought after the login.

--- /dev/null
+++ b/src/cuminwall/logins.py
@@ -0,0 +1,328 @@
+"""How a caller logs in: startup parameters and SCRAM-SHA-256.
+
+The key's id is the user and the service is the database. A caller with a
+wrong key id meets the same exchange as one with a wrong key.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import struct
+from typing import NamedTuple
+
+import scramp
+from loguru import logger
+
+from cuminwall import (
+    exceptions,
+    outcomes,
+    rounds,
+    session_effects,
+    settings_syntax,
+    wire,
+    work,
+)
+
+MECHANISM = "SCRAM-SHA-256"
+OPEN_USER = "open"
+
+AUTHENTICATION_OK = 0
+AUTHENTICATION_SASL = 10
+AUTHENTICATION_SASL_CONTINUE = 11
+AUTHENTICATION_SASL_FINAL = 12
+
+MOCK_ITERATIONS = 4096
+MOCK_SALT_BYTES = 16
+
+_SCHEME = "SCRAM-SHA-256"
+_PROTOCOL_MAJOR = 3
+_EXTENSION_PREFIX = "_pq_."
+_CONNECTION_PARAMETERS = frozenset({"user", "database", "options"})
+_FALSE_WORDS = frozenset({"", "off", "false", "no", "0", "f", "n"})
+# What every server connection has anyway; nothing needs to be set for these.
+_USUAL_VALUES = {
+    "datestyle": frozenset({"iso", "iso, mdy"}),
+    "timezone": frozenset({"utc"}),
+    "standard_conforming_strings": frozenset({"on"}),
+}
+
+
+class Caller(NamedTuple):
+    """What a caller's startup message asks for.
+
+    Attributes:
+      user: The id of the key.
+      service: The name of the database service.
+      token: The session token, or "".
+      max_age_s: The oldest data accepted; None means the session's floor.
+      application_name: The caller's name for itself.
+      settings: The session settings, by their names in lower case.
+      extensions: Protocol extensions that are not known here.
+    """
+
+    user: str
+    service: str
+    token: str
+    max_age_s: float | None
+    application_name: str
+    settings: dict[str, str]
+    extensions: tuple[str, ...]
+
+
+class LoginRefusal(NamedTuple):
+    """Why a startup message is refused.
+
+    Attributes:
+      failure: The typed failure.
+      detail: What caused it, for the caller.
+    """
+
+    failure: outcomes.Failure
+    detail: str
+
+
+def is_supported_protocol(code: int) -> bool:
+    """Returns whether `code` asks for a version 3 of the protocol."""
+    return code >> 16 == _PROTOCOL_MAJOR
+
+
+def negotiate_protocol(extensions: tuple[str, ...]) -> bytes:
+    """Returns the message that offers version 3.0 without extensions."""
+    payload = struct.pack("!II", wire.PROTOCOL_VERSION, len(extensions))
+    for extension in extensions:
+        payload += wire.cstring(extension)
+    return wire.Message(b"v", payload).encode()
+
+
+def split_options(text: str) -> list[str]:
+    """Returns the words of the startup options; a backslash escapes."""
+    words = []
+    word = ""
+    begun = False
+    escaped = False
+    for character in text:
+        if escaped:
+            word += character
+            escaped = False
+            continue
+        if character == "\\":
+            escaped = True
+            begun = True
+            continue
+        if not character.isspace():
+            word += character
+            begun = True
+            continue
+        if begun:
+            words.append(word)
+        word = ""
+        begun = False
+    if begun:
+        words.append(word)
+    return words
+
+
+def parse_options(text: str) -> dict[str, str] | None:
+    """Returns the settings in startup options, or None if malformed."""
+    settings = {}
+    words = iter(split_options(text))
+    for word in words:
+        if word == "-c":
+            assignment = next(words, "")
+        elif word.startswith("-c"):
+            assignment = word[2:]
+        elif word.startswith("--"):
+            assignment = word[2:].replace("-", "_")
+        else:
+            return None
+        name, equals, value = assignment.partition("=")
+        if not equals or not name:
+            return None
+        settings[name.lower()] = value
+    return settings
+
+
+def read_startup(parameters: dict[str, str]) -> Caller | LoginRefusal:
+    """Returns what the parameters of a startup message ask for."""
+    options = parse_options(parameters.get("options", ""))
+    if options is None:
+        return LoginRefusal(outcomes.BAD_SETTING, "malformed options")
+    extensions = []
+    for name, value in parameters.items():
+        if name.startswith(_EXTENSION_PREFIX):
+            extensions.append(name)
+        elif name not in _CONNECTION_PARAMETERS:
+            options[name.lower()] = value
+    if options.pop("replication", "").lower() not in _FALSE_WORDS:
+        return LoginRefusal(outcomes.NOT_CARRIED, "replication")
+    user = parameters.get("user", "")
+    caller = Caller(
+        user=user,
+        service=parameters.get("database") or user,
+        token="",
+        max_age_s=None,
+        application_name=options.pop("application_name", ""),
+        settings={},
+        extensions=tuple(extensions),
+    )
+    return _take_settings(caller, options)
+
+
+def _take_settings(
+    caller: Caller, options: dict[str, str]
+) -> Caller | LoginRefusal:
+    """Returns `caller` with the settings that it asked for."""
+    if len(options) > rounds.MAX_SETTINGS:
+        return LoginRefusal(outcomes.BAD_SETTING, "too many settings")
+    for name, value in options.items():
+        if name.startswith(settings_syntax.OWN_PREFIX):
+            change = settings_syntax.read_own(name, value)
+            if isinstance(change, settings_syntax.NotUnderstood):
+                return LoginRefusal(outcomes.BAD_SETTING, change.detail)
+            caller = _take_own(caller, change.effect)
+            continue
+        if name == "client_encoding":
+            if not settings_syntax.is_utf8(value):
+                return LoginRefusal(outcomes.ENCODING_NOT_CARRIED, value)
+            continue
+        refused = settings_syntax.find_refused_setting(name, value)
+        if refused:
+            return LoginRefusal(outcomes.NOT_CARRIED, refused)
+        if value.lower() not in _USUAL_VALUES.get(name, ()):
+            caller.settings[name] = value
+    return caller
+
+
+def _take_own(caller: Caller, effect: object) -> Caller:
+    """Returns `caller` with one of cuminwall's own settings."""
+    if isinstance(effect, session_effects.TokenBrought):
+        return caller._replace(token=effect.token)
+    if isinstance(effect, session_effects.MaxAgeChanged):
+        return caller._replace(max_age_s=effect.max_age_s)
+    return caller
+
+
+class Verifier(NamedTuple):
+    """A SCRAM verifier: enough to check a key, not enough to use it."""
+
+    salt: bytes
+    iterations: int
+    stored_key: bytes
+    server_key: bytes
+
+
+def parse_verifier(text: str) -> Verifier | None:
+    """Returns the parts of PostgreSQL's text form, or None if malformed."""
+    try:
+        scheme, salting, keys = text.split("$")
+        iterations, salt = salting.split(":")
+        stored_key, server_key = keys.split(":")
+        if scheme != _SCHEME:
+            return None
+        return Verifier(
+            base64.b64decode(salt, validate=True),
+            int(iterations),
+            base64.b64decode(stored_key, validate=True),
+            base64.b64decode(server_key, validate=True),
+        )
+    except (ValueError, binascii.Error):
+        return None
+
+
+def make_mock_verifier(secret: bytes, key_id: str) -> Verifier:
+    """Returns a verifier that no key meets, the same for each `key_id`."""
+    name = key_id.encode()
+    salt = hmac.digest(secret, b"salt" + name, hashlib.sha256)
+    stored_key = hmac.digest(secret, b"stored" + name, hashlib.sha256)
+    server_key = hmac.digest(secret, b"server" + name, hashlib.sha256)
+    return Verifier(
+        salt[:MOCK_SALT_BYTES], MOCK_ITERATIONS, stored_key, server_key
+    )
+
+
+def find_verifier(
+    port: work.ServicePort, key_id: str, secret: bytes
+) -> Verifier | outcomes.Failure:
+    """Returns the verifier of a key, or a mock one if there is no such key."""
+    entry = port.find_key(key_id)
+    if isinstance(entry, work.KeyEntry):
+        verifier = parse_verifier(entry.verifier)
+        if verifier is not None:
+            return verifier
+        logger.error("caller: the verifier of key {!r} is malformed", key_id)
+        return make_mock_verifier(secret, key_id)
+    if entry in (outcomes.KEY_REFUSED, outcomes.KEY_WITHDRAWN):
+        return make_mock_verifier(secret, key_id)
+    return entry
+
+
+class ScramExchange:
+    """The server's side of one SCRAM exchange.
+
+    Attributes:
+      proved: Whether the caller has proved that it has the key.
+    """
+
+    def __init__(self, verifier: Verifier):
+        mechanism = scramp.ScramMechanism(MECHANISM)
+        self.server = mechanism.make_server(
+            lambda _: (
+                verifier.salt,
+                verifier.stored_key,
+                verifier.server_key,
+                verifier.iterations,
+            )
+        )
+        self.started = False
+        self.proved = False
+
+    def begin(self) -> bytes:
+        """Returns the message that asks for the exchange."""
+        return wire.authentication(
+            AUTHENTICATION_SASL, wire.cstring(MECHANISM) + b"\0"
+        )
+
+    def receive(self, payload: bytes) -> bytes | outcomes.Failure:
+        """Returns the answer to a password message.
+
+        Raises:
+          exceptions.ProtocolError: The message is malformed.
+        """
+        try:
+            if not self.started:
+                self.started = True
+                return self._receive_first(payload)
+            return self._receive_final(payload)
+        except scramp.ScramException:
+            return outcomes.KEY_REFUSED
+        except (UnicodeDecodeError, struct.error) as error:
+            raise exceptions.ProtocolError("malformed SASL message") from error
+
+    def _receive_first(self, payload: bytes) -> bytes | outcomes.Failure:
+        mechanism, offset = wire.read_cstring(payload)
+        if mechanism != MECHANISM:
+            return outcomes.KEY_REFUSED
+        (size,) = struct.unpack_from("!i", payload, offset)
+        offset += 4
+        if size < 0 or offset + size != len(payload):
+            raise exceptions.ProtocolError("malformed SASL message")
+        first = payload[offset:].decode()
+        parts = first.split(",", 3)
+        if len(parts) != 4 or not parts[2].startswith("n="):
+            raise exceptions.ProtocolError("malformed SASL message")
+        # The name is that of the startup message. Most clients leave it empty
+        # here, which scramp refuses; the proof is over what they sent.
+        parts[2] = "n=caller"
+        self.server.set_client_first(",".join(parts))
+        self.server.client_first_bare = ",".join(first.split(",", 2)[2:])
+        answer = self.server.get_server_first()
+        return wire.authentication(
+            AUTHENTICATION_SASL_CONTINUE, answer.encode()
+        )
+
+    def _receive_final(self, payload: bytes) -> bytes:
+        self.server.set_client_final(payload.decode())
+        answer = self.server.get_server_final()
+        self.proved = True
+        return wire.authentication(AUTHENTICATION_SASL_FINAL, answer.encode())
--- a/src/cuminwall/outcomes.py
+++ b/src/cuminwall/outcomes.py
@@ -205,3 +205,88 @@
     "08007",
     "outcome unknown: the primary has the write, no replica confirmed it",
 )
+BAD_SETTING = Failure(
+    Kind.NOT_RUN,
+    "bad_setting",
+    "22023",
+    "not run: the value of the setting is not valid",
+)
+STATEMENT_TOO_COMPLEX = Failure(
+    Kind.NOT_RUN,
+    "statement_too_complex",
+    "54001",
+    "not run: the statement has too many parts or is nested too deeply",
+)
+TOO_MANY_STATEMENTS = Failure(
+    Kind.NOT_RUN,
+    "too_many_statements",
+    "54000",
+    "not run: the session keeps too many prepared statements or portals",
+)
+ROUND_TOO_LARGE = Failure(
+    Kind.NOT_RUN,
+    "round_too_large",
+    "54000",
+    "not run: the messages up to the next Sync are too large together",
+)
+UNKNOWN_STATEMENT = Failure(
+    Kind.NOT_RUN,
+    "unknown_statement",
+    "26000",
+    "not run: there is no prepared statement of this name",
+)
+DUPLICATE_STATEMENT = Failure(
+    Kind.NOT_RUN,
+    "duplicate_statement",
+    "42P05",
+    "not run: there is already a prepared statement of this name",
+)
+REFUSED_IN_PIPELINE = Failure(
+    Kind.NOT_RUN,
+    "refused_in_pipeline",
+    "0A000",
+    "not run: refused after a Flush; the open transaction is rolled back",
+    True,
+)
+LOGIN_TIMEOUT = Failure(
+    Kind.NOT_RUN,
+    "login_timeout",
+    "57014",
+    "not run: the login was not finished in time",
+    True,
+)
+MESSAGE_TIMEOUT = Failure(
+    Kind.NOT_RUN,
+    "message_timeout",
+    "08P01",
+    "not run: a message was begun and not finished in time",
+    True,
+)
+TOO_MANY_LOGINS = Failure(
+    Kind.NOT_RUN,
+    "too_many_logins",
+    "53300",
+    "not run: too many connections have not logged in yet",
+    True,
+)
+TOO_MANY_CONNECTIONS = Failure(
+    Kind.NOT_RUN,
+    "too_many_connections",
+    "53300",
+    "not run: this instance has too many connections",
+    True,
+)
+ENCODING_NOT_CARRIED = Failure(
+    Kind.NOT_RUN,
+    "encoding_not_carried",
+    "0A000",
+    "not run: cuminwall carries the encoding UTF8 only",
+    True,
+)
+INTERNAL_ERROR = Failure(
+    Kind.OUTCOME_UNKNOWN,
+    "internal_error",
+    "XX000",
+    "outcome unknown: cuminwall failed while the request was under way",
+    True,
+)
--- /dev/null
+++ b/src/cuminwall/session_settings.py
@@ -0,0 +1,156 @@
+"""The settings of a caller's session, as a transaction may change them.
+
+A change made in a transaction counts once the transaction has committed. Pure:
+no I/O.
+"""
+
+import functools
+
+from cuminwall import session_effects
+
+# The server would report these to the caller; see "ParameterStatus" in the
+# chapter on the protocol. The value is the name as reported.
+REPORTED_NAMES = {
+    "application_name": "application_name",
+    "datestyle": "DateStyle",
+    "default_transaction_read_only": "default_transaction_read_only",
+    "intervalstyle": "IntervalStyle",
+    "search_path": "search_path",
+    "timezone": "TimeZone",
+}
+DEFAULT_VALUES = {
+    "application_name": "",
+    "datestyle": "ISO, MDY",
+    "default_transaction_read_only": "off",
+    "intervalstyle": "postgres",
+    "search_path": '"$user", public',
+    "timezone": "UTC",
+}
+
+
+class SessionSettings:
+    """The settings in force, and those that wait for a commit.
+
+    Attributes:
+      in_force: What counts outside the open transaction, by name.
+      startup: What the caller asked for at login; RESET goes back to it.
+      pending: What counts after a commit, or None if nothing was changed.
+      savepoints: The names and the pending settings of the open savepoints.
+    """
+
+    __slots__ = ("in_force", "pending", "savepoints", "startup")
+
+    def __init__(self, startup: dict[str, str]):
+        self.startup = startup
+        self.in_force = dict(startup)
+        self.pending: dict[str, str] | None = None
+        self.savepoints: list[tuple[str, dict[str, str]]] = []
+
+    def is_quiet(self) -> bool:
+        """Returns whether no change waits for the end of a transaction."""
+        return self.pending is None and not self.savepoints
+
+    def view(self) -> dict[str, str]:
+        """Returns the settings as the open transaction sees them."""
+        return self.in_force if self.pending is None else self.pending
+
+    def change(self, name: str, value: str | None) -> None:
+        """Sets `name`, or resets it if `value` is None."""
+        changed = dict(self.view())
+        if value is None:
+            value = self.startup.get(name)
+        if value is None:
+            changed.pop(name, None)
+        else:
+            changed[name] = value
+        self.pending = changed
+
+    def commit(self) -> dict[str, str]:
+        """Puts what waits into force.
+
+        Returns:
+          The values to report to the caller, by their reported names.
+        """
+        before = self.in_force
+        self.in_force = self.view()
+        self.pending = None
+        self.savepoints = []
+        if before is self.in_force:
+            return {}
+        reported = {}
+        for name, shown in REPORTED_NAMES.items():
+            value = self.in_force.get(name)
+            if value != before.get(name):
+                reported[shown] = value or DEFAULT_VALUES[name]
+        return reported
+
+    def roll_back(self) -> None:
+        """Drops what waits."""
+        self.pending = None
+        self.savepoints = []
+
+    def save(self, name: str) -> None:
+        """Notes a savepoint; none is needed before the first change."""
+        if self.pending is not None:
+            self.savepoints.append((name, self.pending))
+
+    def restore(self, name: str) -> None:
+        """Goes back to the last savepoint `name`, which stays."""
+        index = self.find(name)
+        if index < 0:
+            self.roll_back()
+            return
+        self.pending = self.savepoints[index][1]
+        del self.savepoints[index + 1 :]
+
+    def release(self, name: str) -> None:
+        """Forgets the last savepoint `name` and those after it."""
+        index = self.find(name)
+        del self.savepoints[max(index, 0) :]
+
+    def find(self, name: str) -> int:
+        """Returns the place of the last savepoint `name`, or -1."""
+        for index in range(len(self.savepoints) - 1, -1, -1):
+            if self.savepoints[index][0] == name:
+                return index
+        return -1
+
+
+@functools.singledispatch
+def apply(effect: object, settings: SessionSettings) -> None:
+    """Applies a completed statement's effect; others leave settings alone."""
+
+
+@apply.register
+def _apply_change(
+    effect: session_effects.SettingChanged, settings: SessionSettings
+) -> None:
+    settings.change(effect.name, effect.value)
+
+
+@apply.register
+def _apply_reset(
+    effect: session_effects.SettingsReset, settings: SessionSettings
+) -> None:
+    settings.pending = dict(settings.startup)
+
+
+@apply.register
+def _apply_savepoint(
+    effect: session_effects.SavepointSet, settings: SessionSettings
+) -> None:
+    settings.save(effect.name)
+
+
+@apply.register
+def _apply_restore(
+    effect: session_effects.SavepointRestored, settings: SessionSettings
+) -> None:
+    settings.restore(effect.name)
+
+
+@apply.register
+def _apply_release(
+    effect: session_effects.SavepointReleased, settings: SessionSettings
+) -> None:
+    settings.release(effect.name)
--- a/src/cuminwall/work.py
+++ b/src/cuminwall/work.py
@@ -63,10 +63,13 @@
     Attributes:
       access: The strictest access among the statements.
       steps: The messages in order, statement names already replaced.
-      prepared: Every statement that the steps use.
+      prepared: Every statement that the steps use before one of them parses
+        it.
       synced: Whether the round ends in a ReadyForQuery (Query or Sync).
       begins: Whether a statement starts an explicit transaction.
-      settings: Session settings to be in force, name and value.
+      settings: Session settings to be in force outside the open transaction,
+        name and value as set_config() takes them. Steps leave none behind:
+        SET is sent as SET LOCAL.
       max_age_s: The oldest data that the caller accepts; None means its floor.
       tables: The names of the tables read, for the rules; empty if unknown.
       request_id: The caller's id for a write that is safe to repeat, or "".
@@ -150,11 +153,21 @@
     def open_session(self, login: Login) -> Admitted | outcomes.Failure:
         """Admits a caller."""
 
+    def add_token(self, session: int, token: str) -> outcomes.Failure | None:
+        """Raises the session's floor to what a token brought later stands for.
+
+        Returns:
+          Why the token is of no use, or None.
+        """
+
     async def run(self, session: int, round_: Round, sink: Sink) -> RoundEnd:
         """Runs a round; `sink` gets encoded messages without ReadyForQuery.
 
         A round that fails after messages went to `sink` ends with a failure,
-        and no CommandComplete of the last statement was given.
+        and no CommandComplete of the last statement was given. After an error
+        of the server, or none, a round that is not synced is followed by
+        others up to a synced one. After a failure it is not: the serving side
+        has then ended whatever the rounds since the last Sync began.
         """
 
     async def cancel(self, session: int) -> None:
