--- a/src/cuminwall/rounds.py
+++ b/src/cuminwall/rounds.py
@@ -146,6 +146,7 @@
         "muted",
         "overlay",
         "parsed",
+        "portals",
         "prepared",
         "request_id",
         "steps",
@@ -164,6 +165,7 @@
         self.muted = False
         self.overlay: dict[str, Known | None] = {}
         self.parsed: set[str] = set()
+        self.portals: dict[str, statements.Statement | None] = {}
         self.prepared: dict[str, work.Prepared] = {}
         self.request_id = request_id
         self.steps: list[work.Step] = []
@@ -320,6 +322,7 @@
         if not for_server and not (synced and self.unsynced):
             return self._answer_locally(building, synced)
         self._keep_own(building)
+        self._keep_portals(building)
         access = building.access
         if self._is_serializable():
             # A replica refuses to run these.
@@ -374,6 +377,21 @@
             return building.overlay[name]
         return self.statements.get(name)
 
+    def _find_portal(
+        self, building: _Building, name: str
+    ) -> statements.Statement:
+        """Returns the statement of a portal; it may be a declared cursor."""
+        if name in building.portals:
+            return building.portals[name] or _UNKNOWN_PORTAL
+        return self.portals.get(name, _UNKNOWN_PORTAL)
+
+    def _keep_portals(self, building: _Building) -> None:
+        for name, statement in building.portals.items():
+            if statement is None:
+                self.portals.pop(name, None)
+            else:
+                self.portals[name] = statement
+
     def add_query(self, building: _Building, payload: bytes) -> _Refusal | None:
         """Adds a simple Query."""
         sql, _ = wire.read_cstring(payload)
@@ -442,11 +460,10 @@
         known = self._find(building, name)
         if known is None:
             return _Refusal(outcomes.UNKNOWN_STATEMENT, name)
-        if portal not in self.portals and (
-            len(self.portals) >= self.limits.portals
-        ):
+        kept = len(self.portals) + len(building.portals)
+        if portal not in self.portals and kept >= self.limits.portals:
             return _Refusal(outcomes.TOO_MANY_STATEMENTS, "")
-        self.portals[portal] = known.statement
+        building.portals[portal] = known.statement
         self._need(building, known)
         body = wire.cstring(portal) + wire.cstring(known.prepared.name)
         message = wire.Message(b"B", body + payload[offset:])
@@ -472,18 +489,18 @@
                 return _Refusal(outcomes.UNKNOWN_STATEMENT, name)
             self._need(building, known)
             payload = kind + wire.cstring(known.prepared.name)
-        elif name in self.portals:
-            building.use(self.portals[name])
+        else:
+            building.use(self._find_portal(building, name))
         building.steps.append(work.Step(wire.Message(b"D", payload).encode()))
         return None
 
     def add_execute(
         self, building: _Building, payload: bytes
     ) -> _Refusal | None:
-        """Adds an Execute; an unknown portal may be a declared cursor."""
+        """Adds an Execute."""
         name, offset = wire.read_cstring(payload)
         struct.unpack_from("!i", payload, offset)
-        statement = self.portals.get(name, _UNKNOWN_PORTAL)
+        statement = self._find_portal(building, name)
         effects = tuple(e for part in statement.effects for e in part)
         building.execute(statement, (effects,))
         message = wire.Message(b"E", payload)
@@ -499,7 +516,7 @@
             building.marks.append(Mark(b"3", name=name))
             message = wire.close_statement(ABSENT_STATEMENT)
         else:
-            self.portals.pop(name, None)
+            building.portals[name] = None
             building.marks.append(Mark(b"3"))
             message = wire.Message(b"C", payload).encode()
         building.steps.append(work.Step(message))
