--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -444,7 +444,8 @@
     """Returns whether a write is acknowledged only with a replica's copy."""
     if answer.failure is not None or result.errored or answer.pinned:
         return False
-    if job.order.access == work.Access.READ or not result.lsn:
+    wrote = job.order.access == work.Access.WRITE or job.wrote
+    if not wrote or not result.lsn:
         return False
     service = state.config.services.get(group.service)
     return service is not None and service.acknowledge == "replica"
--- a/src/cuminwall/settings.py
+++ b/src/cuminwall/settings.py
@@ -101,6 +101,8 @@
     Attributes:
       instance: The id of this instance.
       zone: Its availability zone.
+      shards: Into how many shards stewards divide the services; the same on
+        every instance.
       listen: Where callers connect.
       peers: Where other instances connect.
       http: Where health, metrics and status are served.
@@ -113,6 +115,7 @@
 
     instance: str
     zone: str
+    shards: int
     listen: Listen
     peers: Peers
     http: Address
--- a/src/cuminwall/settingstable.py
+++ b/src/cuminwall/settingstable.py
@@ -78,6 +78,17 @@
         "The id of this instance; without one a new id is made at each start.",
     ),
     _text("", "zone", REQUIRED, "The availability zone of this instance."),
+    Setting(
+        "",
+        "shards",
+        4,
+        "",
+        "Into how many shards stewards divide services and workspaces; it "
+        "must be the same on every instance.",
+        1,
+        1024,
+        kind=int,
+    ),
     _text("listen", "host", "0.0.0.0", "The IP number for callers."),
     _port("listen", 5432, "The port for callers; 0 lets the system choose."),
     _text(
