--- a/src/cuminwall_standins/database.py
+++ b/src/cuminwall_standins/database.py
@@ -105,7 +105,7 @@
         self.replication = replication.Replication(
             self.data, self.faults, self.close_clients
         )
-        self.replication.members = options.members
+        self.replication.members.addresses = options.members
         self.replication.delay_s = options.replication_delay_s
         self.replication.demote_delay_s = options.demote_delay_s
         self.control = control.Control(self)
@@ -143,7 +143,7 @@
 
     def set_members(self, members: Sequence[str]) -> None:
         """Sets the group's replication addresses."""
-        self.replication.set_members(tuple(members))
+        self.replication.members.watch_all(tuple(members))
 
     async def accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -237,7 +237,7 @@
     def cut_members(self, members: Sequence[str]) -> None:
         """Ends replication with some members, in both directions."""
         self.faults.cut_members = frozenset(members)
-        self.replication.cut(self.faults.cut_members)
+        self.replication.members.cut(self.faults.cut_members)
 
     def mend(self) -> None:
         """Ends `cut_clients` and `cut_members`."""
--- a/src/cuminwall_standins/engine.py
+++ b/src/cuminwall_standins/engine.py
@@ -17,10 +17,18 @@
 
 import cbor2
 
-from cuminwall_standins import errors, functions, inference, sql, values
+from cuminwall_standins import (
+    errors,
+    functions,
+    inference,
+    sql,
+    timelines,
+    values,
+)
+from cuminwall_standins import (
+    parameters as parameter_types,
+)
 
-FIRST_TIMELINE = 1
-FIRST_LSN = 0x1000000
 MIN_RECORD_BYTES = 8
 CACHED_STATEMENTS = 512
 MAX_CACHED_TYPES = 4096
@@ -40,32 +48,6 @@
 )
 
 
-class Timeline(NamedTuple):
-    """One stretch of a log's history.
-
-    Attributes:
-      timeline: The number, higher with each promotion.
-      start_lsn: The fork point, in bytes.
-      identity: Tells apart two promotions that took the same number.
-    """
-
-    timeline: int
-    start_lsn: int
-    identity: str
-
-
-class Record(NamedTuple):
-    """One committed transaction.
-
-    Attributes:
-      end_lsn: The log position behind it, in bytes.
-      payload: CBOR of the time in seconds and the statements.
-    """
-
-    end_lsn: int
-    payload: bytes
-
-
 class Result(NamedTuple):
     """The rows of a statement, and how many rows it met."""
 
@@ -94,12 +76,12 @@
 
     def __init__(self, is_primary: bool):
         self.is_primary = is_primary
-        self.history = [Timeline(FIRST_TIMELINE, FIRST_LSN, "")]
-        self.records: list[Record] = []
-        self.lsn = FIRST_LSN
-        self.received_lsn = FIRST_LSN
+        self.history = [timelines.FIRST]
+        self.records: list[timelines.Record] = []
+        self.lsn = timelines.FIRST.start_lsn
+        self.received_lsn = timelines.FIRST.start_lsn
         self.is_streaming = False
-        self.highest_timeline = FIRST_TIMELINE
+        self.highest_timeline = timelines.FIRST.timeline
         self.generation = 0
         self.now_s = time.time()
         self.caller: functions.Caller | None = None
@@ -113,22 +95,14 @@
     @property
     def timeline(self) -> int:
         """Returns the timeline of the log's end."""
-        return self.timeline_at(self.lsn)
+        return timelines.timeline_at(self.history, self.lsn)
 
     @property
     def received_timeline(self) -> int | None:
         """Returns the timeline received; None when no primary streams."""
         if not self.is_streaming:
             return None
-        return self.timeline_at(self.received_lsn)
-
-    def timeline_at(self, lsn: int) -> int:
-        """Returns the timeline that a log position lies on."""
-        timeline = FIRST_TIMELINE
-        for entry in self.history:
-            if entry.start_lsn <= lsn:
-                timeline = entry.timeline
-        return timeline
+        return timelines.timeline_at(self.history, self.received_lsn)
 
     def connect(self) -> sqlite3.Connection:
         """Returns a new empty database."""
@@ -143,7 +117,11 @@
         return connection
 
     def types_of(self, statement: sql.Statement, is_writing: bool) -> Types:
-        """Returns the types of a statement, as the tables are now."""
+        """Returns the types of a statement, as the tables are now.
+
+        Raises:
+          errors.SqlError: It names a table or column that does not exist.
+        """
         key = (statement.source, is_writing)
         found = self.types.get(key)
         if found:
@@ -153,11 +131,12 @@
         def catalog(table: str) -> inference.Relation:
             return _columns(database, table)
 
-        oids = inference.parameter_oids(
+        oids = parameter_types.parameter_oids(
             statement.node, statement.parameter_count, catalog
         )
         fields: inference.Relation = ()
         if statement.counted:
+            _check_names(database, statement)
             fields = inference.result_fields(statement.node, catalog)
         if len(self.types) >= MAX_CACHED_TYPES:
             self.types.clear()
@@ -204,9 +183,9 @@
             return
         payload = cbor2.dumps([now_s, changes])
         end_lsn = self.lsn + max(MIN_RECORD_BYTES, len(payload))
-        self.append(Record(end_lsn, payload))
+        self.append(timelines.Record(end_lsn, payload))
 
-    def append(self, record: Record) -> None:
+    def append(self, record: timelines.Record) -> None:
         """Replays a record and puts it at the end of the log."""
         self.replay(record)
         self.records.append(record)
@@ -214,7 +193,7 @@
         self.received_lsn = max(self.received_lsn, self.lsn)
         self.notify()
 
-    def replay(self, record: Record) -> None:
+    def replay(self, record: timelines.Record) -> None:
         """Runs the statements of a record on the committed data."""
         self.now_s, changes = cbor2.loads(record.payload)
         # Any other text may have changed a table.
@@ -231,7 +210,7 @@
         self.committed_event = asyncio.Event()
         event.set()
 
-    def records_after(self, lsn: int) -> list[Record]:
+    def records_after(self, lsn: int) -> list[timelines.Record]:
         """Returns the records that end behind `lsn`."""
         index = bisect.bisect_right(self.records, lsn, key=lambda x: x.end_lsn)
         return self.records[index:]
@@ -241,7 +220,7 @@
         timeline = max(self.timeline, self.highest_timeline) + 1
         # A follower knows of forks that its own log has not reached.
         reached = [x for x in self.history if x.start_lsn <= self.lsn]
-        fork = Timeline(timeline, self.lsn, secrets.token_hex(8))
+        fork = timelines.Timeline(timeline, self.lsn, secrets.token_hex(8))
         self.history = [*reached, fork]
         self.highest_timeline = timeline
         self.is_streaming = False
@@ -264,7 +243,9 @@
         self.writer = self.connect()
         self.committed.backup(self.writer)
 
-    def follow(self, history: Sequence[Timeline], common_lsn: int) -> None:
+    def follow(
+        self, history: Sequence[timelines.Timeline], common_lsn: int
+    ) -> None:
         """Takes over a primary's history, without what lies behind it.
 
         Args:
@@ -284,16 +265,15 @@
             self.replay(record)
 
 
-def common_lsn(
-    one: Sequence[Timeline], other: Sequence[Timeline]
-) -> int | None:
-    """Returns up to where two histories agree; None if one holds the other."""
-    for mine, theirs in zip(one, other, strict=False):
-        if mine != theirs:
-            return min(mine.start_lsn, theirs.start_lsn)
-    longer = one if len(one) > len(other) else other
-    shorter = min(len(one), len(other))
-    return longer[shorter].start_lsn if len(longer) > shorter else None
+def _check_names(
+    database: sqlite3.Connection, statement: sql.Statement
+) -> None:
+    parameters = [None] * statement.parameter_count
+    try:
+        # EXPLAIN compiles a statement without running it.
+        database.execute(f"EXPLAIN {statement.texts[0]}", parameters)
+    except sqlite3.Error as error:
+        raise _sql_error(error) from error
 
 
 def _columns(database: sqlite3.Connection, table: str) -> inference.Relation:
--- a/src/cuminwall_standins/executor.py
+++ b/src/cuminwall_standins/executor.py
@@ -124,6 +124,8 @@
         if self.sleep_s:
             duration_s, self.sleep_s = self.sleep_s, 0.0
             await self.interruptible(asyncio.sleep(duration_s))
+        if result.rows and len(result.rows[0]) != len(fields):
+            raise errors.SqlError("0A000", "these columns are not supported")
         tag = statement.tag
         if statement.counted:
             tag = f"{tag} {result.row_count}"
@@ -180,16 +182,17 @@
 
     def end(self, is_committed: bool) -> None:
         """Commits or rolls back, and leaves the block."""
-        transaction = self.transaction
-        if transaction is not None:
+        transaction, self.transaction = self.transaction, None
+        self.in_block = False
+        self.has_failed = False
+        if transaction is None:
+            return
+        try:
             if is_committed:
                 transaction.commit()
-            else:
-                transaction.rollback()
+        finally:
+            transaction.rollback()
             self.settings.end(is_committed)
-        self.transaction = None
-        self.in_block = False
-        self.has_failed = False
 
     def control(self, node: Any) -> str:
         """Carries out BEGIN, COMMIT and their kin; returns the tag."""
--- a/src/cuminwall_standins/inference.py
+++ b/src/cuminwall_standins/inference.py
@@ -1,4 +1,4 @@
-"""Types of parameters and results, as far as the statement shows them.
+"""Types of results and expressions, as far as the statement shows them.
 
 SQLite has no types for expressions, but clients ask for them before a statement
 runs. What isn't evident is text, as PostgreSQL does for unknown literals.
@@ -10,7 +10,7 @@
 
 from pglast import ast, enums
 
-from cuminwall_standins import sql, values
+from cuminwall_standins import values
 
 
 class Field(NamedTuple):
@@ -24,8 +24,6 @@
 Scope = Mapping[str, Relation]
 # Gives the columns of a table; none for a table that does not exist.
 Catalog = Callable[[str], Relation]
-# A node, and the type it must have.
-Hint = tuple[Any, int]
 
 _FUNCTION_OIDS = {
     "count": values.INT8,
@@ -43,7 +41,6 @@
     "random": values.FLOAT8,
 }
 _SAME_AS_ARGUMENT = ("min", "max", "abs", "round", "lag", "lead", "nullif")
-_PARAMETER_OIDS = {"pg_sleep": values.FLOAT8}
 _COMPARISONS = ("=", "<>", "!=", "<", ">", "<=", ">=", "~~", "!~~")
 _WIDTHS = (
     values.INT2,
@@ -67,19 +64,6 @@
 _EXPRESSION_LINK = enums.SubLinkType.EXPR_SUBLINK
 
 
-def parameter_oids(node: Any, count: int, catalog: Catalog) -> list[int]:
-    """Returns the type of each of a statement's parameters."""
-    scope: dict[str, Relation] = {}
-    for inner in sql.walk(node):
-        scope |= _scope(inner, catalog, scope)
-    found: dict[int, int] = {}
-    for inner in sql.walk(node):
-        for parameter, oid in _hints(inner, scope, catalog):
-            if isinstance(parameter, ast.ParamRef):
-                found.setdefault(parameter.number or 0, oid)
-    return [found.get(number + 1, values.TEXT) for number in range(count)]
-
-
 def result_fields(
     node: Any, catalog: Catalog, outer: Scope | None = None
 ) -> Relation:
@@ -92,7 +76,7 @@
         return _select_fields(node, catalog, scope)
     if not node.returningClause:
         return ()
-    own = _scope(node, catalog, scope)
+    own = scope_of(node, catalog, scope)
     return _target_fields(node.returningClause.exprs, own, scope | own, catalog)
 
 
@@ -102,10 +86,10 @@
     if node.valuesLists:
         fields = []
         for index, value in enumerate(node.valuesLists[0]):
-            oid = _oid(value, scope, catalog)
+            oid = expression_oid(value, scope, catalog)
             fields.append(Field(f"column{index + 1}", oid))
         return tuple(fields)
-    own = _scope(node, catalog, scope)
+    own = scope_of(node, catalog, scope)
     return _target_fields(node.targetList or (), own, {**scope, **own}, catalog)
 
 
@@ -120,7 +104,7 @@
             fields.extend(_star(value, own))
             continue
         name = target.name or _default_name(value)
-        fields.append(Field(name, _oid(value, scope, catalog)))
+        fields.append(Field(name, expression_oid(value, scope, catalog)))
     return tuple(fields)
 
 
@@ -133,44 +117,47 @@
 
 
 @functools.singledispatch
-def _scope(node: Any, catalog: Catalog, outer: Scope) -> dict[str, Relation]:
+def scope_of(node: Any, catalog: Catalog, outer: Scope) -> dict[str, Relation]:
     """Returns the relations that a node names itself."""
     return {}
 
 
-@_scope.register(ast.RangeVar)
+@scope_of.register(ast.RangeVar)
 def _(node: Any, catalog: Catalog, outer: Scope) -> dict[str, Relation]:
     alias = node.alias.aliasname if node.alias else node.relname
     return {alias: outer.get(node.relname) or catalog(node.relname)}
 
 
-@_scope.register(ast.RangeSubselect)
+@scope_of.register(ast.RangeSubselect)
 def _(node: Any, catalog: Catalog, outer: Scope) -> dict[str, Relation]:
     name = node.alias.aliasname if node.alias else ""
     return {name: result_fields(node.subquery, catalog, outer)}
 
 
-@_scope.register(ast.JoinExpr)
+@scope_of.register(ast.JoinExpr)
 def _(node: Any, catalog: Catalog, outer: Scope) -> dict[str, Relation]:
-    left = _scope(node.larg, catalog, outer)
-    return left | _scope(node.rarg, catalog, outer)
+    left = scope_of(node.larg, catalog, outer)
+    shared = [name.sval for name in node.usingClause or ()]
+    for alias, fields in scope_of(node.rarg, catalog, outer).items():
+        left[alias] = tuple(x for x in fields if x.name not in shared)
+    return left
 
 
-@_scope.register(ast.SelectStmt)
+@scope_of.register(ast.SelectStmt)
 def _(node: Any, catalog: Catalog, outer: Scope) -> dict[str, Relation]:
     found: dict[str, Relation] = {}
     for item in node.fromClause or ():
-        found |= _scope(item, catalog, outer)
+        found |= scope_of(item, catalog, outer)
     return found
 
 
-@_scope.register(ast.InsertStmt)
-@_scope.register(ast.UpdateStmt)
-@_scope.register(ast.DeleteStmt)
+@scope_of.register(ast.InsertStmt)
+@scope_of.register(ast.UpdateStmt)
+@scope_of.register(ast.DeleteStmt)
 def _(node: Any, catalog: Catalog, outer: Scope) -> dict[str, Relation]:
-    found = _scope(node.relation, catalog, outer)
+    found = scope_of(node.relation, catalog, outer)
     for item in getattr(node, "fromClause", None) or ():
-        found |= _scope(item, catalog, outer)
+        found |= scope_of(item, catalog, outer)
     return found
 
 
@@ -211,76 +198,12 @@
     return node.op.name.removeprefix("SVFOP_").lower()
 
 
-@functools.singledispatch
-def _hints(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    """Yields direct children of a node, each with the type it must have."""
-    yield from ()
-
-
-@_hints.register(ast.TypeCast)
-def _(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    yield node.arg, _oid(node, scope, catalog)
-
-
-@_hints.register(ast.SelectStmt)
-def _(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    yield node.limitCount, values.INT8
-    yield node.limitOffset, values.INT8
-
-
-@_hints.register(ast.FuncCall)
-def _(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    oid = _PARAMETER_OIDS.get(node.funcname[-1].sval, values.TEXT)
-    for argument in node.args or ():
-        yield argument, oid
-
-
-@_hints.register(ast.CoalesceExpr)
-def _(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    oid = _first_typed(node.args, scope, catalog)
-    for argument in node.args:
-        yield argument, oid
-
-
-@_hints.register(ast.ResTarget)
-def _(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    if node.name:
-        reference = ast.ColumnRef(fields=(ast.String(sval=node.name),))
-        yield node.val, _oid(reference, scope, catalog)
-
-
-@_hints.register(ast.A_Expr)
-def _(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    left = node.lexpr if isinstance(node.lexpr, tuple) else (node.lexpr,)
-    right = node.rexpr if isinstance(node.rexpr, tuple) else (node.rexpr,)
-    oid = _first_typed(left + right, scope, catalog)
-    for operand in left + right:
-        yield operand, oid
-
-
-@_hints.register(ast.InsertStmt)
-def _(node: Any, scope: Scope, catalog: Catalog) -> Iterator[Hint]:
-    fields = catalog(node.relation.relname)
-    if node.cols:
-        known = {field.name: field for field in fields}
-        names = [target.name for target in node.cols]
-        fields = tuple(known.get(x, Field(x, values.TEXT)) for x in names)
-    if not node.selectStmt:
-        return
-    rows = list(node.selectStmt.valuesLists or ())
-    if node.selectStmt.targetList:
-        rows.append([x.val for x in node.selectStmt.targetList])
-    for row in rows:
-        for value, field in zip(row, fields, strict=False):
-            yield value, field.oid
-
-
-def _first_typed(nodes: Any, scope: Scope, catalog: Catalog) -> int:
+def first_typed(nodes: Any, scope: Scope, catalog: Catalog) -> int:
     """Returns the type of the first operand that is no bare parameter."""
     for node in nodes:
         if isinstance(node, ast.ParamRef) or node is None:
             continue
-        return _oid(node, scope, catalog)
+        return expression_oid(node, scope, catalog)
     return values.TEXT
 
 
@@ -290,26 +213,26 @@
     for node in nodes:
         if node is None or isinstance(node, (ast.ParamRef, ast.A_Const)):
             continue
-        oids.append(_oid(node, scope, catalog))
+        oids.append(expression_oid(node, scope, catalog))
     if not oids:
-        return _first_typed(nodes, scope, catalog)
+        return first_typed(nodes, scope, catalog)
     return values.TEXT if values.TEXT in oids else oids[0]
 
 
 @functools.singledispatch
-def _oid(node: Any, scope: Scope, catalog: Catalog) -> int:
+def expression_oid(node: Any, scope: Scope, catalog: Catalog) -> int:
     """Returns the type of an expression."""
     if isinstance(node, _BOOLEANS):
         return values.BOOL
     return values.TEXT
 
 
-@_oid.register(ast.ColumnRef)
+@expression_oid.register(ast.ColumnRef)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     name = getattr(node.fields[-1], "sval", "")
     relations = list(scope.values())
     if len(node.fields) > 1 and node.fields[-2].sval in scope:
-        relations = [scope[node.fields[-2].sval]]
+        relations.insert(0, scope[node.fields[-2].sval])
     for relation in relations:
         for field in relation:
             if field.name == name:
@@ -317,7 +240,7 @@
     return values.TEXT
 
 
-@_oid.register(ast.A_Const)
+@expression_oid.register(ast.A_Const)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     if isinstance(node.val, ast.Integer):
         return values.INT4
@@ -328,24 +251,24 @@
     return values.TEXT
 
 
-@_oid.register(ast.TypeCast)
+@expression_oid.register(ast.TypeCast)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     return values.type_oid(node.typeName.names[-1].sval)
 
 
-@_oid.register(ast.FuncCall)
+@expression_oid.register(ast.FuncCall)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     name = node.funcname[-1].sval
     if name in _SAME_AS_ARGUMENT and node.args:
-        return _oid(node.args[0], scope, catalog)
+        return expression_oid(node.args[0], scope, catalog)
     return _FUNCTION_OIDS.get(name, values.TEXT)
 
 
-@_oid.register(ast.A_Expr)
+@expression_oid.register(ast.A_Expr)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     operator = node.name[-1].sval
     if node.kind is enums.A_Expr_Kind.AEXPR_NULLIF:
-        return _oid(node.lexpr, scope, catalog)
+        return expression_oid(node.lexpr, scope, catalog)
     if node.kind is not enums.A_Expr_Kind.AEXPR_OP or operator in _COMPARISONS:
         return values.BOOL
     if operator == "||":
@@ -354,25 +277,25 @@
     for operand in (node.lexpr, node.rexpr):
         if operand is None or isinstance(operand, ast.ParamRef):
             continue
-        oid = _oid(operand, scope, catalog)
+        oid = expression_oid(operand, scope, catalog)
         if oid in _WIDTHS:
             widest = max(widest, _WIDTHS.index(oid))
     return _WIDTHS[widest] if widest >= 0 else values.TEXT
 
 
-@_oid.register(ast.CaseExpr)
+@expression_oid.register(ast.CaseExpr)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     results = [branch.result for branch in node.args]
     return _common_oid([*results, node.defresult], scope, catalog)
 
 
-@_oid.register(ast.CoalesceExpr)
-@_oid.register(ast.MinMaxExpr)
+@expression_oid.register(ast.CoalesceExpr)
+@expression_oid.register(ast.MinMaxExpr)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     return _common_oid(node.args, scope, catalog)
 
 
-@_oid.register(ast.SubLink)
+@expression_oid.register(ast.SubLink)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     if node.subLinkType is not _EXPRESSION_LINK:
         return values.BOOL
@@ -380,6 +303,6 @@
     return fields[0].oid if fields else values.TEXT
 
 
-@_oid.register(ast.SQLValueFunction)
+@expression_oid.register(ast.SQLValueFunction)
 def _(node: Any, scope: Scope, catalog: Catalog) -> int:
     return values.TIMESTAMPTZ if node.op in _TIMES else values.TEXT
