--- a/src/cuminwall/daemon.py
+++ b/src/cuminwall/daemon.py
@@ -118,9 +118,7 @@
         http_port = await self.health.start(own.http.host, own.http.port)
         self.frontdoor = frontdoor.Frontdoor(self.engine, _tls(own.listen))
         self.engine.closing = self.frontdoor.close_session
-        self.port = await self.frontdoor.start(
-            own.listen.host, own.listen.port
-        )
+        self.port = await self.frontdoor.start(own.listen.host, own.listen.port)
         self.upkeep = upkeep.Upkeep(
             self.engine, self.store, self.instances, record
         )
--- a/src/cuminwall/frontdoor.py
+++ b/src/cuminwall/frontdoor.py
@@ -320,6 +320,7 @@
         )
         self.phase = caller_session.SessionPhase(self, session_rounds, session)
         server.admit(self)
+        server.by_session[session] = self
         self.write(caller_login.greet(caller, self.process_id, self.secret))
 
     def begin_drain(self) -> None:
@@ -341,6 +342,7 @@
       draining: Whether sessions are ended as they become idle.
       waiting: Connections that have not logged in, oldest first.
       sessions: Connections that have logged in, by process id.
+      by_session: The same by the serving side's number of the session.
     """
 
     def __init__(
@@ -358,6 +360,7 @@
         self.draining = False
         self.waiting: dict[CallerConnection, None] = {}
         self.sessions: dict[int, CallerConnection] = {}
+        self.by_session: dict[int, CallerConnection] = {}
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.emptied = asyncio.Event()
@@ -405,9 +408,18 @@
         """Notes that a connection is gone."""
         self.waiting.pop(connection, None)
         self.sessions.pop(connection.process_id, None)
+        phase = connection.phase
+        if isinstance(phase, caller_session.SessionPhase):
+            self.by_session.pop(phase.session, None)
         if not self.waiting and not self.sessions:
             self.emptied.set()
 
+    def close_session(self, session: int, failure: outcomes.Failure) -> None:
+        """Ends a session between its rounds."""
+        connection = self.by_session.get(session)
+        if connection is not None:
+            connection.fail(failure)
+
     def cancel(self, process_id: int, secret: int) -> None:
         """Asks the serving side to cancel what a session runs."""
         connection = self.sessions.get(process_id)
--- a/src/cuminwall/health.py
+++ b/src/cuminwall/health.py
@@ -64,6 +64,8 @@
         return "leaving"
     if not state.config.version:
         return "no configuration"
+    if state.instance not in state.members:
+        return "not in the instance list yet"
     if not state.config.is_zone_serving(state.zone):
         return "the availability zone is out of service"
     if time.monotonic() >= state.fresh_until:
@@ -83,6 +85,7 @@
         "zone": state.zone,
         "config_version": state.config.version,
         "config_fresh_s": round(state.fresh_until - now, 3),
+        "members": sorted(state.members),
         "draining": state.draining,
         "sessions": len(state.sessions),
         "stewardships": held,
--- a/src/cuminwall/logs.py
+++ b/src/cuminwall/logs.py
@@ -1,5 +1,6 @@
 """Log lines: one a decision, with a fixed prefix, as text or as JSON."""
 
+import logging
 import sys
 
 from loguru import logger
@@ -11,6 +12,8 @@
 
 def configure(own: settings.Log) -> None:
     """Writes log lines to standard error from now on."""
+    # The decisions of links are logged by their own part.
+    logging.getLogger("websockets").setLevel(logging.WARNING)
     logger.remove()
     is_json = own.format == "json"
     logger.add(
--- a/src/cuminwall/relays.py
+++ b/src/cuminwall/relays.py
@@ -100,7 +100,7 @@
     """Takes over a value that the store's watch showed."""
     if event.key == calls.CONFIG_HEAD_KEY:
         if event.value is not None:
-            _learn_version(state, event.value["version"], out)
+            _learn_version(state, event.value["change"]["version"], out)
         _push(state, out)
         return
     shard_text = event.key.rpartition("/")[2]
@@ -294,7 +294,7 @@
     if not isinstance(found, calls.Found):
         return
     relay.store_answered_at = event.asked_at
-    version = found.value["version"] if found.value else 0
+    version = found.value["change"]["version"] if found.value else 0
     _learn_version(state, version, out)
     if version >= relay.head_version:
         _prove(state, event.asked_at)
--- a/src/cuminwall/serving.py
+++ b/src/cuminwall/serving.py
@@ -37,6 +37,7 @@
     Attributes:
       credentials: The settings' own credentials by service.
       pools: By service and server id.
+      permits: How many connections each of them may have.
       prober: Probes the watched servers.
       targets: The watched servers, by service and server id.
       feed: Takes the results of probes.
@@ -50,6 +51,7 @@
         self.times = times
         self.credentials = credentials
         self.pools: dict[tuple[str, str], pool.Pool] = {}
+        self.permits: dict[tuple[str, str], int] = {}
         self.prober = prober.Prober(
             self._report, times.probe_interval_s, times.probe_timeout_s
         )
@@ -74,12 +76,14 @@
         self.targets = wanted
         for key, target in wanted.items():
             if key not in self.pools:
-                self.pools[key] = pool.Pool(target, 0)
+                permits = self.permits.get(key, 0)
+                self.pools[key] = pool.Pool(target, permits)
                 self.pools[key].start()
         self.prober.set_targets(wanted.values())
 
     def set_permits(self, service: str, server: str, permits: int) -> None:
         """Changes this instance's share of a server's connections."""
+        self.permits[(service, server)] = permits
         found = self.pools.get((service, server))
         if found is not None:
             found.set_permits(permits)
--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -50,9 +50,7 @@
         out.append(ReleasePin(session.home, number))
 
 
-def add_token(
-    state: State, number: int, token: str
-) -> outcomes.Failure | None:
+def add_token(state: State, number: int, token: str) -> outcomes.Failure | None:
     """Raises a session's floor to that of a token that the caller brings."""
     session = state.sessions.get(number)
     if session is None:
--- a/src/cuminwall/settings.py
+++ b/src/cuminwall/settings.py
@@ -287,6 +287,7 @@
     return Settings(
         instance=top["instance"] or make_instance_id(entropy),
         zone=top["zone"],
+        shards=top["shards"],
         credentials=credentials,
         **sections,
     )
--- a/src/cuminwall/upkeep.py
+++ b/src/cuminwall/upkeep.py
@@ -158,9 +158,7 @@
         """Feeds a value of the store to the reducer."""
         value = storecalls.decode_value(entry.value)
         now = time.monotonic()
-        self.engine.feed(
-            events.FactSeen(now, entry.key, entry.revision, value)
-        )
+        self.engine.feed(events.FactSeen(now, entry.key, entry.revision, value))
 
     def _see_missing(
         self, prefix: str, entries: list[ports.StoreEntry], revision: int
@@ -186,9 +184,7 @@
     async def _load_once(self) -> bool:
         """Loads the configuration in force; returns whether it came."""
         try:
-            snapshot = await configstore.load_changed(
-                self.store, self.snapshot
-            )
+            snapshot = await configstore.load_changed(self.store, self.snapshot)
         except exceptions.StoreUnavailableError as error:
             logger.info("{}: no configuration: {}", PREFIX, error)
             return False
--- a/src/cuminwall/writeleases.py
+++ b/src/cuminwall/writeleases.py
@@ -166,10 +166,12 @@
 def _equal_part(
     state: State, group: Group, entry: configuration.Service
 ) -> int:
-    """Returns this home's equal part of a server's connections."""
+    """Returns this home's equal part of a server's connections.
+
+    One connection of the part is kept for probes.
+    """
     homes = max(1, len(membership.homes(state, group.service)))
-    free = entry.connections_per_server - entry.reserved_connections
-    return max(1, free // homes)
+    return max(1, entry.connections_per_server // homes - 1)
 
 
 def _update_servers(state: State, group: Group, out: list[Effect]) -> bool:
