Test watches that end, reconnect or send much at once

Single-line breakages of these paths had left the tests green: the start of a watch from now on, a watch that the store ended, followed redirects, and the cutting of watch batches.

--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import unittest
+from unittest import mock
 
 import aiohttp
 from hypothesis import given, settings
@@ -137,8 +138,14 @@
             },
         )
         found = []
-        while events := watch.next_events():
-            found += [platform_event(event) for event in events]
+        with mock.patch.object(platform_gateway, "WATCH_BATCH_EVENTS", 3):
+            while events := watch.next_events():
+                batch = [platform_event(event) for event in events]
+                # A batch goes past its size only to complete a revision.
+                if len(batch) > 3:
+                    self.assertEqual(batch[2][0], batch[-1][0])
+                found += batch
+                self.assertEqual(watch.next_revision, batch[-1][0] + 1)
         revisions = [revision for revision, _, _ in found]
         self.assertEqual(revisions, sorted(revisions))
         found.sort(key=lambda event: event[:2])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -261,8 +261,12 @@
 
     async def asyncSetUp(self):
         self.answer = (200, b"")
+        self.release = asyncio.Event()
         application = web.Application()
-        application.router.add_route("*", "/{path:.*}", self.respond)
+        self.respond_with = self.respond
+        application.router.add_route(
+            "*", "/{path:.*}", lambda request: self.respond_with(request)
+        )
         runner = web.AppRunner(application)
         await runner.setup()
         self.addAsyncCleanup(runner.cleanup)
@@ -273,6 +277,8 @@
 
     async def respond(self, request):
         status, body = self.answer
+        if request.path == "/v3/else":
+            status = 200
         headers = {"Location": "/v3/else"} if status == 307 else {}
         return web.Response(status=status, body=body, headers=headers)
 
@@ -297,6 +303,25 @@
                     self.first(self.store.watch("a", 1))
                 )
 
+    async def test_watch_that_the_store_ended(self):
+        """The store may leave the stream open after it ended the watch."""
+
+        async def respond(request):
+            response = web.StreamResponse()
+            await response.prepare(request)
+            header = b'{"result": {"header": {"revision": "9"}, '
+            await response.write(header + b'"created": true}}\n')
+            await response.write(header + b'"canceled": true}}\n')
+            await self.release.wait()
+            return response
+
+        self.respond_with = respond
+        watch = self.store.watch("a", 1)
+        async with asyncio.timeout(GUARD_S):
+            with self.assertRaisesRegex(Unavailable, "canceled"):
+                await self.first(watch)
+        self.release.set()
+
     async def test_statuses(self):
         good = b'{"header": {"revision": "3"}, "succeeded": true, "ID": "4"}'
         self.answer = (200, good)
@@ -362,6 +387,22 @@
         (entry,) = await task
         self.assertEqual(entry.value, b"new")
 
+    async def test_from_now_on_keeps_its_start_when_reconnecting(self):
+        opened = self.open_store(idle_s=SHORT_IDLE_S)
+        counts = self.server.accounting.counts
+        calls = ("kinds", store.WATCH_PATH, "calls")
+        task = asyncio.create_task(self.collect(opened.watch("k/", 0), 1))
+        await self.until(lambda: self.server.accounting.waiting_watches)
+        self.server.apply_faults({"cut_zones": {"sediu": "hang"}})
+        # Let through what was on its way before the zone was cut.
+        seen = counts[calls]
+        await self.until(lambda: counts[calls] > seen)
+        other = self.open_store("derby")
+        await other.swap("k/1", 0, b"meanwhile")
+        self.server.apply_faults({"cut_zones": {}})
+        (entry,) = await task
+        self.assertEqual(entry.value, b"meanwhile")
+
     async def test_large_value(self):
         swapped = await self.store.swap("k/1", 0, bytes(1_000_000))
         (entry,) = await self.collect(
