--- a/src/cuminwall/daemon.py
+++ b/src/cuminwall/daemon.py
@@ -29,12 +29,12 @@
     metrics,
     peers,
     ports,
+    rounds,
     serving,
     settings,
     state,
     store,
     storecalls,
-    timings,
     upkeep,
     writeleases,
 )
@@ -44,7 +44,6 @@
 EXIT_BAD_SETTINGS = 2
 EXIT_FORBIDDEN_RING = 3
 ENTROPY_BYTES = 16
-DRAIN_TIMEOUT_S = 60.0
 LEAVE_PAUSE_S = 1.0
 DESCRIPTORS = pathlib.Path("/proc/self/fd")
 RING_NAME = "io_uring"
@@ -69,7 +68,7 @@
 
     def __init__(self, settings_: settings.Settings):
         self.settings = settings_
-        times = timings.Timings()
+        times = settings_.timings
         self.state = state.State(
             settings_.instance,
             settings_.zone,
@@ -78,7 +77,7 @@
             time.monotonic(),
         )
         endpoint = settings_.platform.endpoint
-        timeout_s = settings_.timings.store_timeout_s
+        timeout_s = times.store_timeout_s
         self.store = store.EtcdStore(endpoint, settings_.zone, timeout_s)
         self.instances = instancelist.HttpInstanceList(
             endpoint, settings_.zone, timeout_s
@@ -116,7 +115,9 @@
             own.instance, own.zone, own.peers.host, peer_port, False
         )
         http_port = await self.health.start(own.http.host, own.http.port)
-        self.frontdoor = frontdoor.Frontdoor(self.engine, _tls(own.listen))
+        self.frontdoor = frontdoor.Frontdoor(
+            self.engine, _tls(own.listen), _limits(own.limits)
+        )
         self.engine.closing = self.frontdoor.close_session
         self.port = await self.frontdoor.start(own.listen.host, own.listen.port)
         self.upkeep = upkeep.Upkeep(
@@ -141,7 +142,7 @@
         await self.upkeep.leave()
         self.engine.feed(events.DrainOrdered(time.monotonic()))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+            async with asyncio.timeout(self.state.times.drain_s):
                 await self.frontdoor.drain()
                 await self._finish_work()
         out: list = []
@@ -176,6 +177,16 @@
         return member.record.host, member.record.port
 
 
+def _limits(own: settings.Limits) -> frontdoor.Limits:
+    """Returns the caller side's bounds."""
+    session = rounds.Limits(round_bytes=own.max_message_bytes)
+    return frontdoor.Limits(
+        login_timeout_s=own.login_deadline_s,
+        connections=own.max_sessions,
+        session=session,
+    )
+
+
 def _tls(listen: settings.Listen) -> ssl.SSLContext | None:
     """Returns the TLS certificate and key for callers, if set."""
     if not listen.tls_cert:
--- a/src/cuminwall/settings.py
+++ b/src/cuminwall/settings.py
@@ -6,7 +6,7 @@
 
 import jsonschema
 
-from cuminwall import faults, jsontext
+from cuminwall import faults, jsontext, timings
 from cuminwall.document import NAME_PATTERN
 from cuminwall.faults import Fault
 from cuminwall.settingstable import REQUIRED, TABLE, Setting
@@ -66,33 +66,8 @@
     """Bounds on what the instance holds; times in seconds."""
 
     login_deadline_s: float
-    queue_timeout_s: float
     max_sessions: int
-    max_waiting: int
     max_message_bytes: int
-    buffer_bytes: int
-    statement_cache: int
-    prepared_per_connection: int
-
-
-class Timings(NamedTuple):
-    """Intervals, timeouts and durations of leases, in seconds."""
-
-    probe_interval_s: float
-    probe_timeout_s: float
-    connect_timeout_s: float
-    answer_timeout_s: float
-    write_lease_s: float
-    rate_lease_s: float
-    connection_lease_s: float
-    steward_lease_s: float
-    renew_interval_s: float
-    drift_margin_s: float
-    freshness_bound_s: float
-    heartbeat_interval_s: float
-    peer_timeout_s: float
-    store_timeout_s: float
-    announce_interval_s: float
 
 
 class Settings(NamedTuple):
@@ -123,7 +98,7 @@
     credentials: Mapping[str, Credentials]
     log: Log
     limits: Limits
-    timings: Timings
+    timings: timings.Timings
 
 
 SECTIONS: dict[str, Any] = {
@@ -133,8 +108,16 @@
     "platform": Platform,
     "log": Log,
     "limits": Limits,
-    "timings": Timings,
+    "timings": timings.Timings,
 }
+# Each lease and the interval at which it is renewed.
+LEASES = (
+    ("write_lease_s", "lease_renew_s"),
+    ("steward_lease_s", "steward_renew_s"),
+    ("promise_s", "steward_renew_s"),
+    ("fresh_s", "relay_ask_s"),
+)
+RENEWALS_PER_LEASE = 2
 CREDENTIALS_SCHEMA = {
     "type": "object",
     "additionalProperties": {
@@ -248,26 +231,15 @@
     return found
 
 
-def _check_timings(timings: dict[str, float]) -> list[Fault]:
+def _check_timings(values: dict[str, float]) -> list[Fault]:
     """Returns a fault for each lease that is too short to be renewed."""
-    renew_s = timings["renew_interval_s"]
-    least_s = 2 * renew_s + timings["drift_margin_s"]
     found = []
-    for name, value in timings.items():
-        if not name.endswith("_lease_s") or value >= least_s:
+    for lease, renewal in LEASES:
+        least_s = RENEWALS_PER_LEASE * values[renewal]
+        if values[lease] >= least_s:
             continue
-        expected = (
-            f"at least {least_s:g}: twice renew_interval_s and drift_margin_s"
-        )
-        found.append(Fault(("timings", name), f"{value:g}", expected))
-    if timings["peer_timeout_s"] < 2 * timings["heartbeat_interval_s"]:
-        found.append(
-            Fault(
-                ("timings", "peer_timeout_s"),
-                f"{timings['peer_timeout_s']:g}",
-                "at least twice heartbeat_interval_s",
-            )
-        )
+        expected = f"at least {least_s:g}, {RENEWALS_PER_LEASE} x {renewal}"
+        found.append(Fault(("timings", lease), f"{values[lease]:g}", expected))
     return found
 
 
--- a/src/cuminwall/settingspage.py
+++ b/src/cuminwall/settingspage.py
@@ -15,7 +15,7 @@
 {
   // What has no default.
   "zone": "sediu",
-  "peers": {"host": "127.0.0.1"},
+  "peers": {"host": "127.0.0.1", "secret": "the same on every instance"},
   "platform": {"endpoint": "http://127.0.0.1:2379"},
   // Own credentials for a service, before those of the configuration.
   "credentials": {"billing": {"password_env": "BILLING_PASSWORD"}},
--- a/src/cuminwall/settingstable.py
+++ b/src/cuminwall/settingstable.py
@@ -5,6 +5,8 @@
 
 from typing import Any, NamedTuple
 
+from cuminwall import timings
+
 SECONDS = "s"
 BYTES = "bytes"
 REQUIRED = None
@@ -52,10 +54,9 @@
     return Setting(section, "port", default, "", meaning, 0, 65535, kind=int)
 
 
-def _time(
-    name: str, default: float, least: float, most: float, meaning: str
-) -> Setting:
-    """Returns a timing, in seconds."""
+def _time(name: str, least: float, most: float, meaning: str) -> Setting:
+    """Returns a timing, in seconds; its default is that of `timings`."""
+    default = getattr(timings.DEFAULTS, name)
     return Setting(
         "timings", name, default, SECONDS, meaning, least, most, kind=float
     )
@@ -143,25 +144,7 @@
         300,
         kind=float,
     ),
-    Setting(
-        "limits",
-        "queue_timeout_s",
-        5.0,
-        SECONDS,
-        "How long a request waits for a connection to a backend server.",
-        0.01,
-        300,
-        kind=float,
-    ),
     _limit("max_sessions", 5000, "callers", 1, 1_000_000, "Callers at once."),
-    _limit(
-        "max_waiting",
-        1000,
-        "requests",
-        0,
-        1_000_000,
-        "Requests that may wait for a connection at a time.",
-    ),
     _limit(
         "max_message_bytes",
         16_777_216,
@@ -170,136 +153,142 @@
         1_073_741_824,
         "The largest message taken from a caller.",
     ),
-    _limit(
-        "buffer_bytes",
-        262_144,
-        BYTES,
-        4096,
-        67_108_864,
-        "Bytes of an answer held for a caller that reads slowly.",
-    ),
-    _limit(
-        "statement_cache",
-        10_000,
-        "statements",
-        1,
-        10_000_000,
-        "Classified statements that are remembered.",
-    ),
-    _limit(
-        "prepared_per_connection",
-        200,
-        "statements",
+    _time(
+        "tick_s",
+        0.005,
         1,
-        100_000,
-        "Prepared statements kept on one connection to a backend server.",
+        "How often the decisions are told that time went on.",
     ),
     _time(
         "probe_interval_s",
-        0.25,
         0.01,
         60,
         "How often each backend server is asked for its state and position.",
     ),
     _time(
-        "probe_timeout_s",
-        1.0,
-        0.01,
-        60,
-        "How long a probe waits for its answer.",
+        "probe_timeout_s", 0.01, 60, "How long each step of a probe may take."
     ),
     _time(
-        "connect_timeout_s",
-        2.0,
-        0.01,
+        "write_lease_s",
+        0.1,
         60,
-        "How long opening a connection may take.",
+        "How long a write lease holds; a change of primary waits for "
+        "it when a holder is out of reach.",
     ),
+    _time("lease_renew_s", 0.01, 30, "How often write leases are renewed."),
     _time(
-        "answer_timeout_s",
-        30.0,
-        0.1,
-        86_400,
-        "How long a connection may stay silent while it owes an answer, "
-        "before it is probed.",
+        "steward_lease_s",
+        2,
+        60,
+        "How long a steward's lease in the platform's store holds, "
+        "in whole seconds.",
     ),
+    _time("steward_renew_s", 0.1, 30, "How often a steward renews it."),
     _time(
-        "write_lease_s",
-        2.0,
-        0.1,
+        "promise_s",
+        0.5,
         60,
-        "How long a granted write lease holds; a failover waits for it.",
+        "How long a successor holds still while the store is away.",
     ),
     _time(
-        "rate_lease_s",
-        2.0,
+        "successor_delay_s",
+        0.01,
+        10,
+        "How much later each next successor tries to take a vacant shard.",
+    ),
+    _time(
+        "orphan_s",
+        1,
+        600,
+        "How long a shard waits whose steward and successors are all gone.",
+    ),
+    _time(
+        "report_age_s",
         0.1,
         60,
-        "How long a granted share of a workspace's rate holds.",
+        "How old a home's report of a backend server may be to count.",
     ),
     _time(
-        "connection_lease_s",
-        5.0,
+        "permit_s",
         0.1,
         60,
-        "How long a granted share of a backend server's connections holds.",
+        "How long an order to promote a backend server stands.",
     ),
     _time(
-        "steward_lease_s",
-        5.0,
-        2,
-        60,
-        "How long a steward's lease in the platform's store holds; it is "
-        "rounded up to whole seconds.",
+        "planned_drain_s",
+        0,
+        600,
+        "How long open transactions may hold up a planned change of primary.",
     ),
     _time(
-        "renew_interval_s",
-        0.5,
-        0.01,
-        30,
-        "How often leases of every kind are renewed.",
+        "promote_s",
+        0.1,
+        600,
+        "How long a promotion may take before another server is tried.",
     ),
     _time(
-        "drift_margin_s",
+        "park_s",
         0.1,
-        0.001,
+        600,
+        "How long a request waits for a backend server that may serve it.",
+    ),
+    _time(
+        "replica_wait_s",
+        0,
         10,
-        "What a holder takes off each lease for the difference of clocks.",
+        "How long a read waits for a replica to catch up before it "
+        "goes to the primary.",
+    ),
+    _time(
+        "replica_ack_s",
+        0.1,
+        600,
+        "How long a write waits for a replica to have it.",
+    ),
+    _time(
+        "relay_ask_s",
+        0.05,
+        30,
+        "How often the newest version of the configuration is asked for.",
     ),
     _time(
-        "freshness_bound_s",
-        5.0,
+        "fresh_s",
         0.5,
         60,
-        "How long keyed requests go on after the configuration was last "
-        "confirmed, before the grace of the workspace.",
+        "How long keyed requests go on after the configuration was "
+        "last confirmed, before the grace of the workspace.",
     ),
     _time(
-        "heartbeat_interval_s",
-        0.5,
-        0.01,
-        30,
-        "How often an instance sends a sign of life to its peers.",
+        "withdrawn_grace_s",
+        0,
+        60,
+        "How long a statement that runs may go on after its key was withdrawn.",
+    ),
+    _time(
+        "members_keep_s",
+        0,
+        600,
+        "How long an instance that the list no longer shows is kept.",
     ),
     _time(
-        "peer_timeout_s",
-        2.0,
+        "home_retry_s",
         0.05,
         60,
-        "How long a peer may stay silent before its connection is replaced.",
+        "How long a home that did not answer is passed over.",
     ),
     _time(
         "store_timeout_s",
-        1.0,
         0.05,
         60,
         "How long a call of the platform's store may take.",
     ),
     _time(
-        "announce_interval_s",
-        2.0,
-        0.1,
+        "list_interval_s",
+        0.05,
         60,
-        "How often this instance renews its place in the instance list.",
+        "How often the instance list is read and this instance's line renewed.",
+    ),
+    _time(
+        "drain_s", 0, 3600, "How long a graceful shutdown waits for open work."
     ),
 )
--- a/src/cuminwall/timings.py
+++ b/src/cuminwall/timings.py
@@ -18,7 +18,6 @@
       successor_delay_s: How much later each next successor tries.
       orphan_s: How long a shard without steward and successors waits.
       report_age_s: How old a report may be to count.
-      suspect_s: How long a server must be suspected before it counts.
       permit_s: How long an order to promote stands.
       planned_drain_s: How long open transactions may hold up a planned
         change of primary.
@@ -32,6 +31,9 @@
       withdrawn_grace_s: How long a running round of a withdrawn key may
         go on.
       members_keep_s: How long an instance missing from the list is kept.
+      store_timeout_s: How long a call of the store may take.
+      list_interval_s: Between two readings of the instance list.
+      drain_s: How long a graceful shutdown waits for open work.
       home_retry_s: How long an unreachable home is passed over.
     """
 
@@ -46,7 +48,6 @@
     successor_delay_s: float = 0.5
     orphan_s: float = 5.0
     report_age_s: float = 1.5
-    suspect_s: float = 0.2
     permit_s: float = 1.0
     planned_drain_s: float = 4.0
     promote_s: float = 1.5
@@ -58,3 +59,9 @@
     withdrawn_grace_s: float = 1.0
     members_keep_s: float = 3.0
     home_retry_s: float = 1.0
+    store_timeout_s: float = 1.0
+    list_interval_s: float = 0.5
+    drain_s: float = 60.0
+
+
+DEFAULTS = Timings()
--- a/src/cuminwall/upkeep.py
+++ b/src/cuminwall/upkeep.py
@@ -26,7 +26,6 @@
 
 PREFIX = "upkeep"
 
-LIST_INTERVAL_S = 0.5
 FETCH_PAUSE_S = 0.3
 WATCH_PAUSE_S = 0.5
 RELAY_CHECK_S = 0.5
@@ -113,7 +112,7 @@
                 await self.instances.announce(self.record)
             except exceptions.StoreUnavailableError as error:
                 logger.debug("{}: not announced: {}", PREFIX, error)
-            await asyncio.sleep(LIST_INTERVAL_S)
+            await asyncio.sleep(self.engine.state.times.list_interval_s)
 
     async def _read_list(self) -> None:
         while True:
@@ -125,7 +124,7 @@
                 now = time.monotonic()
                 listed = events.InstancesListed(now, tuple(records))
                 self.engine.feed(listed)
-            await asyncio.sleep(LIST_INTERVAL_S)
+            await asyncio.sleep(self.engine.state.times.list_interval_s)
 
     async def _watch(self) -> None:
         """Watches the store while this instance is a relay."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -16,7 +16,7 @@
 LEAST = """{
   // the least that a file must hold
   "zone": "sediu",
-  "peers": {"host": "127.0.0.1"},
+  "peers": {"host": "127.0.0.1", "secret": "s"},
   "platform": {"endpoint": "http://127.0.0.1:1"},
 }"""
 
@@ -25,7 +25,7 @@
     """Returns the settings of the least file with some sections changed."""
     value = {
         "zone": "sediu",
-        "peers": {"host": "127.0.0.1"},
+        "peers": {"host": "127.0.0.1", "secret": "s"},
         "platform": {"endpoint": "http://127.0.0.1:1"},
     }
     return settings.read(json.dumps({**value, **changes}), b"entropy")
@@ -42,7 +42,7 @@
     def test_least_file_gets_every_default(self):
         found = settings.read(LEAST, b"entropy")
         self.assertIsInstance(found, settings.Settings)
-        self.assertEqual(found.peers, settings.Address("127.0.0.1", 7432))
+        self.assertEqual(found.peers, settings.Peers("127.0.0.1", 7432, "s"))
         for row in settingstable.TABLE:
             section = getattr(found, row.section) if row.section else found
             value = getattr(section, row.name)
@@ -73,6 +73,7 @@
                 "listen.tls",
                 "log.format",
                 "peers.host",
+                "peers.secret",
                 "platform.endpoint",
                 "timings.probe_interval_s",
                 "zone",
@@ -86,7 +87,7 @@
             credentials={"billing": {"password": "a", "password_env": "B"}},
             timings={
                 "write_lease_s": 0.5,
-                "peer_timeout_s": 0.5,
+                "fresh_s": 0.5,
             },
         )
         self.assertEqual(
@@ -94,7 +95,7 @@
             [
                 "credentials.billing.password_env",
                 "listen.tls_key",
-                "timings.peer_timeout_s",
+                "timings.fresh_s",
                 "timings.write_lease_s",
             ],
         )
