--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -32,8 +32,9 @@
 AUTHENTICATION_SASL_CONTINUE = 11
 AUTHENTICATION_SASL_FINAL = 12
 
-MOCK_ITERATIONS = 4096
-MOCK_SALT_BYTES = 16
+# Mock verifiers must look like those that are made for keys.
+ITERATIONS = 4096
+SALT_BYTES = 16
 
 _SCHEME = "SCRAM-SHA-256"
 _PROTOCOL_MAJOR = 3
@@ -230,15 +231,31 @@
         return None
 
 
+def make_verifier(key: str, salt: bytes) -> str:
+    """Returns the verifier of `key` in PostgreSQL's text form.
+
+    Args:
+      key: The key.
+      salt: `SALT_BYTES` random bytes.
+    """
+    mechanism = scramp.ScramMechanism(MECHANISM)
+    _, stored_key, server_key, _ = mechanism.make_auth_info(
+        key, ITERATIONS, salt
+    )
+    encoded = [
+        base64.b64encode(part).decode()
+        for part in (salt, stored_key, server_key)
+    ]
+    return f"{_SCHEME}${ITERATIONS}:{encoded[0]}${encoded[1]}:{encoded[2]}"
+
+
 def make_mock_verifier(secret: bytes, key_id: str) -> Verifier:
     """Returns a verifier that no key meets, the same for each `key_id`."""
     name = key_id.encode()
     salt = hmac.digest(secret, b"salt" + name, hashlib.sha256)
     stored_key = hmac.digest(secret, b"stored" + name, hashlib.sha256)
     server_key = hmac.digest(secret, b"server" + name, hashlib.sha256)
-    return Verifier(
-        salt[:MOCK_SALT_BYTES], MOCK_ITERATIONS, stored_key, server_key
-    )
+    return Verifier(salt[:SALT_BYTES], ITERATIONS, stored_key, server_key)
 
 
 def find_verifier(
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -3,9 +3,7 @@
 import asyncio
 import struct
 
-import scramp
-
-from cuminwall import outcomes, wire, work
+from cuminwall import logins, outcomes, wire, work
 
 KEY_ID = "sheds"
 KEY = "a-key-of-the-sheds"
@@ -13,18 +11,7 @@
 SERVICE = "ledger"
 
 
-def make_verifier(key: str) -> str:
-    """Returns a verifier in PostgreSQL's text form."""
-    mechanism = scramp.ScramMechanism("SCRAM-SHA-256")
-    salt, stored_key, server_key, iterations = mechanism.make_auth_info(key)
-    encode = scramp.core.b64enc
-    return (
-        f"SCRAM-SHA-256${iterations}:{encode(salt)}"
-        f"${encode(stored_key)}:{encode(server_key)}"
-    )
-
-
-VERIFIER = make_verifier(KEY)
+VERIFIER = logins.make_verifier(KEY, b"0123456789abcdef")
 
 
 class FakeService:
