Split the large modules of the caller side by job

Conclusion: outcomes.Refusal stands for all; the same tests pass unchanged but for the new module names.

--- a/src/cuminwall/caller_login.py
+++ b/src/cuminwall/caller_login.py
@@ -7,7 +7,7 @@
 from cuminwall import exceptions, logins, outcomes, wire, work
 
 if TYPE_CHECKING:
-    from cuminwall import frontdoor
+    from cuminwall import caller_connection
 
 _LENGTH_BYTES = 4
 _PASSWORD_TAG = b"p"
@@ -45,7 +45,7 @@
         "framer",
     )
 
-    def __init__(self, connection: "frontdoor.CallerConnection"):
+    def __init__(self, connection: "caller_connection.CallerConnection"):
         self.connection = connection
         self.buffer = bytearray()
         self.caller: logins.Caller | None = None
@@ -104,7 +104,7 @@
             raise exceptions.ProtocolError("unknown protocol version")
         parameters = wire.parse_startup_parameters(packet.payload)
         caller = logins.read_startup(parameters)
-        if isinstance(caller, logins.LoginRefusal):
+        if isinstance(caller, outcomes.Refusal):
             connection.fail(caller.failure, caller.detail)
             return
         self.caller = caller
--- a/src/cuminwall/caller_session.py
+++ b/src/cuminwall/caller_session.py
@@ -7,9 +7,10 @@
 from loguru import logger
 
 from cuminwall import answers, exceptions, outcomes, rounds, wire
+from cuminwall.session_rounds import SessionRounds
 
 if TYPE_CHECKING:
-    from cuminwall import frontdoor
+    from cuminwall import caller_connection
 
 _TERMINATE_TAG = b"X"
 _IDLE = b"I"
@@ -42,8 +43,8 @@
 
     def __init__(
         self,
-        connection: "frontdoor.CallerConnection",
-        session_rounds: rounds.SessionRounds,
+        connection: "caller_connection.CallerConnection",
+        session_rounds: SessionRounds,
         session: int,
     ):
         self.connection = connection
--- a/src/cuminwall/frontdoor.py
+++ b/src/cuminwall/frontdoor.py
@@ -1,333 +1,28 @@
-"""Listens for callers and keeps their connections within bounds.
-
-A connection has no task of its own while it is idle; a task runs while the
-serving side works on its rounds.
-"""
+"""Listens for callers and keeps their connections within bounds."""
 
 import asyncio
 import secrets
-import socket
 import ssl
 from collections.abc import Coroutine
-from typing import NamedTuple, cast
 
 from loguru import logger
 
 from cuminwall import (
-    caller_login,
+    caller_connection,
+    caller_limits,
     caller_session,
-    exceptions,
-    logins,
     outcomes,
-    rounds,
     statements,
     work,
 )
 
-LOGIN_TIMEOUT_S = 10.0
-MESSAGE_TIMEOUT_S = 60.0
-ANSWER_STALL_TIMEOUT_S = 60.0
-CLOSE_TIMEOUT_S = 5.0
-MAX_LOGINS = 1000
-MAX_CONNECTIONS = 20_000
-PAUSE_BYTES = 256 * 1024
-WRITE_BUFFER_BYTES = 256 * 1024
 BACKLOG = 1024
 MOCK_SECRET_BYTES = 32
 
-_KEEPALIVE_IDLE_S = 60
-_KEEPALIVE_INTERVAL_S = 10
-_KEEPALIVE_PROBES = 3
 _MAX_PROCESS_ID = 0x7FFFFFFF
 _SECRET_BITS = 32
 
 
-class Limits(NamedTuple):
-    """The bounds of the caller side.
-
-    Attributes:
-      login_timeout_s: From the connection to the end of the login.
-      message_timeout_s: From the first to the last byte of a message.
-      answer_stall_timeout_s: How long a caller may leave answers unread.
-      close_timeout_s: How long a closing connection may take to send the rest.
-      logins: Connections that have not logged in.
-      connections: Connections in all.
-      pause_bytes: Bytes queued for one session before reading is paused.
-      write_buffer_bytes: Bytes of answers before the server is not read.
-      session: What one session may keep.
-    """
-
-    login_timeout_s: float = LOGIN_TIMEOUT_S
-    message_timeout_s: float = MESSAGE_TIMEOUT_S
-    answer_stall_timeout_s: float = ANSWER_STALL_TIMEOUT_S
-    close_timeout_s: float = CLOSE_TIMEOUT_S
-    logins: int = MAX_LOGINS
-    connections: int = MAX_CONNECTIONS
-    pause_bytes: int = PAUSE_BYTES
-    write_buffer_bytes: int = WRITE_BUFFER_BYTES
-    session: rounds.Limits = rounds.DEFAULT_LIMITS
-
-
-DEFAULT_LIMITS = Limits()
-
-
-class CallerConnection(asyncio.Protocol):
-    """One connection of a caller.
-
-    Attributes:
-      server: The front door that accepted it.
-      transport: The transport, encrypted once TLS was agreed.
-      phase: What takes the caller's bytes.
-      client: The caller's address, for the log.
-      closing: Whether nothing more is read or answered.
-      process_id: What a CancelRequest names, or 0 before the login.
-      secret: What a CancelRequest proves itself by.
-    """
-
-    __slots__ = (
-        "client",
-        "closing",
-        "lost",
-        "phase",
-        "process_id",
-        "reading_paused",
-        "secret",
-        "server",
-        "stall_timer",
-        "timer",
-        "transport",
-        "write_waiter",
-    )
-
-    def __init__(self, server: "Frontdoor"):
-        self.server = server
-        self.transport: asyncio.Transport | None = None
-        self.phase: caller_login.LoginPhase | caller_session.SessionPhase = (
-            caller_login.LoginPhase(self)
-        )
-        self.client = ""
-        self.closing = False
-        self.lost = False
-        self.process_id = 0
-        self.secret = 0
-        self.reading_paused = False
-        self.timer: asyncio.TimerHandle | None = None
-        self.stall_timer: asyncio.TimerHandle | None = None
-        self.write_waiter: asyncio.Future[None] | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Takes a new connection, if there is room."""
-        # uvloop's transports are no subclass of asyncio's.
-        self.transport = cast(asyncio.Transport, transport)
-        peer = transport.get_extra_info("peername")
-        self.client = f"{peer[0]}:{peer[1]}" if peer else "unknown"
-        _keep_alive(transport.get_extra_info("socket"))
-        limits = self.server.limits
-        self.transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
-        self.start_timer(limits.login_timeout_s, outcomes.LOGIN_TIMEOUT)
-        self.server.accept(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Hands bytes to the phase; a protocol error ends the connection."""
-        if self.closing:
-            return
-        try:
-            self.phase.receive(data)
-        except exceptions.ProtocolError as error:
-            self.fail(outcomes.PROTOCOL_VIOLATION, str(error))
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Ends the session, after the round that runs."""
-        if self.lost:
-            return
-        self.lost = True
-        self.closing = True
-        self.stop_timer()
-        self.resume_writing()
-        self.server.forget(self)
-        self.after_work()
-
-    def after_work(self) -> None:
-        """Ends the session of a lost connection once no round runs."""
-        phase = self.phase
-        if not isinstance(phase, caller_session.SessionPhase):
-            return
-        if not self.lost or phase.task is not None:
-            return
-        self.server.spawn(self.server.port.close_session(phase.session))
-        self.phase = caller_login.LoginPhase(self)
-
-    def pause_writing(self) -> None:
-        """Notes that the caller does not read its answers."""
-        if self.write_waiter is not None or self.lost:
-            return
-        loop = asyncio.get_running_loop()
-        self.write_waiter = loop.create_future()
-        self.stall_timer = loop.call_later(
-            self.server.limits.answer_stall_timeout_s, self._abort_stalled
-        )
-
-    def resume_writing(self) -> None:
-        """Goes on with answers and with queued rounds."""
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
-            self.stall_timer = None
-        waiter, self.write_waiter = self.write_waiter, None
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
-        phase = self.phase
-        if isinstance(phase, caller_session.SessionPhase) and not self.closing:
-            phase.pump()
-
-    def _abort_stalled(self) -> None:
-        logger.warning("caller: {} leaves its answers unread", self.client)
-        self.abort()
-
-    def is_write_paused(self) -> bool:
-        """Returns whether answers wait for the caller to read."""
-        return self.write_waiter is not None
-
-    async def drain(self) -> None:
-        """Waits until answers may be written, or the connection is lost."""
-        while self.write_waiter is not None:
-            await asyncio.shield(self.write_waiter)
-
-    def write(self, data: bytes) -> None:
-        """Sends `data`, unless the connection is closing."""
-        if data and not self.closing and self.transport is not None:
-            self.transport.write(data)
-
-    def pause_reading(self) -> None:
-        """Stops reading; a message under way then has no deadline."""
-        if self.reading_paused or self.closing:
-            return
-        assert self.transport is not None
-        self.reading_paused = True
-        self.stop_timer()
-        self.transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Reads again."""
-        if not self.reading_paused or self.closing:
-            return
-        assert self.transport is not None
-        self.reading_paused = False
-        self.transport.resume_reading()
-        phase = self.phase
-        if isinstance(phase, caller_session.SessionPhase):
-            self.watch_message(True, bool(phase.framer.buffer))
-
-    def watch_message(self, completed: bool, begun: bool) -> None:
-        """Keeps the deadline of the message under way.
-
-        Args:
-          completed: Whether a message was completed since the last call.
-          begun: Whether part of another message has come.
-        """
-        if completed or not begun:
-            self.stop_timer()
-        if begun and self.timer is None and not self.reading_paused:
-            timeout_s = self.server.limits.message_timeout_s
-            self.start_timer(timeout_s, outcomes.MESSAGE_TIMEOUT)
-
-    def start_timer(self, timeout_s: float, failure: outcomes.Failure) -> None:
-        """Ends the connection with `failure` in `timeout_s` seconds."""
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(timeout_s, self._time_out, failure)
-
-    def stop_timer(self) -> None:
-        """Withdraws the deadline."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-    def _time_out(self, failure: outcomes.Failure) -> None:
-        self.timer = None
-        if isinstance(self.phase, caller_session.SessionPhase):
-            self.phase.end_after_queue(failure, "")
-        else:
-            self.fail(failure)
-
-    def fail(self, failure: outcomes.Failure, detail: str = "") -> None:
-        """Tells the caller why and closes the connection."""
-        if self.closing:
-            return
-        logger.info(
-            "caller: {} ends, {} {!r}", self.client, failure.reason, detail
-        )
-        fatal = failure._replace(fatal=True)
-        self.write(caller_session.encode_failure(fatal, detail))
-        self.close()
-
-    def close(self) -> None:
-        """Closes once what was written is sent, or soon in any case."""
-        if self.closing:
-            return
-        self.closing = True
-        self.stop_timer()
-        if self.transport is None:
-            return
-        self.transport.close()
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(
-            self.server.limits.close_timeout_s, self.abort
-        )
-
-    def abort(self) -> None:
-        """Closes without sending the rest."""
-        self.closing = True
-        if not self.lost and self.transport is not None:
-            self.transport.abort()
-
-    def start_tls(self) -> None:
-        """Begins the TLS handshake on this connection."""
-        self.server.spawn(self._start_tls())
-
-    async def _start_tls(self) -> None:
-        assert self.transport is not None
-        assert self.server.tls is not None
-        loop = asyncio.get_running_loop()
-        try:
-            transport = await loop.start_tls(
-                self.transport,
-                self,
-                self.server.tls,
-                server_side=True,
-                ssl_handshake_timeout=self.server.limits.login_timeout_s,
-            )
-        except (OSError, asyncio.CancelledError) as error:
-            logger.info("caller: {} made no TLS, {}", self.client, error)
-            self.abort()
-            self.connection_lost(None)
-            return
-        assert transport is not None
-        self.transport = transport
-        if self.closing:
-            transport.abort()
-            return
-        limits = self.server.limits
-        transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
-
-    def begin_session(self, caller: logins.Caller, session: int) -> None:
-        """Goes from the login to the session."""
-        self.stop_timer()
-        server = self.server
-        session_rounds = rounds.SessionRounds(
-            server.cache,
-            caller.settings,
-            caller.max_age_s,
-            server.limits.session,
-        )
-        self.phase = caller_session.SessionPhase(self, session_rounds, session)
-        server.admit(self)
-        self.write(caller_login.greet(caller, self.process_id, self.secret))
-
-    def begin_drain(self) -> None:
-        """Ends the connection now if it is idle, else when it becomes so."""
-        if self.phase.is_idle():
-            self.fail(outcomes.SHUTTING_DOWN)
-
-
 class Frontdoor:
     """Accepts callers.
 
@@ -347,7 +42,7 @@
         self,
         port: work.ServicePort,
         tls: ssl.SSLContext | None = None,
-        limits: Limits = DEFAULT_LIMITS,
+        limits: caller_limits.Limits = caller_limits.DEFAULT_LIMITS,
         mock_secret: bytes = b"",
     ):
         self.port = port
@@ -356,8 +51,8 @@
         self.mock_secret = mock_secret or secrets.token_bytes(MOCK_SECRET_BYTES)
         self.cache = statements.StatementCache()
         self.draining = False
-        self.waiting: dict[CallerConnection, None] = {}
-        self.sessions: dict[int, CallerConnection] = {}
+        self.waiting: dict[caller_connection.CallerConnection, None] = {}
+        self.sessions: dict[int, caller_connection.CallerConnection] = {}
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.emptied = asyncio.Event()
@@ -366,13 +61,16 @@
         """Listens and returns the port, which the system chooses for 0."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=BACKLOG
+            lambda: caller_connection.CallerConnection(self),
+            host,
+            port,
+            backlog=BACKLOG,
         )
         chosen = self.server.sockets[0].getsockname()[1]
         logger.info("caller: listening on {}:{}", host, chosen)
         return chosen
 
-    def accept(self, connection: CallerConnection) -> None:
+    def accept(self, connection: caller_connection.CallerConnection) -> None:
         """Takes a new connection; the oldest without a login makes room."""
         if self.draining:
             connection.fail(outcomes.SHUTTING_DOWN)
@@ -391,7 +89,7 @@
             self.waiting.pop(oldest, None)
         self.waiting[connection] = None
 
-    def admit(self, connection: CallerConnection) -> None:
+    def admit(self, connection: caller_connection.CallerConnection) -> None:
         """Notes that a connection has logged in."""
         self.waiting.pop(connection, None)
         process_id = 0
@@ -401,7 +99,7 @@
         connection.secret = secrets.randbits(_SECRET_BITS)
         self.sessions[process_id] = connection
 
-    def forget(self, connection: CallerConnection) -> None:
+    def forget(self, connection: caller_connection.CallerConnection) -> None:
         """Notes that a connection is gone."""
         self.waiting.pop(connection, None)
         self.sessions.pop(connection.process_id, None)
@@ -460,18 +158,3 @@
             await self.emptied.wait()
         while self.tasks:
             await asyncio.wait(self.tasks)
-
-
-def _keep_alive(sock: socket.socket | None) -> None:
-    """Lets the system find out when a silent caller is gone."""
-    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    options = (
-        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        (socket.TCP_NODELAY, 1),
-    )
-    for option, value in options:
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -71,18 +71,6 @@
     extensions: tuple[str, ...]
 
 
-class LoginRefusal(NamedTuple):
-    """Why a startup message is refused.
-
-    Attributes:
-      failure: The typed failure.
-      detail: What caused it, for the caller.
-    """
-
-    failure: outcomes.Failure
-    detail: str
-
-
 def is_supported_protocol(code: int) -> bool:
     """Returns whether `code` asks for a version 3 of the protocol."""
     return code >> 16 == _PROTOCOL_MAJOR
@@ -144,11 +132,11 @@
     return settings
 
 
-def read_startup(parameters: dict[str, str]) -> Caller | LoginRefusal:
+def read_startup(parameters: dict[str, str]) -> Caller | outcomes.Refusal:
     """Returns what the parameters of a startup message ask for."""
     options = parse_options(parameters.get("options", ""))
     if options is None:
-        return LoginRefusal(outcomes.BAD_SETTING, "malformed options")
+        return outcomes.Refusal(outcomes.BAD_SETTING, "malformed options")
     extensions = []
     for name, value in parameters.items():
         if name.startswith(_EXTENSION_PREFIX):
@@ -156,7 +144,7 @@
         elif name not in _CONNECTION_PARAMETERS:
             options[name.lower()] = value
     if options.pop("replication", "").lower() not in _FALSE_WORDS:
-        return LoginRefusal(outcomes.NOT_CARRIED, "replication")
+        return outcomes.Refusal(outcomes.NOT_CARRIED, "replication")
     user = parameters.get("user", "")
     caller = Caller(
         user=user,
@@ -172,24 +160,24 @@
 
 def _take_settings(
     caller: Caller, options: dict[str, str]
-) -> Caller | LoginRefusal:
+) -> Caller | outcomes.Refusal:
     """Returns `caller` with the settings that it asked for."""
     if len(options) > rounds.MAX_SETTINGS:
-        return LoginRefusal(outcomes.BAD_SETTING, "too many settings")
+        return outcomes.Refusal(outcomes.BAD_SETTING, "too many settings")
     for name, value in options.items():
         if name.startswith(settings_syntax.OWN_PREFIX):
             change = settings_syntax.read_own(name, value)
             if isinstance(change, settings_syntax.NotUnderstood):
-                return LoginRefusal(outcomes.BAD_SETTING, change.detail)
+                return outcomes.Refusal(outcomes.BAD_SETTING, change.detail)
             caller = _take_own(caller, change.effect)
             continue
         if name == "client_encoding":
             if not settings_syntax.is_utf8(value):
-                return LoginRefusal(outcomes.ENCODING_NOT_CARRIED, value)
+                return outcomes.Refusal(outcomes.ENCODING_NOT_CARRIED, value)
             continue
         refused = settings_syntax.find_refused_setting(name, value)
         if refused:
-            return LoginRefusal(outcomes.NOT_CARRIED, refused)
+            return outcomes.Refusal(outcomes.NOT_CARRIED, refused)
         if value.lower() not in _USUAL_VALUES.get(name, ()):
             caller.settings[name] = value
     return caller
--- a/src/cuminwall/outcomes.py
+++ b/src/cuminwall/outcomes.py
@@ -40,6 +40,18 @@
     fatal: bool = False
 
 
+class Refusal(NamedTuple):
+    """A failure and what in the caller's request caused it.
+
+    Attributes:
+      failure: The typed failure.
+      detail: The cause, for the caller; may be empty.
+    """
+
+    failure: Failure
+    detail: str
+
+
 RATE_EXCEEDED = Failure(
     Kind.NOT_RUN,
     "rate_exceeded",
--- /dev/null
+++ b/src/cuminwall/round_building.py
@@ -0,0 +1,282 @@
+"""Builds a round from a caller's messages, one handler for each kind.
+
+A handler returns why the round is refused, or None. Pure: no I/O.
+"""
+
+import struct
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from cuminwall import (
+    outcomes,
+    rounds,
+    session_effects,
+    statements,
+    wire,
+    work,
+)
+
+if TYPE_CHECKING:
+    from cuminwall import session_rounds
+
+_INT16 = struct.Struct("!h")
+
+
+class Building:
+    """The round under construction.
+
+    Nothing of it counts for the session before the round is sent.
+    """
+
+    __slots__ = (
+        "access",
+        "begins",
+        "bytes",
+        "executes",
+        "marks",
+        "max_age_s",
+        "muted",
+        "overlay",
+        "parsed",
+        "portals",
+        "prepared",
+        "request_id",
+        "session",
+        "steps",
+        "tables",
+        "token",
+        "writes",
+    )
+
+    def __init__(self, session: "session_rounds.SessionRounds"):
+        self.access = work.Access.READ
+        self.begins = False
+        self.bytes = 0
+        self.executes = False
+        self.marks: list[rounds.Mark] = []
+        self.max_age_s = session.max_age_s
+        self.muted = False
+        self.overlay: dict[str, rounds.Known | None] = {}
+        self.parsed: set[str] = set()
+        self.portals: dict[str, statements.Statement | None] = {}
+        self.prepared: dict[str, work.Prepared] = {}
+        self.request_id = session.request_id
+        self.session = session
+        self.steps: list[work.Step] = []
+        self.tables: dict[str, None] = {}
+        self.token = ""
+        self.writes = False
+
+    def use(self, statement: statements.Statement) -> None:
+        """Takes over what a statement means for the whole round."""
+        self.access = max(self.access, statement.access)
+        self.tables.update(dict.fromkeys(statement.tables))
+
+    def execute(
+        self, statement: statements.Statement, parts: Iterable[tuple]
+    ) -> None:
+        """Takes over that a statement is run, with one mark for each part."""
+        self.use(statement)
+        self.executes = True
+        self.begins = self.begins or statement.begins
+        self.writes = self.writes or statement.writes
+        for effects in parts:
+            self.marks.append(rounds.Mark(b"C", effects))
+            for effect in effects:
+                self.take_own(effect)
+
+    def take_own(self, effect: session_effects.SessionEffect) -> None:
+        """Applies one of cuminwall's own settings, from this round on."""
+        if isinstance(effect, session_effects.TokenBrought):
+            self.token = effect.token
+        elif isinstance(effect, session_effects.MaxAgeChanged):
+            self.max_age_s = effect.max_age_s
+        elif isinstance(effect, session_effects.RequestIdGiven):
+            self.request_id = effect.request_id
+        elif isinstance(effect, session_effects.SettingChanged):
+            self.muted = True
+
+    def _find(self, name: str) -> rounds.Known | None:
+        if name in self.overlay:
+            return self.overlay[name]
+        return self.session.statements.get(name)
+
+    def _find_portal(self, name: str) -> statements.Statement:
+        """Returns the statement of a portal; it may be a declared cursor."""
+        if name in self.portals:
+            return self.portals[name] or _UNKNOWN_PORTAL
+        return self.session.portals.get(name, _UNKNOWN_PORTAL)
+
+    def add_query(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds a simple Query."""
+        sql, _ = wire.read_cstring(payload)
+        statement = self.session.cache.classify(sql)
+        refusal = self._check(statement)
+        if refusal is not None:
+            return refusal
+        self.execute(statement, statement.effects)
+        if statement.local and not self.steps and not self.session.unsynced:
+            return None
+        message = wire.query(statement.sql)
+        self.steps.append(work.Step(message))
+        return None
+
+    def _check(
+        self, statement: statements.Statement
+    ) -> outcomes.Refusal | None:
+        """Returns why a statement is not carried, or None."""
+        if statement.refusal is not None:
+            return outcomes.Refusal(*statement.refusal)
+        settings = self.session.settings.view()
+        for effects in statement.effects:
+            for effect in effects:
+                if not isinstance(effect, session_effects.SettingChanged):
+                    continue
+                if len(effect.value or "") > rounds.MAX_SETTING_CHARACTERS:
+                    return outcomes.Refusal(outcomes.BAD_SETTING, "too long")
+                if (
+                    effect.name in settings
+                    or len(settings) < rounds.MAX_SETTINGS
+                ):
+                    continue
+                return outcomes.Refusal(
+                    outcomes.BAD_SETTING, "too many settings"
+                )
+        return None
+
+    def add_parse(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds a Parse under a name derived from its content."""
+        name, offset = wire.read_cstring(payload)
+        sql, offset = wire.read_cstring(payload, offset)
+        (count,) = _INT16.unpack_from(payload, offset)
+        type_oids = struct.unpack_from(
+            f"!{max(count, 0)}I", payload, offset + 2
+        )
+        statement = self.session.cache.classify(sql)
+        refusal = self._check(statement)
+        if refusal is not None:
+            return refusal
+        if name and self._find(name) is not None:
+            return outcomes.Refusal(outcomes.DUPLICATE_STATEMENT, name)
+        kept = len(self.session.statements) + len(self.overlay)
+        if (
+            name not in self.session.statements
+            and kept >= self.session.limits.statements
+        ):
+            return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
+        prepared = rounds.prepare(statement.sql, type_oids)
+        known = rounds.Known(prepared, statement)
+        self.overlay[name] = known
+        self.use(statement)
+        self.marks.append(rounds.Mark(b"1", name=name, known=known))
+        server_name = prepared.name
+        if server_name in self.parsed:
+            # The server has it by now; this only checks and is answered.
+            server_name = ""
+        message = wire.parse_message(server_name, statement.sql, type_oids)
+        self.steps.append(work.Step(message, server_name))
+        self.parsed.add(prepared.name)
+        return None
+
+    def add_bind(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds a Bind of a known statement."""
+        portal, offset = wire.read_cstring(payload)
+        name, offset = wire.read_cstring(payload, offset)
+        known = self._find(name)
+        if known is None:
+            return outcomes.Refusal(outcomes.UNKNOWN_STATEMENT, name)
+        kept = len(self.session.portals) + len(self.portals)
+        if (
+            portal not in self.session.portals
+            and kept >= self.session.limits.portals
+        ):
+            return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
+        self.portals[portal] = known.statement
+        self._need(known)
+        body = wire.cstring(portal) + wire.cstring(known.prepared.name)
+        message = wire.Message(b"B", body + payload[offset:])
+        self.steps.append(work.Step(message.encode()))
+        return None
+
+    def _need(self, known: rounds.Known) -> None:
+        """Notes that the round uses a statement."""
+        self.use(known.statement)
+        name = known.prepared.name
+        if name not in self.parsed:
+            self.prepared[name] = known.prepared
+
+    def add_describe(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds a Describe of a statement or portal."""
+        kind = payload[:1]
+        name, _ = wire.read_cstring(payload, 1)
+        if kind == b"S":
+            known = self._find(name)
+            if known is None:
+                return outcomes.Refusal(outcomes.UNKNOWN_STATEMENT, name)
+            self._need(known)
+            payload = kind + wire.cstring(known.prepared.name)
+        else:
+            self.use(self._find_portal(name))
+        self.steps.append(work.Step(wire.Message(b"D", payload).encode()))
+        return None
+
+    def add_execute(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds an Execute."""
+        name, offset = wire.read_cstring(payload)
+        struct.unpack_from("!i", payload, offset)
+        statement = self._find_portal(name)
+        effects = tuple(e for part in statement.effects for e in part)
+        self.execute(statement, (effects,))
+        message = wire.Message(b"E", payload)
+        self.steps.append(work.Step(message.encode()))
+        return None
+
+    def add_close(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds a Close; callers share statements, so none is closed there."""
+        kind = payload[:1]
+        name, _ = wire.read_cstring(payload, 1)
+        if kind == b"S":
+            self.overlay[name] = None
+            self.marks.append(rounds.Mark(b"3", name=name))
+            message = wire.close_statement(rounds.ABSENT_STATEMENT)
+        else:
+            self.portals[name] = None
+            self.marks.append(rounds.Mark(b"3"))
+            message = wire.Message(b"C", payload).encode()
+        self.steps.append(work.Step(message))
+        return None
+
+    def add_end(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds a Sync; a Flush needs no message of its own."""
+        self.steps.append(work.Step(wire.sync()))
+        return None
+
+    def add_flush(self, payload: bytes) -> outcomes.Refusal | None:
+        """Adds a Flush after other messages."""
+        if self.steps:
+            message = wire.Message(b"H", b"")
+            self.steps.append(work.Step(message.encode()))
+        return None
+
+    def refuse_call(self, payload: bytes) -> outcomes.Refusal | None:
+        """Refuses the fast-path function call."""
+        return outcomes.Refusal(
+            outcomes.NOT_CARRIED, "the function call message"
+        )
+
+
+_UNKNOWN_PORTAL = statements.classify("CALL unknown_portal()")
+
+HANDLERS = {
+    b"B": Building.add_bind,
+    b"C": Building.add_close,
+    b"D": Building.add_describe,
+    b"E": Building.add_execute,
+    b"F": Building.refuse_call,
+    b"H": Building.add_flush,
+    b"P": Building.add_parse,
+    b"Q": Building.add_query,
+    b"S": Building.add_end,
+}
+ENDING_TAGS = frozenset({b"Q", b"S", b"H"})
+SELF_CONTAINED_TAGS = frozenset({b"Q", b"F"})
--- a/src/cuminwall/statements.py
+++ b/src/cuminwall/statements.py
@@ -1,25 +1,19 @@
 """Classification of SQL text by PostgreSQL's own grammar.
 
-Anything that is not proved to be a read counts as a write. Statements that
-would leave state on a server connection, which many callers share, are either
-rewritten so that they leave none, or refused.
+Anything that is not proved to be a read counts as a write.
 """
 
 import collections
-import enum
-import functools
-import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from pglast import ast, enums, parser
+from pglast import parser
 
 from cuminwall import (
     outcomes,
     session_effects,
-    settings_syntax,
     statement_bounds,
-    statement_nodes,
+    statement_parts,
 )
 from cuminwall.work import Access
 
@@ -27,74 +21,6 @@
 CACHE_MAX_CHARACTERS = 4 * 1024 * 1024
 CACHE_MAX_TEXT_CHARACTERS = 16 * 1024
 
-# It completes on any server, in or outside a transaction, and changes nothing.
-HARMLESS_SQL = "UNLISTEN *"
-
-_SET_CONFIG = re.compile(
-    r"(?:pg_catalog\s*\.\s*)?set_config\s*\("
-    r"\s*'(?:[^'\\]|'')*'\s*,\s*(?:'(?:[^'\\]|'')*'|\$\d+)\s*,\s*(false)\s*\)",
-    re.IGNORECASE,
-)
-_FALSE_WORDS = frozenset({"false", "off", "0"})
-_UNTRACKED_SETTING = "jit"
-_SETTINGS_VIEWS = frozenset({"pg_settings", "pg_catalog.pg_settings"})
-
-
-class Command(enum.Enum):
-    """The family of a statement."""
-
-    EMPTY = "empty"
-    QUERY = "query"
-    TRANSACTION = "transaction"
-    SETTING = "setting"
-    UTILITY = "utility"
-
-
-class Refusal(NamedTuple):
-    """Why a statement is not sent to any server.
-
-    Attributes:
-      failure: The typed failure.
-      detail: What in the statement caused it, for the caller.
-    """
-
-    failure: outcomes.Failure
-    detail: str
-
-
-class Edit(NamedTuple):
-    """A replacement of the characters from `start` to `end`."""
-
-    start: int
-    end: int
-    text: str
-
-
-class Part(NamedTuple):
-    """What is known of one statement of a text.
-
-    Attributes:
-      access: Whether it is proved to be a read.
-      command: Its family.
-      begins: Whether it starts an explicit transaction.
-      ends: Whether it ends one.
-      tables: The tables read, empty for a write.
-      effects: What it changes in the session.
-      sql: What is sent in its place, or None if it is sent as it is.
-      edits: Replacements within the whole text.
-      refusal: Why it is not carried, or None.
-    """
-
-    access: Access = Access.WRITE
-    command: Command = Command.UTILITY
-    begins: bool = False
-    ends: bool = False
-    tables: tuple[str, ...] = ()
-    effects: tuple[session_effects.SessionEffect, ...] = ()
-    sql: str | None = None
-    edits: tuple[Edit, ...] = ()
-    refusal: Refusal | None = None
-
 
 class Statement(NamedTuple):
     """What is known of a text, which may hold several statements.
@@ -113,7 +39,7 @@
     """
 
     access: Access
-    command: Command
+    command: statement_parts.Command
     begins: bool
     ends: bool
     writes: bool
@@ -121,268 +47,29 @@
     tables: tuple[str, ...]
     effects: tuple[tuple[session_effects.SessionEffect, ...], ...]
     sql: str
-    refusal: Refusal | None
-
-
-def _refuse(
-    detail: str, failure: outcomes.Failure = outcomes.NOT_CARRIED
-) -> Part:
-    return Part(refusal=Refusal(failure, detail))
-
-
-@functools.singledispatch
-def _examine(node: Any, sql: str) -> Part:
-    """Returns what is known of one statement; by default it is a write."""
-    findings = statement_nodes.find(node)
-    refused = _find_refusal(findings)
-    if refused is not None:
-        return refused
-    return Part()
-
-
-def _find_refusal(findings: statement_nodes.Findings) -> Part | None:
-    """Returns the refusal of what would leave state in a server's session."""
-    if findings.temporary:
-        return _refuse("temporary tables last longer than a transaction")
-    if findings.executes:
-        return _refuse("EXECUTE")
-    if findings.session_function:
-        return _refuse(f"{findings.session_function}() uses session state")
-    if findings.set_config_calls:
-        return _refuse("set_config() for a session inside another statement")
-    return None
-
-
-@_examine.register(ast.SelectStmt)
-def _examine_select(node: Any, sql: str) -> Part:
-    findings = statement_nodes.find(node)
-    edits: tuple[Edit, ...] = ()
-    effects: tuple[session_effects.SessionEffect, ...] = ()
-    if findings.set_config_calls:
-        part = _carry_set_config(node, sql, findings)
-        if part.refusal is not None:
-            return part
-        edits, effects = part.edits, part.effects
-        findings = findings._replace(set_config_calls=())
-    refused = _find_refusal(findings)
-    if refused is not None:
-        return refused
-    if not findings.proved_read:
-        return Part(command=Command.QUERY, effects=effects, edits=edits)
-    return Part(
-        access=Access.READ,
-        command=Command.QUERY,
-        tables=findings.tables,
-        effects=effects,
-        edits=edits,
-    )
-
-
-def _carry_set_config(
-    node: Any, sql: str, findings: statement_nodes.Findings
-) -> Part:
-    """Makes set_config() calls local and takes over what they set."""
-    once = node.fromClause is None and node.whereClause is None
-    targets = [target.val for target in node.targetList or ()]
-    edits = []
-    effects = []
-    for call in findings.set_config_calls:
-        match = _SET_CONFIG.match(sql, call.location)
-        name, value = statement_nodes.literal_arguments(call)
-        if not once or call not in targets or match is None or name is None:
-            return _refuse("set_config() for a session, not in a plain SELECT")
-        edits.append(Edit(match.start(1), match.end(1), "true"))
-        if name.lower() == _UNTRACKED_SETTING:
-            continue
-        if value is None:
-            return _refuse("set_config() whose value is not a literal")
-        detail = settings_syntax.find_refused_setting(name, value)
-        if detail:
-            return _refuse(detail)
-        effects.append(session_effects.SettingChanged(name.lower(), value))
-    return Part(effects=tuple(effects), edits=tuple(edits))
-
-
-@_examine.register(ast.InsertStmt)
-@_examine.register(ast.UpdateStmt)
-@_examine.register(ast.DeleteStmt)
-@_examine.register(ast.MergeStmt)
-def _examine_change(node: Any, sql: str) -> Part:
-    findings = statement_nodes.find(node)
-    refused = _find_refusal(findings)
-    if refused is not None:
-        return refused
-    if not _SETTINGS_VIEWS.isdisjoint(findings.tables):
-        return _refuse("a change of pg_settings")
-    return Part(command=Command.QUERY)
-
-
-@_examine.register(ast.ExplainStmt)
-def _examine_explain(node: Any, sql: str) -> Part:
-    inner = _examine(node.query, sql)
-    if inner.refusal is not None:
-        return inner
-    if inner.edits:
-        return _refuse("EXPLAIN of set_config()")
-    access = Access.READ
-    for option in node.options or ():
-        if option.defname != "analyze":
-            continue
-        access = inner.access if _is_on(option.arg) else Access.READ
-    return Part(access=access, command=Command.QUERY, tables=inner.tables)
-
-
-def _is_on(argument: ast.Node | None) -> bool:
-    if argument is None:
-        return True
-    word = getattr(argument, "sval", None)
-    if word is None:
-        word = str(getattr(argument, "ival", ""))
-    return word.lower() not in _FALSE_WORDS
-
-
-_BEGINNING = (
-    enums.TransactionStmtKind.TRANS_STMT_BEGIN,
-    enums.TransactionStmtKind.TRANS_STMT_START,
-)
-_ENDING = (
-    enums.TransactionStmtKind.TRANS_STMT_COMMIT,
-    enums.TransactionStmtKind.TRANS_STMT_ROLLBACK,
-)
-
-
-@_examine.register(ast.TransactionStmt)
-def _examine_transaction(node: Any, sql: str) -> Part:
-    control = Part(access=Access.READ, command=Command.TRANSACTION)
-    kind = node.kind
-    if kind in _BEGINNING:
-        access = _access_of_modes(node.options or ())
-        return control._replace(access=access, begins=True)
-    if kind in _ENDING:
-        # The modes of a chained transaction are those of the one before it.
-        access = Access.WRITE if node.chain else Access.READ
-        return control._replace(
-            access=access,
-            begins=bool(node.chain),
-            ends=True,
-            effects=(session_effects.TransactionEnded(),),
-        )
-    if kind == enums.TransactionStmtKind.TRANS_STMT_SAVEPOINT:
-        effect = session_effects.SavepointSet(node.savepoint_name)
-        return control._replace(effects=(effect,))
-    if kind == enums.TransactionStmtKind.TRANS_STMT_ROLLBACK_TO:
-        restored = session_effects.SavepointRestored(node.savepoint_name)
-        return control._replace(effects=(restored,))
-    if kind == enums.TransactionStmtKind.TRANS_STMT_RELEASE:
-        released = session_effects.SavepointReleased(node.savepoint_name)
-        return control._replace(effects=(released,))
-    return _refuse("two-phase commit")
-
-
-def _access_of_modes(options: Iterable[Any]) -> Access:
-    """Returns READ for modes that a replica can serve."""
-    read_only = False
-    for option in options:
-        if option.defname == "transaction_read_only":
-            read_only = bool(option.arg.val.ival)
-            continue
-        if option.defname == "transaction_deferrable":
-            return Access.WRITE
-        if option.arg.val.sval == "serializable":
-            return Access.WRITE
-    return Access.READ if read_only else Access.WRITE
-
-
-@_examine.register(ast.VariableSetStmt)
-def _examine_set(node: Any, sql: str) -> Part:
-    change = settings_syntax.read_set(node)
-    if isinstance(change, settings_syntax.NotUnderstood):
-        failure = outcomes.NOT_CARRIED
-        if change.bad_value:
-            failure = outcomes.BAD_SETTING
-        return _refuse(change.detail, failure)
-    if isinstance(change, settings_syntax.PassedThrough):
-        access = Access.WRITE if change.may_write else Access.READ
-        return Part(access=access, command=Command.TRANSACTION)
-    return Part(
-        access=Access.READ,
-        command=Command.SETTING,
-        effects=(change.effect,),
-        sql=change.sql or HARMLESS_SQL,
-    )
-
-
-@_examine.register(ast.DeallocateStmt)
-def _examine_deallocate(node: Any, sql: str) -> Part:
-    return Part(
-        access=Access.READ,
-        effects=(session_effects.StatementsDropped(node.name),),
-        sql=HARMLESS_SQL,
-    )
-
-
-@_examine.register(ast.DiscardStmt)
-def _examine_discard(node: Any, sql: str) -> Part:
-    effects: tuple[session_effects.SessionEffect, ...] = ()
-    if node.target == enums.DiscardMode.DISCARD_ALL:
-        effects = (
-            session_effects.SettingsReset(),
-            session_effects.StatementsDropped(None),
-        )
-    return Part(access=Access.READ, effects=effects, sql=HARMLESS_SQL)
-
-
-@_examine.register(ast.DeclareCursorStmt)
-def _examine_cursor(node: Any, sql: str) -> Part:
-    if node.options & statement_nodes.CURSOR_OPT_HOLD:
-        return _refuse("DECLARE CURSOR WITH HOLD")
-    return _examine(node.query, sql)
-
-
-@_examine.register(ast.FetchStmt)
-@_examine.register(ast.ClosePortalStmt)
-@_examine.register(ast.UnlistenStmt)
-@_examine.register(ast.VariableShowStmt)
-def _examine_harmless(node: ast.Node, sql: str) -> Part:
-    return Part(access=Access.READ)
-
-
-_REFUSED_KINDS = {
-    ast.CopyStmt: "COPY",
-    ast.ListenStmt: "LISTEN",
-    ast.NotifyStmt: "NOTIFY",
-    ast.PrepareStmt: "PREPARE",
-    ast.ExecuteStmt: "EXECUTE",
-    ast.LoadStmt: "LOAD",
-}
-
-
-def _examine_refused(node: ast.Node, sql: str) -> Part:
-    return _refuse(_REFUSED_KINDS[type(node)])
-
-
-for _kind in _REFUSED_KINDS:
-    _examine.register(_kind, _examine_refused)
+    refusal: outcomes.Refusal | None
 
 
-def _examine_text(sql: str) -> tuple[list[Part], list[Edit]]:
+def _examine_text(
+    sql: str,
+) -> tuple[list[statement_parts.Part], list[statement_parts.Edit]]:
     """Returns the parts of `sql` and the edits to its text."""
-    parts: list[Part] = []
-    edits: list[Edit] = []
+    parts: list[statement_parts.Part] = []
+    edits: list[statement_parts.Edit] = []
     trees: tuple[Any, ...] = parser.parse_sql(sql)
     for raw in trees:
-        part = _examine(raw.stmt, sql)
+        part = statement_parts.examine(raw.stmt, sql)
         parts.append(part)
         edits.extend(part.edits)
         if part.sql is None:
             continue
         start = raw.stmt_location
         end = start + raw.stmt_len if raw.stmt_len else len(sql)
-        edits.append(Edit(start, end, part.sql))
+        edits.append(statement_parts.Edit(start, end, part.sql))
     return parts, edits
 
 
-def _apply_edits(sql: str, edits: Sequence[Edit]) -> str:
+def _apply_edits(sql: str, edits: Sequence[statement_parts.Edit]) -> str:
     for edit in sorted(edits, reverse=True):
         sql = sql[: edit.start] + edit.text + sql[edit.end :]
     return sql
@@ -390,7 +77,7 @@
 
 _UNREADABLE = Statement(
     access=Access.WRITE,
-    command=Command.UTILITY,
+    command=statement_parts.Command.UTILITY,
     begins=False,
     ends=False,
     writes=True,
@@ -409,7 +96,7 @@
     """
     try:
         if not statement_bounds.is_within_bounds(sql):
-            refusal = Refusal(outcomes.STATEMENT_TOO_COMPLEX, "")
+            refusal = outcomes.Refusal(outcomes.STATEMENT_TOO_COMPLEX, "")
             return _UNREADABLE._replace(sql=sql, refusal=refusal)
         parts, edits = _examine_text(sql)
     except (parser.ParseError, ValueError):
@@ -418,12 +105,17 @@
 
 
 def _combine(
-    sql: str, parts: Sequence[Part], edits: Sequence[Edit]
+    sql: str,
+    parts: Sequence[statement_parts.Part],
+    edits: Sequence[statement_parts.Edit],
 ) -> Statement:
     """Returns one statement for all parts of a text."""
     if not parts:
         return _UNREADABLE._replace(
-            access=Access.READ, command=Command.EMPTY, writes=False, sql=sql
+            access=Access.READ,
+            command=statement_parts.Command.EMPTY,
+            writes=False,
+            sql=sql,
         )
     access = max(part.access for part in parts)
     tables: list[str] = []
@@ -435,7 +127,10 @@
     refusal = None
     for part in parts:
         if part.access is Access.WRITE:
-            writes = writes or part.command is not Command.TRANSACTION
+            writes = (
+                writes
+                or part.command is not statement_parts.Command.TRANSACTION
+            )
         own = [isinstance(e, session_effects.OwnEffect) for e in part.effects]
         local = local and bool(own) and all(own)
         refusal = refusal or part.refusal
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -18,7 +18,7 @@
 import uvloop
 from loguru import logger
 
-from cuminwall import frontdoor, logins, outcomes, rounds, wire
+from cuminwall import caller_limits, frontdoor, logins, outcomes, rounds, wire
 from tests import fake_service
 
 GUARD_S = 30
@@ -110,7 +110,7 @@
 class ServedTest(unittest.TestCase):
     """A front door for each test."""
 
-    limits = frontdoor.DEFAULT_LIMITS
+    limits = caller_limits.DEFAULT_LIMITS
     tls = False
 
     async def run_served(self, test):
@@ -282,7 +282,7 @@
 class LoginTest(ServedTest):
     """Startup packets, and connections that never log in."""
 
-    limits = frontdoor.Limits(login_timeout_s=GUARD_S, logins=5)
+    limits = caller_limits.Limits(login_timeout_s=GUARD_S, logins=5)
 
     @on_uvloop
     async def test_requests_before_the_startup(self):
@@ -364,7 +364,7 @@
 class DeadlineTest(ServedTest):
     """Callers that fall silent halfway."""
 
-    limits = frontdoor.Limits(
+    limits = caller_limits.Limits(
         login_timeout_s=SHORT_S,
         message_timeout_s=SHORT_S,
         answer_stall_timeout_s=SHORT_S,
@@ -406,7 +406,7 @@
 class RoundTest(ServedTest):
     """What a caller hears of its rounds."""
 
-    limits = frontdoor.Limits(
+    limits = caller_limits.Limits(
         pause_bytes=2_000,
         write_buffer_bytes=4_000,
         session=rounds.Limits(round_bytes=100_000),
--- a/tests/test_logins.py
+++ b/tests/test_logins.py
@@ -185,7 +185,7 @@
         except exceptions.ProtocolError:
             return
         found = logins.read_startup(parameters)
-        self.assertIsInstance(found, logins.Caller | logins.LoginRefusal)
+        self.assertIsInstance(found, logins.Caller | outcomes.Refusal)
 
 
 if __name__ == "__main__":
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -12,6 +12,7 @@
     outcomes,
     rounds,
     session_effects,
+    session_rounds,
     session_settings,
     statements,
     wire,
@@ -56,7 +57,7 @@
     """Feeds bytes to a session and ends each round as a server would."""
 
     def __init__(self, **options):
-        self.rounds = rounds.SessionRounds(CACHE, **options)
+        self.rounds = session_rounds.SessionRounds(CACHE, **options)
         self.framer = wire.Framer()
         self.cuts = []
         self.reported = {}
