--- a/src/cuminwall/configstore.py
+++ b/src/cuminwall/configstore.py
@@ -11,7 +11,7 @@
 from cuminwall import confighead
 from cuminwall.confighead import Change, Head, Snapshot
 from cuminwall.exceptions import StoreUnavailableError
-from cuminwall.ports import StoreEntry, StorePort
+from cuminwall.ports import StoreEntry, StorePort, ValueReader
 
 ATTEMPTS = 4
 RETRY_PAUSE_S = 0.2
@@ -34,7 +34,7 @@
     return await call()
 
 
-async def read_head(store: StorePort) -> tuple[Head, int]:
+async def read_head(store: ValueReader) -> tuple[Head, int]:
     """Returns the head in force and its store revision.
 
     Raises:
@@ -51,7 +51,7 @@
     return confighead.decode_head(entry.value), entry.revision
 
 
-async def load(store: StorePort) -> Snapshot:
+async def load(store: ValueReader) -> Snapshot:
     """Returns the configuration in force.
 
     Raises:
@@ -60,7 +60,9 @@
     return await load_changed(store, None)
 
 
-async def load_changed(store: StorePort, previous: Snapshot | None) -> Snapshot:
+async def load_changed(
+    store: ValueReader, previous: Snapshot | None
+) -> Snapshot:
     """Returns the configuration in force, reading only what is new.
 
     Raises:
@@ -78,7 +80,7 @@
     raise StoreUnavailableError("a part of the configuration is missing")
 
 
-async def read_values(store: StorePort, keys: list[str]) -> dict[str, bytes]:
+async def read_values(store: ValueReader, keys: list[str]) -> dict[str, bytes]:
     """Returns the values of the keys that exist, several read at a time."""
     values = {}
     gate = asyncio.Semaphore(PARALLEL_CALLS)
--- a/src/cuminwall/daemon.py
+++ b/src/cuminwall/daemon.py
@@ -19,6 +19,7 @@
 from loguru import logger
 
 from cuminwall import (
+    caller_limits,
     engine,
     events,
     frontdoor,
@@ -121,7 +122,7 @@
         self.engine.closing = self.frontdoor.close_session
         self.port = await self.frontdoor.start(own.listen.host, own.listen.port)
         self.upkeep = upkeep.Upkeep(
-            self.engine, self.store, self.instances, record
+            self.engine, self.store, self.instances, record, self.peers
         )
         self.upkeep.start()
         metrics.observe(self.engine)
@@ -177,10 +178,10 @@
         return member.record.host, member.record.port
 
 
-def _limits(own: settings.Limits) -> frontdoor.Limits:
+def _limits(own: settings.Limits) -> caller_limits.Limits:
     """Returns the caller side's bounds."""
     session = rounds.Limits(round_bytes=own.max_message_bytes)
-    return frontdoor.Limits(
+    return caller_limits.Limits(
         login_timeout_s=own.login_deadline_s,
         connections=own.max_sessions,
         session=session,
--- a/src/cuminwall/engine.py
+++ b/src/cuminwall/engine.py
@@ -21,6 +21,7 @@
     links,
     messages,
     outcomes,
+    peerconfig,
     peers,
     reducer,
     serving,
@@ -70,6 +71,7 @@
       admissions: The answers to logins under way, by session.
       closing: Called to end a caller's connection.
       fetching: Called to load a newer configuration.
+      peer_config: Reads configurations of peers, and answers them.
       counters: Counts by metric name and label.
     """
 
@@ -94,6 +96,7 @@
         self.admissions: dict[int, work.Admitted | outcomes.Failure] = {}
         self.closing = _close_nothing
         self.fetching = _fetch_nothing
+        self.peer_config: peerconfig.PeerConfig | None = None
         self.counters: collections.Counter[tuple[str, str]]
         self.counters = collections.Counter()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -291,6 +294,18 @@
     engine.spawn(engine.executor.cancel(pin))
 
 
+@receive.register
+def _(frame: frames.ValueAsk, engine: Engine, link: links.Link) -> None:
+    if engine.peer_config is not None:
+        engine.peer_config.asked(link, frame)
+
+
+@receive.register
+def _(frame: frames.ValueAnswer, engine: Engine, link: links.Link) -> None:
+    if engine.peer_config is not None:
+        engine.peer_config.answered(frame)
+
+
 @functools.singledispatch
 def perform(effect: Any, engine: Engine) -> None:
     """Carries an effect out; one function for each type."""
--- a/src/cuminwall/frames.py
+++ b/src/cuminwall/frames.py
@@ -52,35 +52,35 @@
     session: int
 
 
-class ConfigAsk(NamedTuple):
-    """An instance asks a peer for its configuration.
+class ValueAsk(NamedTuple):
+    """An instance asks a peer for a value of the configuration.
 
     Attributes:
       number: The number of the ask.
-      version: The version that the asker has.
+      key: The store key of the head or of a part.
     """
 
     number: int
-    version: int
+    key: str
 
 
-class ConfigAnswer(NamedTuple):
-    """A peer's configuration.
+class ValueAnswer(NamedTuple):
+    """A peer's answer to a ValueAsk.
 
     Attributes:
       number: The number of the ask.
-      version: Its version; 0 if it has none beyond the asker's.
-      document: The JSON document, or empty.
+      is_known: Whether the peer has the value.
+      value: The bytes as they stand in the store.
     """
 
     number: int
-    version: int
-    document: bytes
+    is_known: bool
+    value: bytes
 
 
 LOST = Chunk(0, b"")  # Put in place of a frame when the link has ended.
 
-LINK_FRAMES = (Run, Chunk, Took, End, Gone, Cancel, ConfigAsk, ConfigAnswer)
+LINK_FRAMES = (Run, Chunk, Took, End, Gone, Cancel, ValueAsk, ValueAnswer)
 
 TYPES: tuple[type, ...] = (
     Run,
@@ -89,8 +89,8 @@
     End,
     Gone,
     Cancel,
-    ConfigAsk,
-    ConfigAnswer,
+    ValueAsk,
+    ValueAnswer,
     work.Position,
     work.Prepared,
     work.Step,
--- a/src/cuminwall/ports.py
+++ b/src/cuminwall/ports.py
@@ -33,6 +33,17 @@
     current: StoreEntry | None
 
 
+class ValueReader(Protocol):
+    """What can be asked for single values."""
+
+    async def get(self, key: str) -> StoreEntry | None:
+        """Returns the entry of `key`, or None.
+
+        Raises:
+          exceptions.StoreUnavailableError: No usable answer came.
+        """
+
+
 class StorePort(Protocol):
     """The platform's key-value service.
 
--- a/src/cuminwall/relays.py
+++ b/src/cuminwall/relays.py
@@ -37,8 +37,8 @@
         return
     relay.round_at = state.now
     relay.answers.clear()
-    sources = _sources(state)
-    if is_relay(state) or not sources:
+    asked = sources(state)
+    if is_relay(state) or not asked:
         if not relay.reading:
             relay.reading = True
             calls.read(state, calls.CONFIG_HEAD_KEY, HeadRead(), out)
@@ -48,7 +48,7 @@
             for source in _other_zone_relays(state):
                 _ask(state, source, out)
         return
-    for source in sources:
+    for source in asked:
         _ask(state, source, out)
 
 
@@ -147,7 +147,7 @@
     )
 
 
-def _sources(state: State) -> list[str]:
+def sources(state: State) -> list[str]:
     """Returns whom to ask: a relay here, or others if none answers."""
     relay = state.relay
     for name in membership.relays(state, state.zone):
@@ -302,4 +302,4 @@
 
 def needs_watch(state: State) -> bool:
     """Returns whether this instance shall watch the store itself."""
-    return is_relay(state) or not _sources(state)
+    return is_relay(state) or not sources(state)
--- a/src/cuminwall/upkeep.py
+++ b/src/cuminwall/upkeep.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import time
 
 from loguru import logger
@@ -17,6 +16,8 @@
     engine,
     events,
     exceptions,
+    peerconfig,
+    peers,
     ports,
     relays,
     storecalls,
@@ -41,6 +42,7 @@
       store: The platform's store.
       instances: The platform's instance list.
       record: This instance's line in the list.
+      peer_config: Reads configurations of peers, and answers them.
       snapshot: The configuration as it was read, or None.
       wanted: The version to be loaded.
       is_wanted: Set when a newer version is to be loaded.
@@ -52,8 +54,11 @@
         store: EtcdStore,
         instances: ports.InstanceListPort,
         record: ports.InstanceRecord,
+        peers_: peers.Peers,
     ):
         self.engine = engine_
+        self.peer_config = peerconfig.PeerConfig(peers_, self._get_snapshot)
+        engine_.peer_config = self.peer_config
         self.store = store
         self.instances = instances
         self.record = record
@@ -81,6 +86,9 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    def _get_snapshot(self) -> Snapshot | None:
+        return self.snapshot
+
     def fetch(self, version: int) -> None:
         """Loads a configuration of this version or a later one soon."""
         self.wanted = max(self.wanted, version)
@@ -182,18 +190,29 @@
 
     async def _load_once(self) -> bool:
         """Loads the configuration in force; returns whether it came."""
-        try:
-            snapshot = await configstore.load_changed(self.store, self.snapshot)
-        except exceptions.StoreUnavailableError as error:
-            logger.info("{}: no configuration: {}", PREFIX, error)
-            return False
+        for reader in self._readers():
+            try:
+                snapshot = await configstore.load_changed(reader, self.snapshot)
+            except exceptions.StoreUnavailableError as error:
+                logger.info("{}: no configuration: {}", PREFIX, error)
+                continue
+            if snapshot.head.version >= self.wanted:
+                self._take(snapshot)
+                return True
+        return False
+
+    def _readers(self) -> list[ports.ValueReader]:
+        """Returns where to read, the best first: relays spare the store."""
+        sources = relays.sources(self.engine.state)
+        readers: list[ports.ValueReader] = []
+        for source in sources:
+            readers.append(peerconfig.PeerStore(self.peer_config, source))
+        if relays.needs_watch(self.engine.state):
+            return [self.store, *readers]
+        return [*readers, self.store]
+
+    def _take(self, snapshot: Snapshot) -> None:
+        """Feeds a configuration to the reducer."""
         self.snapshot = snapshot
         config = configuration.parse(snapshot.document, snapshot.head.version)
         self.engine.feed(events.ConfigLoaded(time.monotonic(), config))
-        return True
-
-    def document(self) -> bytes:
-        """Returns the loaded document for a peer that asks, or nothing."""
-        if self.snapshot is None:
-            return b""
-        return json.dumps(self.snapshot.document).encode()
