--- a/src/cuminwall/effects.py
+++ b/src/cuminwall/effects.py
@@ -40,6 +40,8 @@
       key: The work.
       service: The database service.
       server: The id of the backend server.
+      workspace: The workspace that it runs for.
+      pinned: Whether the session's transaction is open already.
       pin: The session whose connection to use or keep, at the entry instance.
       wants_position: Whether the log position behind the round is needed.
       pipelines_position: Whether to ask for it in the same write.
@@ -48,6 +50,8 @@
     key: work.WorkKey
     service: str
     server: str
+    workspace: str
+    pinned: bool
     pin: tuple[str, int]
     wants_position: bool
     pipelines_position: bool
--- a/src/cuminwall/execution.py
+++ b/src/cuminwall/execution.py
@@ -17,6 +17,7 @@
     effects,
     outcomes,
     pool,
+    requestids,
     wire,
     work,
 )
@@ -222,14 +223,20 @@
     ) -> backend.RoundAnswer | backend_settings.SettingRefused:
         """Runs a round and learns the position behind it."""
         round_ = running.round_
-        answer = await connection.run_steps(
-            round_.steps,
-            round_.prepared,
-            round_.settings,
-            running.sink,
-            SILENCE_TIMEOUT_S,
-            position=effect.pipelines_position,
-        )
+        if round_.request_id:
+            request = requestids.Request(
+                round_, effect.workspace, effect.pinned, SILENCE_TIMEOUT_S
+            )
+            answer = await requestids.run(connection, request, running.sink)
+        else:
+            answer = await connection.run_steps(
+                round_.steps,
+                round_.prepared,
+                round_.settings,
+                running.sink,
+                SILENCE_TIMEOUT_S,
+                position=effect.pipelines_position,
+            )
         if isinstance(answer, backend_settings.SettingRefused):
             return answer
         ended = round_.synced and answer.status == IDLE
--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -334,6 +334,8 @@
         job.key,
         group.service,
         job.server,
+        order.workspace,
+        order.pinned,
         pin,
         job.as_primary,
         job.as_primary and not stays_open,
