Split the stand-in platform and describe both ends

The server module held routing, admission and counting; admission is its own module now. A watcher that leaves no longer makes the stand-in log a traceback, and a fault document with a malformed part changes nothing.

--- a/src/cuminwall_standins/platform.py
+++ b/src/cuminwall_standins/platform.py
@@ -17,6 +17,7 @@
 from cuminwall import ports
 from cuminwall_standins import (
     platform_accounting,
+    platform_admission,
     platform_faults,
     platform_gateway,
     platform_instances,
@@ -26,11 +27,6 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 LEASE_CHECK_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 0.1
-HTTP_STATUS = {
-    platform_keys.INVALID_ARGUMENT: 400,
-    platform_keys.NOT_FOUND: 404,
-    platform_keys.UNIMPLEMENTED: 501,
-}
 WATCH_PATH = "/v3/watch"
 
 FLAGS = flags.FLAGS
@@ -50,6 +46,7 @@
       keys: The key-value service's state.
       faults: The faults in force.
       accounting: The counts of calls and bytes.
+      admission: What each call passes through.
     """
 
     def __init__(
@@ -70,11 +67,9 @@
         self.instances = platform_instances.LaggingList(
             list_lag_s, record_ttl_s
         )
-        self.pacers = {
-            "writes": platform_accounting.Pacer(writes_per_s),
-            "reads": platform_accounting.Pacer(reads_per_s),
-        }
-        self.tasks: set[asyncio.Task] = set()
+        self.admission = platform_admission.Admission(
+            self.faults, self.accounting, writes_per_s, reads_per_s, clock
+        )
 
     async def start(self, port: int = 0) -> None:
         """Starts to serve on 127.0.0.1."""
@@ -97,108 +92,64 @@
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", port).start()
         self.port = self.runner.addresses[0][1]
-        self._spawn(self._expire_leases())
+        self.expiry = asyncio.create_task(self._expire_leases())
 
     async def stop(self) -> None:
         """Ends all connections and what is still being carried out."""
-        tasks = list(self.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        self.expiry.cancel()
+        await asyncio.gather(self.expiry, return_exceptions=True)
+        await self.admission.stop()
         await self.runner.cleanup()
 
     def apply_faults(self, document: platform_faults.FaultsDocument) -> None:
-        """Puts faults in force, as POST /faults does."""
-        self.faults.apply(document)
+        """Puts faults in force, as POST /faults does; ValueError for none."""
+        lapsing: set[int] = set()
         for text in document.get("lapse_leases", []):
-            chosen = list(self.keys.leases) if text == "*" else [int(text)]
-            for lease_id in chosen:
-                self.keys.revoke(lease_id)
-
-    def _spawn(self, coroutine: Any) -> asyncio.Task:
-        task = asyncio.create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+            lapsing.update(self.keys.leases if text == "*" else [int(text)])
+        self.faults.apply(document)
+        for lease_id in lapsing & self.keys.leases.keys():
+            self.keys.revoke(lease_id)
 
     async def _expire_leases(self) -> None:
         while True:
             self.keys.expire(self.clock())
             await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
 
-    async def _serve(
-        self,
-        request: web.Request,
-        group: str,
-        kind: str,
-        work: Callable[[], Any],
-    ) -> web.Response:
-        """Carries out `work` even if the caller gives up meanwhile.
-
-        That is how a call takes effect after its caller's timeout.
-        """
-        size = len(await request.read())
-        self.accounting.add(group, kind, "calls")
-        self.accounting.add(group, kind, "bytes_in", size)
-        task = self._spawn(self._carry_out(request, group, work))
-        response = await asyncio.shield(task)
-        size = len(response.body or b"")
-        self.accounting.add(group, kind, "bytes_out", size)
-        return response
-
-    async def _carry_out(
-        self, request: web.Request, group: str, work: Callable[[], Any]
-    ) -> web.Response:
-        if not await self.faults.admit(request.headers.get("x-zone", "")):
-            return _cut(request)
-        pacer = self.pacers.get(group)
-        paced_s = pacer.delay_s(self.clock()) if pacer else 0.0
-        if self.faults.slow_s + paced_s:
-            await asyncio.sleep(self.faults.slow_s + paced_s)
-        self.keys.expire(self.clock())
-        try:
-            answer = work()
-        except platform_keys.RefusedError as error:
-            refusal = {"error": str(error), "message": str(error)}
-            return web.json_response(
-                refusal | {"code": error.code}, status=HTTP_STATUS[error.code]
-            )
-        if group == "writes" and self.faults.take_lost_answer():
-            return _cut(request)
-        return web.json_response(answer)
-
     async def _call(self, request: web.Request) -> web.Response:
         path = request.path
         if path not in platform_gateway.CALLS:
             raise web.HTTPNotFound
-        body = await _read_object(request)
-        group = "writes" if platform_gateway.is_write(path, body) else "reads"
-        if path.endswith("/keepalive"):
-            group = "keepalives"
-        return await self._serve(
-            request,
-            group,
-            path,
-            lambda: platform_gateway.carry_out(
-                self.keys, path, body, self.clock()
-            ),
-        )
+        body = await platform_admission.read_object(request)
+        try:
+            group = platform_gateway.group_of(path, body)
+        except TypeError as error:
+            raise web.HTTPBadRequest from error
+
+        def work() -> dict[str, Any]:
+            now = self.clock()
+            self.keys.expire(now)
+            return platform_gateway.carry_out(self.keys, path, body, now)
+
+        return await self.admission.serve(request, group, path, work)
 
     async def _watch(self, request: web.Request) -> web.StreamResponse:
-        body = await _read_object(request)
+        body = await platform_admission.read_object(request)
         self.accounting.add("watches", WATCH_PATH, "calls")
-        if not await self.faults.admit(request.headers.get("x-zone", "")):
-            return _cut(request)
+        if not await self.admission.admit(request):
+            return web.Response()
         try:
             watch = platform_gateway.Watch(self.keys, body)
         except (KeyError, TypeError, ValueError) as error:
             raise web.HTTPBadRequest from error
         response = web.StreamResponse()
         response.content_type = "application/json"
-        await response.prepare(request)
         self.accounting.waiting_watches += 1
         try:
+            await response.prepare(request)
             await self._send_events(request, response, watch)
+        except ConnectionError:
+            # The watcher has left.
+            return response
         finally:
             self.accounting.waiting_watches -= 1
         return response
@@ -214,16 +165,11 @@
             result["header"] = platform_gateway.header(self.keys)
             line = json.dumps({"result": result}).encode() + b"\n"
             self.accounting.add("watches", WATCH_PATH, "bytes_out", len(line))
-            try:
-                await response.write(line)
-            except ConnectionError:
-                return
+            await response.write(line)
             result = {}
             while not result:
                 changed = self.signal.changed
-                zone = request.headers.get("x-zone", "")
-                if not await self.faults.admit(zone):
-                    _cut(request)
+                if not await self.admission.admit(request):
                     return
                 events = watch.next_events()
                 if events:
@@ -236,11 +182,15 @@
             shown = self.instances.show(self.clock())
             return [record._asdict() for record in shown]
 
-        return await self._serve(request, "reads", "list_instances", work)
+        return await self.admission.serve(
+            request, "reads", "list_instances", work
+        )
 
     async def _announce(self, request: web.Request) -> web.Response:
         try:
-            record = ports.InstanceRecord(**await _read_object(request))
+            record = ports.InstanceRecord(
+                **await platform_admission.read_object(request)
+            )
         except TypeError as error:
             raise web.HTTPBadRequest from error
 
@@ -248,7 +198,7 @@
             self.instances.announce(record, self.clock())
             return {}
 
-        return await self._serve(request, "writes", "announce", work)
+        return await self.admission.serve(request, "writes", "announce", work)
 
     async def _withdraw(self, request: web.Request) -> web.Response:
         def work() -> dict[str, Any]:
@@ -256,7 +206,7 @@
             self.instances.withdraw(instance, self.clock())
             return {}
 
-        return await self._serve(request, "writes", "withdraw", work)
+        return await self.admission.serve(request, "writes", "withdraw", work)
 
     async def _report(self, request: web.Request) -> web.Response:
         return web.json_response(self.accounting.report(self.clock()))
@@ -266,7 +216,7 @@
         return web.json_response({})
 
     async def _apply_faults(self, request: web.Request) -> web.Response:
-        document = await _read_object(request)
+        document = await platform_admission.read_object(request)
         unknown = (
             document.keys() - platform_faults.FaultsDocument.__annotations__
         )
@@ -279,23 +229,6 @@
         return web.json_response({})
 
 
-def _cut(request: web.Request) -> web.Response:
-    """Ends the connection without an answer."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response()
-
-
-async def _read_object(request: web.Request) -> dict[str, Any]:
-    try:
-        body = await request.json()
-    except ValueError as error:
-        raise web.HTTPBadRequest from error
-    if not isinstance(body, dict):
-        raise web.HTTPBadRequest
-    return body
-
-
 async def _serve_until_told(server: PlatformServer, port: int) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/cuminwall_standins/platform_gateway.py
+++ b/src/cuminwall_standins/platform_gateway.py
@@ -43,12 +43,17 @@
         raise pk.RefusedError(pk.INVALID_ARGUMENT, str(error)) from error
 
 
-def is_write(path: str, body: Json) -> bool:
-    """Returns whether a call may change keys or leases."""
-    if path != "/v3/kv/txn":
-        return path.endswith(("/put", "/deleterange", "/grant", "/revoke"))
-    branches = [*body.get("success", []), *body.get("failure", [])]
-    return any("request_range" not in operation for operation in branches)
+def group_of(path: str, body: Json) -> str:
+    """Returns as what a call counts: "reads", "writes" or "keepalives"."""
+    if path.endswith("/keepalive"):
+        return "keepalives"
+    if path.endswith(("/put", "/deleterange", "/grant", "/revoke")):
+        return "writes"
+    for name in ("success", "failure"):
+        for operation in body.get(name, []):
+            if "request_range" not in operation:
+                return "writes"
+    return "reads"
 
 
 class Watch:
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -384,10 +384,27 @@
         status, _ = await self.put(b"a", b"3")
         self.assertEqual(status, 200)
 
+    async def test_rate_limit_holds_back_writes_alone(self):
+        self.server.admission.pacers["writes"].rate = 0.001
+        await self.put(b"a", b"x")
+        counts = self.server.accounting.counts
+        call = asyncio.create_task(self.put(b"b", b"x"))
+        await self.until(lambda: counts["groups", "writes", "calls"] == 2)
+        status, _ = await self.post("/v3/kv/range", {"key": encode(b"a")})
+        self.assertEqual(status, 200)
+        self.assertEqual(set(self.server.keys.entries), {b"a"})
+        self.assertFalse(call.done())
+        call.cancel()
+
     async def test_unknown_fault_is_refused(self):
-        for document in ({"downn": "ok"}, {"down": "maybe"}):
+        for document in (
+            {"downn": "ok"},
+            {"down": "maybe"},
+            {"slow_s": 1, "lapse_leases": ["x"]},
+        ):
             async with self.session.post("/faults", json=document) as response:
                 self.assertEqual(response.status, 400)
+        self.assertEqual(self.server.faults.slow_s, 0.0)
 
     async def test_accounting(self):
         await self.put(b"a", b"x")
