Share the fake server's test base, and test resets in transactions

A reset inside a transaction, which would undo its own SET LOCAL, was seen by no test; test_no_reset_inside_a_transaction sees it now.

--- a/tests/fake_server.py
+++ b/tests/fake_server.py
@@ -9,11 +9,13 @@
 import asyncio
 import os
 import struct
+import unittest
 from collections.abc import Awaitable, Callable
 
 import scramp
+import uvloop
 
-from cuminwall import probes, wire
+from cuminwall import backend, probes, wire
 
 # uvloop opens an io_uring ring otherwise.
 os.environ["UV_USE_IO_URING"] = "0"
@@ -326,3 +328,46 @@
                 else word.upper()
             )
         )
+
+
+class ServerTestCase(unittest.IsolatedAsyncioTestCase):
+    """Runs tests under uvloop, each with a fake server of its own."""
+
+    @classmethod
+    def setUpClass(cls):  # noqa: N802
+        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+
+    @classmethod
+    def tearDownClass(cls):  # noqa: N802
+        asyncio.set_event_loop_policy(None)
+
+    async def asyncSetUp(self):  # noqa: N802
+        self.loop = asyncio.get_running_loop()
+        self.server = FakeServer()
+        self.target = make_target(await self.server.start())
+
+    async def asyncTearDown(self):  # noqa: N802
+        await self.server.stop()
+
+    def within(self, seconds: float = GUARD_S) -> float:
+        return self.loop.time() + seconds
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(GUARD_S):
+            while not condition():
+                await asyncio.sleep(0.002)
+
+    def hook(self, tag: bytes, action) -> None:
+        """Has `action(session)` answer messages of one type."""
+
+        async def take(session, message):
+            if message.tag != tag:
+                return False
+            await action(session)
+            return True
+
+        self.server.hook = take
+
+
+def make_target(port: int, password: str = PASSWORD) -> backend.Target:
+    return backend.Target("server", "127.0.0.1", port, "u", password, "d")
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -23,20 +23,6 @@
 SILENCE_S = 0.15
 
 
-def setUpModule():  # noqa: N802
-    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
-
-
-def tearDownModule():  # noqa: N802
-    asyncio.set_event_loop_policy(None)
-
-
-def make_target(port, password=fake_server.PASSWORD):
-    return backend.Target(
-        "primary", "127.0.0.1", port, "cuminwall", password, "ledger"
-    )
-
-
 def step(message: bytes) -> work.Step:
     return work.Step(message)
 
@@ -81,58 +67,24 @@
     return b"".join(message.tag for message in found).decode()
 
 
-class BackendTestCase(unittest.IsolatedAsyncioTestCase):
-    """Starts a fake server and closes what a test opened."""
+class BackendTestCase(fake_server.ServerTestCase):
+    """Runs steps on connections to a fake server."""
 
     async def asyncSetUp(self):  # noqa: N802
-        self.server = fake_server.FakeServer()
-        self.port = await self.server.start()
+        await super().asyncSetUp()
         self.given = []
         self.connections = []
 
     async def asyncTearDown(self):  # noqa: N802
         for connection in self.connections:
             connection.abort()
-        await self.server.stop()
+        await super().asyncTearDown()
 
-    async def connect(self, password=fake_server.PASSWORD, within_s=20.0):
-        loop = asyncio.get_running_loop()
-        connection = await backend.connect(
-            make_target(self.port, password), loop.time() + within_s
-        )
+    async def connect(self, within_s=fake_server.GUARD_S):
+        connection = await backend.connect(self.target, self.within(within_s))
         self.connections.append(connection)
         return connection
 
-    async def sink(self, data: bytes) -> None:
-        self.given.append(data)
-
-    async def run_steps(self, connection, *steps, **options):
-        async with asyncio.timeout(fake_server.GUARD_S):
-            return await connection.run_steps(
-                steps,
-                options.pop("prepared", ()),
-                options.pop("settings", ()),
-                options.pop("sink", self.sink),
-                options.pop("timeout_s", fake_server.GUARD_S),
-                **options,
-            )
-
-    async def until(self, condition) -> None:
-        async with asyncio.timeout(fake_server.GUARD_S):
-            while not condition():
-                await asyncio.sleep(0.002)
-
-    def hook(self, tag: bytes, action) -> None:
-        """Has `action(session)` answer messages of one type."""
-
-        async def take(session, message):
-            if message.tag != tag:
-                return False
-            await action(session)
-            return True
-
-        self.server.hook = take
-
 
 class LoginTest(BackendTestCase):
     """Logging in."""
@@ -146,7 +98,8 @@
     async def test_wrong_password(self):
         self.server.method = "scram"
         with self.assertRaises(backend_errors.LoginRefusedError) as caught:
-            await self.connect(password="wrong")
+            self.target = self.target._replace(password="wrong")
+            await self.connect()
         self.assertEqual(caught.exception.fields["C"], "28P01")
         self.assertFalse(caught.exception.sent)
 
@@ -173,41 +126,57 @@
             await self.connect()
 
 
-class AnswerTest(BackendTestCase):
+class RoundTestCase(BackendTestCase):
+    """Runs rounds on one connection."""
+
+    async def asyncSetUp(self):  # noqa: N802
+        await super().asyncSetUp()
+        self.connection = await self.connect()
+        self.session = self.server.sessions[0]
+
+    async def sink(self, data: bytes) -> None:
+        self.given.append(data)
+
+    async def ask(self, *steps, **options):
+        async with asyncio.timeout(fake_server.GUARD_S):
+            return await self.connection.run_steps(
+                steps,
+                options.pop("prepared", ()),
+                options.pop("settings", ()),
+                options.pop("sink", self.sink),
+                options.pop("timeout_s", fake_server.GUARD_S),
+                **options,
+            )
+
+
+class AnswerTest(RoundTestCase):
     """Whole answers, and what is withheld of them."""
 
     async def test_small_answer_is_withheld_whole(self):
-        connection = await self.connect()
-        answer = await self.run_steps(connection, query("rows 2"))
+        answer = await self.ask(query("rows 2"))
         self.assertEqual(tags(answer.tail), "TDDC")
         self.assertEqual(self.given, [])
         self.assertFalse(answer.delivered)
 
     async def test_large_answer_streams_all_but_the_completion(self):
-        connection = await self.connect()
-        answer = await self.run_steps(connection, query("rows 3000 100"))
+        answer = await self.ask(query("rows 3000 100"))
         self.assertTrue(answer.delivered)
         self.assertEqual(tags(b"".join(self.given)), "T" + "D" * 3000)
         self.assertEqual(tags(answer.tail), "C")
 
     async def test_only_the_last_completion_is_withheld(self):
-        connection = await self.connect()
-        answer = await self.run_steps(
-            connection, query("rows 3000 100;rows 0;update 1")
-        )
+        answer = await self.ask(query("rows 3000 100;rows 0;update 1"))
         self.assertEqual(tags(b"".join(self.given)), "T" + "D" * 3000 + "CTC")
         self.assertEqual(tags(answer.tail), "C")
 
     async def test_description_behind_the_completion(self):
-        connection = await self.connect()
         big = "rows 3000 100"
         steps = [parse(big), bind(big), execute()]
         steps += [describe(b"S", f"s_{big}"), SYNC]
-        answer = await self.run_steps(connection, *steps)
+        answer = await self.ask(*steps)
         self.assertEqual(tags(answer.tail), "CtT")
 
     async def test_slow_sink_holds_the_server_back(self):
-        connection = await self.connect()
         opened = asyncio.Event()
 
         async def slow(data):
@@ -216,14 +185,9 @@
 
         # The server may be silent for less time than the sink takes.
         task = asyncio.create_task(
-            self.run_steps(
-                connection,
-                query("rows 20000 2000"),
-                sink=slow,
-                timeout_s=SILENCE_S,
-            )
+            self.ask(query("rows 20000 2000"), sink=slow, timeout_s=SILENCE_S)
         )
-        channel = connection.channel
+        channel = self.connection.channel
         await self.until(lambda: channel.reading_paused)
         await asyncio.sleep(2 * SILENCE_S)
         bound = backend_channel.HIGH_WATER_BYTES + 512 * 1024
@@ -236,43 +200,32 @@
         self.assertEqual(tags(answer.tail), "C")
 
     async def test_server_error(self):
-        connection = await self.connect()
-        answer = await self.run_steps(connection, query("begin;fail 22012"))
+        answer = await self.ask(query("begin;fail 22012"))
         self.assertEqual(answer.status, b"E")
         self.assertEqual(answer.server_error["C"], "22012")
         self.assertEqual(tags(answer.tail), "CE")
-        self.assertFalse(connection.reusable)
+        self.assertFalse(self.connection.reusable)
 
     async def test_position_behind_a_commit(self):
-        connection = await self.connect()
-        answer = await self.run_steps(
-            connection, query("update 1"), position=True
-        )
+        answer = await self.ask(query("update 1"), position=True)
         self.assertEqual(answer.position, self.server.position)
         self.assertEqual(tags(answer.tail), "C")
 
     async def test_no_position_in_a_failed_transaction(self):
-        connection = await self.connect()
-        answer = await self.run_steps(
-            connection, query("begin;fail 22012"), position=True
-        )
+        answer = await self.ask(query("begin;fail 22012"), position=True)
         self.assertIsNone(answer.position)
         self.assertEqual(answer.server_error["C"], "22012")
 
     async def test_cancel(self):
-        connection = await self.connect()
-        await connection.cancel(
-            asyncio.get_running_loop().time() + fake_server.GUARD_S
-        )
+        await self.connection.cancel(self.within())
         self.assertEqual(self.server.cancels, [1])
-        self.assertFalse(connection.reusable)
+        self.assertFalse(self.connection.reusable)
 
 
-class BrokenAnswerTest(BackendTestCase):
+class BrokenAnswerTest(RoundTestCase):
     """Answers that are cut, late, crossed or never come."""
 
     async def test_cut_in_the_middle(self):
-        connection = await self.connect()
 
         async def cut(session):
             session.send(wire.data_row([b"x"])[:-1])
@@ -281,15 +234,14 @@
 
         self.hook(b"Q", cut)
         with self.assertRaises(backend_errors.BackendLostError) as caught:
-            await self.run_steps(connection, query("rows 1"))
+            await self.ask(query("rows 1"))
         self.assertTrue(caught.exception.sent)
         self.assertFalse(caught.exception.delivered)
         with self.assertRaises(backend_errors.BackendLostError) as caught:
-            await self.run_steps(connection, query("rows 1"))
+            await self.ask(query("rows 1"))
         self.assertFalse(caught.exception.sent)
 
     async def test_cut_after_delivery(self):
-        connection = await self.connect()
 
         async def cut(session):
             shape = wire.row_description([wire.Column("v")])
@@ -299,32 +251,27 @@
 
         self.hook(b"Q", cut)
         with self.assertRaises(backend_errors.BackendLostError) as caught:
-            await self.run_steps(connection, query("rows 1"))
+            await self.ask(query("rows 1"))
         self.assertTrue(caught.exception.delivered)
 
     async def test_silence(self):
-        connection = await self.connect()
         self.hook(b"Q", lambda session: asyncio.sleep(0))
         with self.assertRaises(exceptions.AnswerTimeoutError) as caught:
-            await self.run_steps(
-                connection, query("rows 1"), timeout_s=SILENCE_S
-            )
+            await self.ask(query("rows 1"), timeout_s=SILENCE_S)
         self.assertTrue(caught.exception.sent)
         await self.until(lambda: self.server.open_now == 0)
 
     async def test_fatal_message_is_a_lost_connection(self):
-        connection = await self.connect()
 
         async def end(session):
             session.send(wire.error_response("57P01", "ends", "FATAL"))
 
         self.hook(b"Q", end)
         with self.assertRaises(backend_errors.BackendLostError) as caught:
-            await self.run_steps(connection, query("update 1"))
+            await self.ask(query("update 1"))
         self.assertEqual(caught.exception.fields["C"], "57P01")
 
     async def test_extra_answer_in_the_same_packet(self):
-        connection = await self.connect()
 
         async def twice(session):
             one = wire.command_complete("DO") + wire.ready_for_query(b"I")
@@ -332,105 +279,89 @@
 
         self.hook(b"Q", twice)
         with self.assertRaises(backend_errors.BackendProtocolError):
-            await self.run_steps(connection, query("notice"))
-        self.assertFalse(connection.reusable)
+            await self.ask(query("notice"))
+        self.assertFalse(self.connection.reusable)
 
     async def test_late_answer_while_idle(self):
-        connection = await self.connect()
-        self.server.sessions[0].send(wire.command_complete("SELECT 1"))
-        await self.until(lambda: connection.channel.closed.is_set())
+        self.session.send(wire.command_complete("SELECT 1"))
+        await self.until(lambda: self.connection.channel.closed.is_set())
         self.assertIs(
-            connection.channel.broken.kind,
+            self.connection.channel.broken.kind,
             backend_errors.BackendProtocolError,
         )
 
     async def test_answer_of_another_kind(self):
-        connection = await self.connect()
 
         async def crossed(session):
             session.send(wire.Message(b"2", b"").encode())
 
         self.hook(b"P", crossed)
         with self.assertRaises(backend_errors.BackendProtocolError):
-            await self.run_steps(connection, parse("rows 1"), SYNC)
+            await self.ask(parse("rows 1"), SYNC)
 
     async def test_canceled_round_closes_the_connection(self):
-        connection = await self.connect()
         self.hook(b"Q", lambda session: asyncio.sleep(0))
-        task = asyncio.create_task(self.run_steps(connection, query("rows 1")))
-        await self.until(lambda: self.server.sessions[0].seen)
+        task = asyncio.create_task(self.ask(query("rows 1")))
+        await self.until(lambda: self.session.seen)
         task.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await task
-        await self.until(lambda: connection.channel.closed.is_set())
+        await self.until(lambda: self.connection.channel.closed.is_set())
 
 
-class StatementTest(BackendTestCase):
+class StatementTest(RoundTestCase):
     """Prepared statements that sessions share."""
 
     def parsed(self) -> list[bytes]:
-        seen = self.server.sessions[0].seen
+        seen = self.session.seen
         return [m.payload for m in seen if m.tag == b"P"]
 
     async def test_existing_statement_is_not_parsed_again(self):
-        connection = await self.connect()
         steps = [parse("rows 1"), bind("rows 1"), execute(), SYNC]
-        first = await self.run_steps(connection, *steps)
-        second = await self.run_steps(connection, *steps)
+        first = await self.ask(*steps)
+        second = await self.ask(*steps)
         self.assertEqual(tags(first.tail), "12DC")
         self.assertEqual(first.tail, second.tail)
         self.assertEqual(len(self.parsed()), 1)
 
     async def test_missing_statement_is_parsed_silently(self):
-        connection = await self.connect()
-        answer = await self.run_steps(
-            connection,
-            bind("rows 1"),
-            execute(),
-            SYNC,
-            prepared=prepared("rows 1"),
+        answer = await self.ask(
+            bind("rows 1"), execute(), SYNC, prepared=prepared("rows 1")
         )
         self.assertEqual(tags(answer.tail), "2DC")
 
     async def test_skipped_parse_is_not_prepared(self):
-        connection = await self.connect()
         steps = [parse("bad"), parse("rows 1"), SYNC]
-        answer = await self.run_steps(connection, *steps)
+        answer = await self.ask(*steps)
         self.assertEqual(tags(answer.tail), "E")
-        self.assertEqual(connection.statements.names, {})
+        self.assertEqual(self.connection.statements.names, {})
 
     async def test_flush_then_error_then_sync(self):
-        connection = await self.connect()
-        answer = await self.run_steps(connection, parse("rows 1"), FLUSH)
+        answer = await self.ask(parse("rows 1"), FLUSH)
         self.assertEqual(tags(answer.tail), "1")
-        self.assertFalse(connection.reusable)
-        answer = await self.run_steps(connection, parse("bad"), FLUSH)
+        self.assertFalse(self.connection.reusable)
+        answer = await self.ask(parse("bad"), FLUSH)
         self.assertEqual(tags(answer.tail), "E")
-        answer = await self.run_steps(connection, parse("rows 2"), FLUSH)
+        answer = await self.ask(parse("rows 2"), FLUSH)
         self.assertEqual(answer.tail, b"")
-        answer = await self.run_steps(connection, parse("rows 3"), SYNC)
+        answer = await self.ask(parse("rows 3"), SYNC)
         self.assertEqual((answer.tail, answer.status), (b"", b"I"))
-        self.assertEqual(list(connection.statements.names), ["s_rows 1"])
-        self.assertTrue(connection.reusable)
+        self.assertEqual(list(self.connection.statements.names), ["s_rows 1"])
+        self.assertTrue(self.connection.reusable)
 
     async def test_number_of_statements_is_bounded(self):
-        connection = await self.connect()
-        connection.statements.limit = 3
+        self.connection.statements.limit = 3
         for count in range(8):
-            answer = await self.run_steps(
-                connection, parse(f"rows {count}"), SYNC
-            )
+            answer = await self.ask(parse(f"rows {count}"), SYNC)
             self.assertEqual(tags(answer.tail), "1")
-            held = self.server.sessions[0].statements
-            self.assertEqual(set(held), set(connection.statements.names))
+            held = self.session.statements
+            self.assertEqual(set(held), set(self.connection.statements.names))
             self.assertLessEqual(len(held), 3)
 
     async def test_statement_that_does_not_fit_any_more_is_renewed(self):
-        connection = await self.connect()
-        await self.run_steps(connection, parse("fail 0A000"), SYNC)
+        await self.ask(parse("fail 0A000"), SYNC)
         for _ in range(2):
-            answer = await self.run_steps(
-                connection,
+            answer = await self.ask(
                 bind("fail 0A000"),
                 execute(),
                 SYNC,
@@ -440,36 +371,29 @@
         self.assertEqual(len(self.parsed()), 2)
 
 
-class SettingsTest(BackendTestCase):
+class SettingsTest(RoundTestCase):
     """Session settings that must not leak."""
 
     def settings_there(self) -> dict[str, str]:
-        return self.server.sessions[0].settings
+        return self.session.settings
 
     async def test_each_round_gets_its_own_settings(self):
-        connection = await self.connect()
         for wanted in ({"a": "1"}, {"a": "2", "b.c": "x"}, {}, {"a": "2"}):
-            await self.run_steps(
-                connection, query("rows 1"), settings=tuple(wanted.items())
-            )
+            await self.ask(query("rows 1"), settings=tuple(wanted.items()))
             self.assertEqual(self.settings_there(), wanted)
 
     async def test_refused_setting_keeps_the_round_back(self):
-        connection = await self.connect()
-        answer = await self.run_steps(
-            connection, query("update 1"), settings=(("a", "refused"),)
-        )
+        answer = await self.ask(query("update 1"), settings=(("a", "refused"),))
         self.assertIsInstance(answer, backend_settings.SettingRefused)
         self.assertEqual(answer.fields["C"], "22023")
-        seen = [m.payload for m in self.server.sessions[0].seen]
+        seen = [m.payload for m in self.session.seen]
         self.assertNotIn(b"update 1\0", seen)
-        self.assertTrue(connection.reusable)
+        self.assertTrue(self.connection.reusable)
 
     async def test_setting_refused_after_it_was_taken_before(self):
-        connection = await self.connect()
         wanted = (("a", "1"),)
-        await self.run_steps(connection, query("rows 1"), settings=wanted)
-        await self.run_steps(connection, query("rows 1"))
+        await self.ask(query("rows 1"), settings=wanted)
+        await self.ask(query("rows 1"))
 
         async def refuse(session, message):
             if message.payload.startswith(b"SET a"):
@@ -480,7 +404,7 @@
 
         self.server.hook = refuse
         with self.assertRaises(backend_errors.BackendProtocolError) as caught:
-            await self.run_steps(connection, query("update 1"), settings=wanted)
+            await self.ask(query("update 1"), settings=wanted)
         self.assertTrue(caught.exception.sent)
 
     async def test_list_of_names_is_not_quoted_as_one(self):
@@ -492,46 +416,47 @@
         )
 
     async def test_role_is_refused_unsent(self):
-        connection = await self.connect()
-        answer = await self.run_steps(
-            connection, query("update 1"), settings=(("ROLE", "admin"),)
+        answer = await self.ask(
+            query("update 1"), settings=(("ROLE", "admin"),)
         )
         self.assertEqual(answer.names, ("ROLE",))
-        self.assertEqual(self.server.sessions[0].seen, [])
+        self.assertEqual(self.session.seen, [])
 
     async def test_value_is_quoted(self):
         change = backend_settings.plan_change({}, {"a": "x'; y\\"}, False)
         self.assertEqual(change.sql, "SET a TO E'x''; y\\\\'")
 
     async def test_setting_in_a_transaction_that_rolls_back(self):
-        connection = await self.connect()
-        await self.run_steps(connection, query("begin"))
+        await self.ask(query("begin"))
         wanted = (("a", "1"),)
-        await self.run_steps(connection, query("rows 1"), settings=wanted)
+        await self.ask(query("rows 1"), settings=wanted)
         self.assertEqual(self.settings_there(), {"a": "1"})
-        await self.run_steps(connection, query("rollback"), settings=wanted)
+        await self.ask(query("rollback"), settings=wanted)
         self.assertEqual(self.settings_there(), {})
-        await self.run_steps(connection, query("rows 1"), settings=wanted)
+        await self.ask(query("rows 1"), settings=wanted)
         self.assertEqual(self.settings_there(), {"a": "1"})
 
     async def test_statement_that_sets_leaves_nothing(self):
-        connection = await self.connect()
-        await self.run_steps(connection, query("SET a TO '1'"))
+        await self.ask(query("SET a TO '1'"))
         self.assertEqual(self.settings_there(), {"a": "1"})
-        await self.run_steps(connection, query("rows 1"))
+        await self.ask(query("rows 1"))
+        self.assertEqual(self.settings_there(), {})
+
+    async def test_no_reset_inside_a_transaction(self):
+        await self.ask(query("begin;SET a TO '1'"))
+        await self.ask(query("rows 1"))
+        self.assertEqual(self.settings_there(), {"a": "1"})
+        await self.ask(query("commit"))
+        await self.ask(query("rows 1"))
         self.assertEqual(self.settings_there(), {})
 
     async def test_unseen_change_leaves_nothing(self):
-        connection = await self.connect()
         wanted = (("b", "1"),)
-        await self.run_steps(
-            connection,
-            query("notice"),
-            settings=wanted,
-            may_change_session=True,
+        await self.ask(
+            query("notice"), settings=wanted, may_change_session=True
         )
         self.settings_there()["a"] = "left behind"
-        await self.run_steps(connection, query("rows 1"), settings=wanted)
+        await self.ask(query("rows 1"), settings=wanted)
         self.assertEqual(self.settings_there(), {"b": "1"})
 
 
@@ -647,7 +572,7 @@
         port = await server.start()
         loop = asyncio.get_running_loop()
         connection = await backend.connect(
-            make_target(port), loop.time() + fake_server.GUARD_S
+            fake_server.make_target(port), loop.time() + fake_server.GUARD_S
         )
         connection.statements.limit = limit
         callers = []
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -15,42 +15,18 @@
 )
 
 
-def setUpModule():  # noqa: N802
-    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+class PoolTestCase(fake_server.ServerTestCase):
+    """Makes a pool, and closes it."""
 
-
-def tearDownModule():  # noqa: N802
-    asyncio.set_event_loop_policy(None)
-
-
-class PoolTestCase(unittest.IsolatedAsyncioTestCase):
-    """Starts a fake server, and closes the pool."""
-
-    async def asyncSetUp(self):  # noqa: N802
-        self.loop = asyncio.get_running_loop()
-        self.server = fake_server.FakeServer()
-        self.port = await self.server.start()
-        self.pool = None
+    def make_pool(self, permits, **limits):
+        self.pool = pool.Pool(self.target, permits, LIMITS._replace(**limits))
 
     async def asyncTearDown(self):  # noqa: N802
-        if self.pool is not None:
-            await self.pool.close(self.loop.time())
-        await self.server.stop()
-
-    def make_pool(self, permits, **limits):
-        target = backend.Target(
-            "primary", "127.0.0.1", self.port, "u", "p", "d"
-        )
-        self.pool = pool.Pool(target, permits, LIMITS._replace(**limits))
-        return self.pool
+        await self.pool.close(self.within(0))
+        await super().asyncTearDown()
 
     async def acquire(self, within_s=fake_server.GUARD_S):
-        return await self.pool.acquire(self.loop.time() + within_s)
-
-    async def until(self, condition):
-        async with asyncio.timeout(fake_server.GUARD_S):
-            while not condition():
-                await asyncio.sleep(0.002)
+        return await self.pool.acquire(self.within(within_s))
 
     async def run_query(self, connection, sql):
         async def sink(data):
@@ -186,6 +162,10 @@
         await task
         self.assertEqual(self.server.peak, 1)
 
+
+class PermitBoundTest(unittest.TestCase):
+    """The bound under any order of events."""
+
     @settings(derandomize=True, deadline=None, database=None, max_examples=40)
     @given(
         actions=st.lists(
@@ -205,7 +185,7 @@
         server = fake_server.FakeServer()
         port = await server.start()
         loop = asyncio.get_running_loop()
-        target = backend.Target("s", "127.0.0.1", port, "u", "p", "d")
+        target = fake_server.make_target(port)
         subject = pool.Pool(target, 3, LIMITS._replace(spare=1))
         subject.start()
         tasks, held = [], []
@@ -327,9 +307,7 @@
         self.make_pool(2)
         held = await self.acquire()
         self.pool.release(await self.acquire())
-        task = asyncio.create_task(
-            self.pool.close(self.loop.time() + fake_server.GUARD_S)
-        )
+        task = asyncio.create_task(self.pool.close(self.within()))
         await self.until(lambda: self.pool.total == 1)
         answer = await self.run_query(held, "update 1")
         self.assertEqual(answer.status, b"I")
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -1,12 +1,9 @@
 """Tests of probes and promotion."""
 
-import asyncio
 import time
 import unittest
 
-import uvloop
-
-from cuminwall import backend, exceptions, prober, probes, promotion, wire
+from cuminwall import exceptions, prober, probes, promotion, wire
 from cuminwall.prober import ProbeFailureReason
 from cuminwall.promotion import PromotionOutcome
 from tests import fake_server
@@ -14,14 +11,6 @@
 SILENCE_S = 0.1
 
 
-def setUpModule():  # noqa: N802
-    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
-
-
-def tearDownModule():  # noqa: N802
-    asyncio.set_event_loop_policy(None)
-
-
 class AnswerTest(unittest.TestCase):
     """The answer to the position query, in PostgreSQL's forms."""
 
@@ -65,26 +54,7 @@
                 probes.parse_answer(row)
 
 
-class ServerTestCase(unittest.IsolatedAsyncioTestCase):
-    """Starts a fake server."""
-
-    async def asyncSetUp(self):  # noqa: N802
-        self.server = fake_server.FakeServer()
-        self.port = await self.server.start()
-        self.target = backend.Target(
-            "replica", "127.0.0.1", self.port, "u", "p", "d"
-        )
-
-    async def asyncTearDown(self):  # noqa: N802
-        await self.server.stop()
-
-    async def until(self, condition):
-        async with asyncio.timeout(fake_server.GUARD_S):
-            while not condition():
-                await asyncio.sleep(0.002)
-
-
-class ProberTest(ServerTestCase):
+class ProberTest(fake_server.ServerTestCase):
     """What is reported of a server."""
 
     async def asyncSetUp(self):  # noqa: N802
@@ -108,7 +78,7 @@
         self.prober.set_targets([self.target])
         before = time.monotonic()
         server, sent_at, answer = await self.next_report()
-        self.assertEqual((server, answer), ("replica", self.server.position))
+        self.assertEqual((server, answer), ("server", self.server.position))
         self.assertLessEqual(before, sent_at)
         self.server.position = probes.ProbeAnswer(True, 77, 4)
         await self.next_report()
@@ -162,7 +132,7 @@
         self.assertEqual(self.prober.probed, {})
 
 
-class PromotionTest(ServerTestCase):
+class PromotionTest(fake_server.ServerTestCase):
     """What is known after a promotion was asked for."""
 
     def answer(self, data: bytes, hang_up: bool = False):
