--- a/src/cuminwall/storehttp.py
+++ b/src/cuminwall/storehttp.py
@@ -9,7 +9,6 @@
 from typing import NamedTuple
 
 import aiohttp
-import yarl
 from loguru import logger
 
 from cuminwall import exceptions
@@ -232,8 +231,8 @@
         headers = {ZONE_HEADER: self.zone, "Content-Type": "application/json"}
         return aiohttp.ClientSession(headers=headers, timeout=limits)
 
-    def _url(self, path: str) -> yarl.URL:
-        return yarl.URL(self.endpoint + path, encoded=True)
+    def _url(self, path: str) -> str:
+        return self.endpoint + path
 
 
 async def _close_if_unused(pool: Pool) -> None:
--- a/tests/test_storewrites.py
+++ b/tests/test_storewrites.py
@@ -203,6 +203,11 @@
 class TruthTest(unittest.TestCase):
     """Any sequence of faults: what is answered is true of the history."""
 
+    @classmethod
+    def setUpClass(cls):
+        cls.runner = asyncio.Runner()
+        cls.addClassCleanup(cls.runner.close)
+
     @settings(derandomize=True, deadline=None, database=None, max_examples=1500)
     @given(
         st.lists(faults, max_size=4),
@@ -218,7 +223,7 @@
         expected = fake.standing_revision()
         if stale:
             fake.write_other()
-        asyncio.run(self.check(fake, expected, read_tries))
+        self.runner.run(self.check(fake, expected, read_tries))
 
     async def check(self, fake, expected, read_tries):
         answer = storewrites.NOT_READ_BACK
