Prove the promises under generated faults over several reducers

Six instances in three zones, one group; kills, pauses, freezes, cuts, store outages and lost answers in any order. No mutation was tried yet.

--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,211 @@
+"""Generated mixes of faults over several reducers: what must always hold."""
+
+import unittest
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cuminwall import outcomes
+from tests import world
+
+ZONES = ("a", "b", "c")
+NODES = tuple(f"{zone}-{place}" for zone in ZONES for place in range(2))
+SERVERS = tuple(f"s{zone}" for zone in ZONES)
+STARTUP_S = 3.0
+RECOVERY_S = 9.0
+
+pauses = st.floats(0.05, 2.5)
+ACTIONS = st.one_of(
+    st.tuples(st.just("wait"), pauses),
+    st.tuples(st.just("write"), st.sampled_from(NODES)),
+    st.tuples(st.just("write"), st.sampled_from(NODES)),
+    st.tuples(st.just("roam"), st.sampled_from(NODES)),
+    st.tuples(st.just("roam"), st.sampled_from(NODES)),
+    st.tuples(st.just("stranger"), st.sampled_from(NODES)),
+    st.tuples(st.just("kill_node"), st.sampled_from(NODES)),
+    st.tuples(st.just("pause_node"), st.sampled_from(NODES), pauses),
+    st.tuples(st.just("kill_server"), st.sampled_from(SERVERS)),
+    st.tuples(st.just("revive_server"), st.sampled_from(SERVERS)),
+    st.tuples(st.just("freeze_server"), st.sampled_from(SERVERS), pauses),
+    st.tuples(st.just("demote_stale")),
+    st.tuples(st.just("cut"), st.sampled_from(ZONES), st.sampled_from(ZONES)),
+    st.tuples(st.just("heal")),
+    st.tuples(st.just("cut_store"), st.sampled_from(ZONES)),
+    st.tuples(st.just("store_down")),
+    st.tuples(st.just("store_up")),
+    st.tuples(st.just("lose_answers"), st.integers(1, 4)),
+)
+
+
+class Script:
+    """Plays actions in a world with one clerk that roams."""
+
+    def __init__(self, seed: int, acknowledge: str):
+        self.world = world.make_world(seed, acknowledge)
+        self.world.run(STARTUP_S)
+        self.sessions: list[world.Session] = []
+        self.count = 0
+
+    def play(self, action: tuple) -> None:
+        getattr(self, "do_" + action[0])(*action[1:])
+        self.world.run(0.02)
+
+    def clerk(self, name: str) -> world.Session | None:
+        """The clerk reconnects at an instance with its newest token."""
+        token = self.sessions[-1].token if self.sessions else ""
+        session = self.world.open(name, "ledger", "key", token)
+        if not isinstance(session, world.Session):
+            return None
+        if self.sessions:
+            session.acknowledged = self.sessions[-1].acknowledged
+        self.sessions.append(session)
+        return session
+
+    def do_wait(self, duration_s: float) -> None:
+        self.world.run(duration_s)
+
+    def do_write(self, name: str) -> None:
+        if not self.world.nodes[name].is_alive:
+            return
+        session = self.clerk(name)
+        if session is None:
+            return
+        self.count += 1
+        self.world.send(session, f"w{self.count}")
+
+    def do_roam(self, name: str) -> None:
+        if not self.world.nodes[name].is_alive:
+            return
+        session = self.clerk(name)
+        if session is not None:
+            self.world.send(session)
+
+    def do_stranger(self, name: str) -> None:
+        """A script without a token reads what the clerk wrote before."""
+        if not self.world.nodes[name].is_alive:
+            return
+        session = self.world.open(name, "ledger", "key")
+        if not isinstance(session, world.Session):
+            return
+        if self.sessions:
+            session.acknowledged = list(self.sessions[-1].acknowledged)
+        self.world.send(session)
+
+    def do_kill_node(self, name: str) -> None:
+        zone = name[0]
+        others = [
+            node
+            for node in self.world.nodes.values()
+            if node.zone == zone and node.name != name and node.is_alive
+        ]
+        if others:
+            self.world.kill(name)
+
+    def do_pause_node(self, name: str, duration_s: float) -> None:
+        node = self.world.nodes[name]
+        node.paused_until = self.world.now + duration_s
+
+    def do_kill_server(self, name: str) -> None:
+        servers = self.world.groups["ledger"].servers
+        alive = [server for server in servers.values() if server.is_alive]
+        if len(alive) > 2:
+            servers[name].is_alive = False
+
+    def do_revive_server(self, name: str) -> None:
+        self.world.groups["ledger"].servers[name].is_alive = True
+
+    def do_freeze_server(self, name: str, duration_s: float) -> None:
+        server = self.world.groups["ledger"].servers[name]
+        server.frozen_until = self.world.now + duration_s
+
+    def do_demote_stale(self) -> None:
+        self.world.groups["ledger"].demote_stale()
+
+    def do_cut(self, zone: str, other: str) -> None:
+        if zone != other:
+            self.world.zone_cuts.add(frozenset((zone, other)))
+
+    def do_heal(self) -> None:
+        self.world.zone_cuts.clear()
+        self.world.store_cuts.clear()
+
+    def do_cut_store(self, zone: str) -> None:
+        self.world.store_cuts.add(zone)
+
+    def do_store_down(self) -> None:
+        self.world.is_store_down = True
+
+    def do_store_up(self) -> None:
+        self.world.is_store_down = False
+
+    def do_lose_answers(self, count: int) -> None:
+        self.world.lose_answers += count
+
+    def recover(self) -> None:
+        """Mends everything and waits until all is quiet."""
+        self.do_heal()
+        self.do_store_up()
+        self.world.lose_answers = 0
+        self.world.run(6.0)
+        for server in self.world.groups["ledger"].servers.values():
+            server.is_alive = True
+        self.world.run(1.0)
+        self.do_demote_stale()
+        self.world.run(13.0)
+
+
+class FaultsTest(unittest.TestCase):
+    """The promises under any mix of faults."""
+
+    @settings(
+        derandomize=True,
+        deadline=None,
+        database=None,
+        max_examples=150,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        seed=st.integers(0, 1000),
+        actions=st.lists(ACTIONS, min_size=5, max_size=40),
+    )
+    def test_no_promise_is_broken(self, seed, actions):
+        script = Script(seed, "replica")
+        for action in actions:
+            script.play(action)
+        script.recover()
+        script.world.check_end()
+        self.assertEqual(script.world.violations, [])
+
+    @settings(
+        derandomize=True,
+        deadline=None,
+        database=None,
+        max_examples=60,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        seed=st.integers(0, 1000),
+        actions=st.lists(ACTIONS, min_size=5, max_size=25),
+    )
+    def test_writes_go_on_after_every_fault_is_mended(self, seed, actions):
+        script = Script(seed, "replica")
+        for action in actions:
+            script.play(action)
+        script.recover()
+        alive = [node for node in script.world.nodes.values() if node.is_alive]
+        session = script.world.open(alive[0].name, "ledger", "key")
+        self.assertIsInstance(session, world.Session)
+        script.world.send(session, "last")
+        script.world.run(RECOVERY_S)
+        self.assertEqual(len(session.ends), 1)
+        failure = session.ends[0][1].failure
+        self.assertIsNone(failure)
+
+    def test_a_refusal_before_the_session_has_a_floor_is_typed(self):
+        script = Script(1, "replica")
+        script.do_store_down()
+        for zone in ZONES[1:]:
+            script.do_cut(ZONES[0], zone)
+        script.world.run(20.0)
+        session = script.world.open("a-0", "ledger", "key")
+        self.assertIs(session, outcomes.KEYS_NOT_CURRENT)
