--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -13,15 +13,27 @@
 SERVERS = tuple(f"s{zone}" for zone in ZONES)
 STARTUP_S = 3.0
 RECOVERY_S = 9.0
+LAGS_S = (0.05, 0.02, 1.5)
 
 pauses = st.floats(0.05, 2.5)
 ACTIONS = st.one_of(
     st.tuples(st.just("wait"), pauses),
     st.tuples(st.just("write"), st.sampled_from(NODES)),
-    st.tuples(st.just("write"), st.sampled_from(NODES)),
-    st.tuples(st.just("roam"), st.sampled_from(NODES)),
+    st.tuples(
+        st.just("write_and_roam"),
+        st.sampled_from(NODES),
+        st.sampled_from(NODES),
+    ),
+    st.tuples(
+        st.just("write_and_roam"),
+        st.sampled_from(NODES),
+        st.sampled_from(NODES),
+    ),
+    st.tuples(st.just("burst"), st.sampled_from(NODES)),
     st.tuples(st.just("roam"), st.sampled_from(NODES)),
     st.tuples(st.just("stranger"), st.sampled_from(NODES)),
+    st.tuples(st.just("fail_primary"), st.sampled_from(NODES), pauses),
+    st.tuples(st.just("isolate_primary"), st.sampled_from(NODES), pauses),
     st.tuples(st.just("kill_node"), st.sampled_from(NODES)),
     st.tuples(st.just("pause_node"), st.sampled_from(NODES), pauses),
     st.tuples(st.just("kill_server"), st.sampled_from(SERVERS)),
@@ -41,7 +53,7 @@
     """Plays actions in a world with one clerk that roams."""
 
     def __init__(self, seed: int, acknowledge: str):
-        self.world = world.make_world(seed, acknowledge)
+        self.world = world.make_world(seed, acknowledge, LAGS_S)
         self.world.run(STARTUP_S)
         self.sessions: list[world.Session] = []
         self.count = 0
@@ -80,6 +92,44 @@
         if session is not None:
             self.world.send(session)
 
+    def do_write_and_roam(self, name: str, other: str) -> None:
+        """The clerk writes, and reads elsewhere as soon as that is told."""
+        self.do_write(name)
+        before = len(self.sessions[-1].acknowledged) if self.sessions else 0
+        for _ in range(30):
+            self.world.run(0.01)
+            if self.sessions and (len(self.sessions[-1].acknowledged) > before):
+                break
+        self.do_roam(other)
+        self.do_stranger(other)
+
+    def do_burst(self, name: str) -> None:
+        """The clerk writes again and again while things happen."""
+        for place in range(20):
+            step = 0.05 * place
+            self.world.at(step, lambda: self.do_write(name))
+
+    def do_fail_primary(self, name: str, duration_s: float) -> None:
+        """The primary freezes while the clerk writes."""
+        self.do_burst(name)
+        primary = self.world.groups["ledger"].latest_promoted
+        self.world.run(0.2)
+        self.do_freeze_server(primary, 2 + duration_s)
+        self.world.run(duration_s)
+
+    def do_isolate_primary(self, name: str, duration_s: float) -> None:
+        """The primary's zone is cut off while the clerk writes."""
+        group = self.world.groups["ledger"]
+        zone = group.servers[group.latest_promoted].zone
+        self.do_burst(name)
+        self.do_burst(f"{zone}-0")
+        self.world.run(0.2)
+        for other in ZONES:
+            self.do_cut(zone, other)
+        self.world.run(2 + duration_s)
+        self.do_roam(f"{zone}-1")
+        self.world.run(duration_s)
+
     def do_stranger(self, name: str) -> None:
         """A script without a token reads what the clerk wrote before."""
         if not self.world.nodes[name].is_alive:
@@ -166,10 +216,11 @@
     )
     @given(
         seed=st.integers(0, 1000),
+        acknowledge=st.sampled_from(["primary", "replica"]),
         actions=st.lists(ACTIONS, min_size=5, max_size=40),
     )
-    def test_no_promise_is_broken(self, seed, actions):
-        script = Script(seed, "replica")
+    def test_no_promise_is_broken(self, seed, acknowledge, actions):
+        script = Script(seed, acknowledge)
         for action in actions:
             script.play(action)
         script.recover()
--- a/tests/world.py
+++ b/tests/world.py
@@ -858,15 +858,18 @@
 
 
 def make_world(
-    seed: int = 0, acknowledge: str = "replica", lag_s: float = 0.05
+    seed: int = 0,
+    acknowledge: str = "replica",
+    lags_s: tuple[float, ...] = (0.05, 0.05, 0.05),
 ) -> World:
     """Returns three zones with two instances each, and one group."""
     zones = ["a", "b", "c"]
     servers = [(f"s{zone}", zone) for zone in zones]
     config = make_document(zones, {"ledger": servers}, acknowledge=acknowledge)
-    group = FakeGroup(
-        "ledger", [FakeServer(name, zone, lag_s) for name, zone in servers]
-    )
+    fakes = []
+    for (name, zone), lag_s in zip(servers, lags_s, strict=True):
+        fakes.append(FakeServer(name, zone, lag_s))
+    group = FakeGroup("ledger", fakes)
     return World(dict.fromkeys(zones, 2), [group], config, seed)
 
 
