--- a/src/cuminwall/frontdoor.py
+++ b/src/cuminwall/frontdoor.py
@@ -85,7 +85,6 @@
         ):
             oldest = next(iter(self.waiting))
             oldest.fail(outcomes.TOO_MANY_LOGINS)
-            oldest.abort()
             self.waiting.pop(oldest, None)
         self.waiting[connection] = None
 
--- a/src/cuminwall/round_building.py
+++ b/src/cuminwall/round_building.py
@@ -158,14 +158,10 @@
             return refusal
         if name and self._find(name) is not None:
             return outcomes.Refusal(outcomes.DUPLICATE_STATEMENT, name)
-        kept = len(self.session.statements) + len(self.overlay)
-        if (
-            name not in self.session.statements
-            and kept >= self.session.limits.statements
-        ):
-            return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
         prepared = rounds.prepare(statement.sql, type_oids)
-        known = rounds.Known(prepared, statement)
+        known = rounds.Known(prepared, statement, len(name) + len(sql))
+        if name and not self._has_room(known):
+            return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
         self.overlay[name] = known
         self.use(statement)
         self.marks.append(rounds.Mark(b"1", name=name, known=known))
@@ -178,6 +174,20 @@
         self.parsed.add(prepared.name)
         return None
 
+    def _has_room(self, known: rounds.Known) -> bool:
+        """Returns whether the session may keep one more named statement."""
+        limits = self.session.limits
+        if (
+            len(self.session.statements) + len(self.overlay)
+            >= limits.statements
+        ):
+            return False
+        characters = self.session.statement_characters + known.characters
+        for made in self.overlay.values():
+            if made is not None:
+                characters += made.characters
+        return characters <= limits.statement_characters
+
     def add_bind(self, payload: bytes) -> outcomes.Refusal | None:
         """Adds a Bind of a known statement."""
         portal, offset = wire.read_cstring(payload)
--- a/src/cuminwall/rounds.py
+++ b/src/cuminwall/rounds.py
@@ -11,9 +11,10 @@
 
 MAX_ROUND_BYTES = 16 * 1024 * 1024
 MAX_STATEMENTS = 1000
+MAX_STATEMENT_CHARACTERS = 1024 * 1024
 MAX_PORTALS = 1000
 MAX_SETTINGS = 100
-MAX_SETTING_CHARACTERS = 4096
+MAX_SETTING_CHARACTERS = 1024
 MESSAGE_OVERHEAD_BYTES = 256
 
 STATEMENT_PREFIX = "cw_"
@@ -27,11 +28,13 @@
     Attributes:
       round_bytes: Bytes of the messages of one round.
       statements: Prepared statements.
+      statement_characters: Characters of their texts and names together.
       portals: Open portals.
     """
 
     round_bytes: int = MAX_ROUND_BYTES
     statements: int = MAX_STATEMENTS
+    statement_characters: int = MAX_STATEMENT_CHARACTERS
     portals: int = MAX_PORTALS
 
 
@@ -39,10 +42,17 @@
 
 
 class Known(NamedTuple):
-    """A statement that the caller prepared."""
+    """A statement that the caller prepared.
+
+    Attributes:
+      prepared: The statement as servers get it.
+      statement: What is known of it.
+      characters: The size of its text and of the caller's name for it.
+    """
 
     prepared: work.Prepared
     statement: statements.Statement
+    characters: int
 
 
 class Mark(NamedTuple):
--- a/src/cuminwall/session_rounds.py
+++ b/src/cuminwall/session_rounds.py
@@ -48,6 +48,7 @@
         "request_id",
         "settings",
         "skipping",
+        "statement_characters",
         "statements",
         "status",
         "unsynced",
@@ -70,6 +71,7 @@
         self.request_id = ""
         self.settings = session_settings.SessionSettings(startup or {})
         self.skipping = False
+        self.statement_characters = 0
         self.statements: dict[str, rounds.Known] = {}
         self.status = _STATUS_IDLE
         self.unsynced = False
@@ -264,13 +266,20 @@
         return reported
 
     def _take_statement(self, name: str, known: rounds.Known | None) -> None:
+        """Keeps a statement under `name`, or forgets it if `known` is None."""
+        replaced = self.statements.pop(name, None)
+        if replaced is not None and name:
+            self.statement_characters -= replaced.characters
         if known is None:
-            self.statements.pop(name, None)
-        else:
-            self.statements[name] = known
+            return
+        self.statements[name] = known
+        if name:
+            self.statement_characters += known.characters
 
     def _drop_statements(self, name: str | None) -> None:
-        if name is None:
-            self.statements.clear()
-        else:
-            self.statements.pop(name, None)
+        """Forgets one statement, or all if `name` is None."""
+        if name is not None:
+            self._take_statement(name, None)
+            return
+        self.statements.clear()
+        self.statement_characters = 0
--- a/src/cuminwall/statements.py
+++ b/src/cuminwall/statements.py
@@ -18,7 +18,7 @@
 from cuminwall.work import Access
 
 CACHE_MAX_ENTRIES = 4096
-CACHE_MAX_CHARACTERS = 4 * 1024 * 1024
+CACHE_MAX_CHARACTERS = 1024 * 1024
 CACHE_MAX_TEXT_CHARACTERS = 16 * 1024
 
 
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -20,6 +20,8 @@
     Attributes:
       rounds: Every round that was run, with its session.
       held: Rounds wait while it is cleared.
+      chunks: How many rows each round gives before its answer.
+      sunk: How many of them were taken.
       tokens: Tokens brought by add_token.
     """
 
@@ -34,6 +36,8 @@
         self.portals = {}
         self.failures = {}
         self.answers = {}
+        self.chunks = 0
+        self.sunk = 0
         self.token = ""
         self.keys = {KEY_ID: work.KeyEntry("trust", VERIFIER)}
         self.held = asyncio.Event()
@@ -72,6 +76,9 @@
         self.running += 1
         await self.held.wait()
         self.running -= 1
+        for _ in range(self.chunks):
+            await sink(wire.data_row([b"x" * 1000]))
+            self.sunk += 1
         failure = None
         for prepared in round_.prepared:
             self.parsed[prepared.name] = prepared.sql
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -214,6 +214,21 @@
         cut = driver.only(run_of("a") + SYNC)
         self.assertIsInstance(cut, rounds.RoundReady)
 
+    def test_texts_of_statements_are_bounded(self):
+        driver = Driver(limits=rounds.Limits(statement_characters=20))
+        steps = (
+            (wire.parse_message("a", "SELECT 1"), "a"),
+            (wire.parse_message("b", "SELECT 2"), "ab"),
+            (wire.parse_message("c", "SELECT 3"), "ab"),
+            (wire.close_statement("a"), "b"),
+            (wire.parse_message("c", "SELECT 3"), "bc"),
+        )
+        for _ in range(3):
+            for message, names in steps:
+                driver.feed(message + SYNC)
+                self.assertEqual(set(driver.rounds.statements), set(names))
+            driver.feed(wire.query("DEALLOCATE ALL"))
+
     def test_settings_are_bounded(self):
         driver = Driver()
         for number in range(rounds.MAX_SETTINGS):
