Admit a caller only under the key that it proved

Cause: the workspace was read after the proof, so a key id given to another workspace during the exchange would have admitted the caller to that one. Conclusion: the entry must still hold the verifier that was met.

--- a/src/cuminwall/caller_login.py
+++ b/src/cuminwall/caller_login.py
@@ -169,11 +169,15 @@
         connection.write(answer)
         if not self.exchange.proved:
             return
-        # The key may have been withdrawn during the exchange.
+        # The key may have been withdrawn during the exchange, or replaced by
+        # one of another workspace.
         entry = connection.server.port.find_key(self.caller.user)
         if isinstance(entry, outcomes.Failure):
             connection.fail(entry)
             return
+        if not logins.is_same_key(entry, self.exchange.verifier):
+            connection.fail(outcomes.KEY_REFUSED)
+            return
         self._admit(self.caller, self.caller.user, entry.workspace)
 
     def _admit(
--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -262,10 +262,16 @@
     return entry
 
 
+def is_same_key(entry: work.KeyEntry, verifier: Verifier) -> bool:
+    """Returns whether `entry` still holds `verifier`."""
+    return parse_verifier(entry.verifier) == verifier
+
+
 class ScramExchange:
     """The server's side of one SCRAM exchange.
 
     Attributes:
+      verifier: What the key is checked against.
       proved: Whether the caller has proved that it has the key.
     """
 
@@ -279,6 +285,7 @@
                 verifier.iterations,
             )
         )
+        self.verifier = verifier
         self.started = False
         self.proved = False
 
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -18,7 +18,15 @@
 import uvloop
 from loguru import logger
 
-from cuminwall import caller_limits, frontdoor, logins, outcomes, rounds, wire
+from cuminwall import (
+    caller_limits,
+    frontdoor,
+    logins,
+    outcomes,
+    rounds,
+    wire,
+    work,
+)
 from tests import fake_service
 
 GUARD_S = 30
@@ -228,12 +236,18 @@
         self.assertEqual(self.service.logins, [])
 
     @on_uvloop
-    async def test_a_key_withdrawn_during_the_login_admits_nobody(self):
-        entries = [self.service.keys[fake_service.KEY_ID]]
-        entries.append(outcomes.KEY_WITHDRAWN)
-        self.service.find_key = lambda _: entries.pop(0)
-        with self.assertRaisesRegex(psycopg.OperationalError, "withdrawn"):
-            await self.connect_psycopg()
+    async def test_a_key_changed_during_the_login_admits_nobody(self):
+        other = logins.make_verifier("other", b"0123456789abcdef")
+        changes = {
+            outcomes.KEY_WITHDRAWN: "withdrawn",
+            work.KeyEntry("other", other): "the key is wrong",
+        }
+        entry = self.service.keys[fake_service.KEY_ID]
+        for change, message in changes.items():
+            entries = [entry, change]
+            self.service.find_key = lambda _, left=entries: left.pop(0)
+            with self.assertRaisesRegex(psycopg.OperationalError, message):
+                await self.connect_psycopg()
         self.assertEqual(self.service.logins, [])
 
 
