Keep no server connection for a caller that only prepares

Cause: asyncpg sends Parse, Describe, Flush and waits before it goes on, so each of its statements would have held a scarce server connection for one round trip to the caller, and a prepared write would have needed the primary. Such a round is now closed by a Sync of our own; the caller gets no ReadyForQuery for it.

--- a/src/cuminwall/caller_session.py
+++ b/src/cuminwall/caller_session.py
@@ -207,8 +207,8 @@
             failure = port.add_token(self.session, ready.token)
             if failure is not None:
                 self.rounds.abandon(ready)
-                synced = ready.round_.synced
-                self._answer_refused(rounds.Refused(failure, "", synced))
+                refused = rounds.Refused(failure, "", ready.synced)
+                self._answer_refused(refused)
                 return
         seen = answers.Seen(ready.muted)
 
@@ -233,7 +233,7 @@
         answer = b""
         if end.failure is not None:
             answer = encode_failure(end.failure)
-        connection.write(answer + self._ready(ready.round_.synced))
+        connection.write(answer + self._ready(ready.synced))
 
 
 def _size(message: wire.Message) -> int:
--- a/src/cuminwall/round_building.py
+++ b/src/cuminwall/round_building.py
@@ -33,6 +33,7 @@
         "begins",
         "bytes",
         "executes",
+        "holds",
         "marks",
         "max_age_s",
         "muted",
@@ -53,6 +54,8 @@
         self.begins = False
         self.bytes = 0
         self.executes = False
+        # Whether it makes or uses a portal, which a Sync may end.
+        self.holds = False
         self.marks: list[rounds.Mark] = []
         self.max_age_s = session.max_age_s
         self.muted = False
@@ -78,6 +81,7 @@
         """Takes over that a statement is run, with one mark for each part."""
         self.use(statement)
         self.executes = True
+        self.holds = True
         self.begins = self.begins or statement.begins
         self.writes = self.writes or statement.writes
         for effects in parts:
@@ -201,6 +205,7 @@
             and kept >= self.session.limits.portals
         ):
             return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
+        self.holds = True
         self.portals[portal] = known.statement
         self._need(known)
         body = wire.cstring(portal) + wire.cstring(known.prepared.name)
@@ -226,6 +231,7 @@
             self._need(known)
             payload = kind + wire.cstring(known.prepared.name)
         else:
+            self.holds = True
             self.use(self._find_portal(name))
         self.steps.append(work.Step(wire.Message(b"D", payload).encode()))
         return None
@@ -250,6 +256,7 @@
             self.marks.append(rounds.Mark(b"3", name=name))
             message = wire.close_statement(rounds.ABSENT_STATEMENT)
         else:
+            self.holds = True
             self.portals[name] = None
             self.marks.append(rounds.Mark(b"3"))
             message = wire.Message(b"C", payload).encode()
--- a/src/cuminwall/rounds.py
+++ b/src/cuminwall/rounds.py
@@ -77,6 +77,7 @@
     Attributes:
       round_: The round.
       marks: What the completions bring, in order.
+      synced: Whether the caller gets a ReadyForQuery after it.
       token: A session token to take over first, or "".
       watched: Whether the server's answer must be read.
       muted: Whether to drop the warning that our SET LOCAL causes.
@@ -84,6 +85,7 @@
 
     round_: work.Round
     marks: tuple[Mark, ...]
+    synced: bool = True
     token: str = ""
     watched: bool = False
     muted: bool = False
--- a/src/cuminwall/session_rounds.py
+++ b/src/cuminwall/session_rounds.py
@@ -118,7 +118,11 @@
         return rounds.LocalAnswer(b"", synced=True)
 
     def _closing_sync(self) -> rounds.RoundReady:
-        round_ = work.Round(work.Access.READ, (work.Step(wire.sync()),))
+        round_ = work.Round(
+            access=work.Access.READ,
+            steps=(work.Step(wire.sync()),),
+            settings=tuple(self.settings.in_force.items()),
+        )
         return rounds.RoundReady(round_, (), watched=True)
 
     def _refuse(self, refusal: outcomes.Refusal, tag: bytes) -> rounds.Refused:
@@ -143,9 +147,16 @@
         for_server = building.steps and not bare_sync
         if not for_server and not (synced and self.unsynced):
             return self._answer_locally(building, synced)
+        closes = synced
+        if not synced and not self.unsynced and not building.holds:
+            # Statements alone outlive a Sync, so the server connection is not
+            # kept for a caller that only prepares them.
+            building.steps[-1] = work.Step(wire.sync())
+            closes = True
         self._keep_own(building)
         self._keep_portals(building)
-        access = building.access
+        # To prepare a statement, even a write, changes nothing.
+        access = building.access if building.holds else work.Access.READ
         if self._is_serializable():
             # A replica refuses to run these.
             access = work.Access.WRITE
@@ -158,7 +169,7 @@
             access=access,
             steps=tuple(building.steps),
             prepared=tuple(building.prepared.values()),
-            synced=synced,
+            synced=closes,
             begins=building.begins,
             settings=tuple(self.settings.in_force.items()),
             max_age_s=self.max_age_s,
@@ -169,6 +180,7 @@
         return rounds.RoundReady(
             round_,
             tuple(building.marks),
+            synced=synced,
             token=building.token,
             watched=self._is_watched(building, synced),
             muted=building.muted,
@@ -225,6 +237,7 @@
             self.skipping = failed
             self.unsynced = end.failure is None
             return reported
+        self.skipping = failed and not ready.synced
         self.unsynced = False
         self.executed = False
         self.failed = False
@@ -240,8 +253,7 @@
 
     def abandon(self, ready: rounds.RoundReady) -> None:
         """Notes that a round was refused after it had been cut."""
-        if not ready.round_.synced:
-            self.skipping = True
+        self.skipping = not ready.synced
 
     def _take_completions(
         self, marks: tuple[rounds.Mark, ...], seen: answers.Seen
--- a/src/cuminwall/work.py
+++ b/src/cuminwall/work.py
@@ -61,7 +61,8 @@
     """A caller's messages up to and with a Query, Sync or Flush.
 
     Attributes:
-      access: The strictest access among the statements.
+      access: The strictest access among the statements bound or run; to
+        prepare one is a READ.
       steps: The messages in order, statement names already replaced.
       prepared: Every statement that the steps use before one of them parses
         it.
