Carry no setting that would weaken a commit or the pool

Cause: with synchronous_commit off a commit is answered before it is in the log, so the position read behind it is too low for the session's own writes; the pool refuses to set it, but SET LOCAL passed through. A connection that waits in the pool would end by one caller's idle_session_timeout. Conclusion: both are refused, also for one transaction.

--- a/src/cuminwall/settings_syntax.py
+++ b/src/cuminwall/settings_syntax.py
@@ -27,6 +27,9 @@
     {"search_path", "temp_tablespaces", "local_preload_libraries"}
 )
 _ROLE_SETTINGS = frozenset({"role", "session_authorization"})
+# A commit that is answered before it is in the log has no position yet, and an
+# idle server connection waits for its next caller, not for this one.
+_SERVER_SETTINGS = frozenset({"synchronous_commit", "idle_session_timeout"})
 _TRANSACTION_SETTINGS = frozenset(
     {"transaction_read_only", "transaction_isolation", "transaction_deferrable"}
 )
@@ -83,6 +86,8 @@
         if value is None or value.lower() in _ON_WORDS:
             return ""
         return "standard_conforming_strings other than on"
+    if name in _SERVER_SETTINGS and value is not None:
+        return f"SET {name}"
     if name.startswith(OWN_PREFIX):
         return "cuminwall's own settings are set by SET only"
     if name in _TRANSACTION_SETTINGS:
--- a/src/cuminwall/statement_nodes.py
+++ b/src/cuminwall/statement_nodes.py
@@ -160,6 +160,7 @@
         "session_authorization",
         "client_encoding",
         "standard_conforming_strings",
+        "synchronous_commit",
         "transaction_read_only",
     }
 )
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -85,6 +85,10 @@
     "LOAD 'x'",
     "SET client_encoding TO latin1",
     "SET standard_conforming_strings = off",
+    "SET synchronous_commit = off",
+    "SET LOCAL synchronous_commit = off",
+    "SELECT set_config('synchronous_commit', 'off', true)",
+    "SET idle_session_timeout = 1",
     "SELECT '\\'; SET ROLE x; --'",
 )
 POISONS = (
