--- a/src/cuminwall/caller_connection.py
+++ b/src/cuminwall/caller_connection.py
@@ -97,6 +97,9 @@
             self.phase.receive(data)
         except exceptions.ProtocolError as error:
             self.fail(outcomes.PROTOCOL_VIOLATION, str(error))
+        except Exception:
+            logger.exception("caller: {} could not be read", self.client)
+            self.fail(outcomes.INTERNAL_ERROR)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the session, after the round that runs."""
--- a/src/cuminwall/settings_syntax.py
+++ b/src/cuminwall/settings_syntax.py
@@ -185,6 +185,8 @@
                 continue
             return PassedThrough(may_write=not option.arg.val.ival)
         return PassedThrough(may_write=False)
+    if node.name == "TRANSACTION SNAPSHOT":
+        return PassedThrough(may_write=False)
     if node.name != "SESSION CHARACTERISTICS" or len(options) != 1:
         return NotUnderstood(f"SET {node.name} of several modes at once")
     option = options[0]
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -525,6 +525,14 @@
         fields = await caller.read_error()
         self.assertIn("outcome unknown", fields["M"])
 
+    @on_uvloop
+    async def test_a_fault_of_our_own_ends_one_connection_only(self):
+        caller, other = await self.log_in(), await self.log_in()
+        self.next_session().phase.framer = None
+        caller.send(wire.query("SELECT 1"))
+        self.assertEqual((await caller.read_error())["C"], "XX000")
+        self.assertEqual(tags(await other.ask("SELECT 1")), b"TDCZ")
+
     @on_uvloop
     async def test_the_token_comes_before_ready(self):
         caller = await self.log_in()
