--- a/src/cuminwall/frontdoor.py
+++ b/src/cuminwall/frontdoor.py
@@ -87,7 +87,6 @@
         ):
             oldest = next(iter(self.waiting))
             oldest.fail(outcomes.TOO_MANY_LOGINS)
-            oldest.abort()
             self.waiting.pop(oldest, None)
         self.waiting[connection] = None
 
@@ -129,11 +128,12 @@
         if phase.task is not None:
             self.spawn(self.port.cancel(phase.session))
 
-    def spawn(self, work_: Coroutine[None, None, None]) -> None:
+    def spawn(self, work_: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Runs `work_` in a task that is kept until it ends."""
         task = asyncio.get_running_loop().create_task(work_)
         self.tasks.add(task)
         task.add_done_callback(self._end_task)
+        return task
 
     def _end_task(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
--- a/src/cuminwall/round_building.py
+++ b/src/cuminwall/round_building.py
@@ -33,6 +33,7 @@
         "begins",
         "bytes",
         "executes",
+        "holds",
         "marks",
         "max_age_s",
         "muted",
@@ -54,6 +55,8 @@
         self.begins = False
         self.bytes = 0
         self.executes = False
+        # Whether it makes or uses a portal, which a Sync may end.
+        self.holds = False
         self.marks: list[rounds.Mark] = []
         self.max_age_s = session.max_age_s
         self.muted = False
@@ -82,6 +85,7 @@
         is_first = not self.executes
         self.only_ends = _is_end(statement) and (is_first or self.only_ends)
         self.executes = True
+        self.holds = True
         self.begins = self.begins or statement.begins
         self.writes = self.writes or statement.writes
         for effects in parts:
@@ -162,14 +166,10 @@
             return refusal
         if name and self._find(name) is not None:
             return outcomes.Refusal(outcomes.DUPLICATE_STATEMENT, name)
-        kept = len(self.session.statements) + len(self.overlay)
-        if (
-            name not in self.session.statements
-            and kept >= self.session.limits.statements
-        ):
-            return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
         prepared = rounds.prepare(statement.sql, type_oids)
-        known = rounds.Known(prepared, statement)
+        known = rounds.Known(prepared, statement, len(name) + len(sql))
+        if name and not self._has_room(known):
+            return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
         self.overlay[name] = known
         self.use(statement)
         self.marks.append(rounds.Mark(b"1", name=name, known=known))
@@ -182,6 +182,20 @@
         self.parsed.add(prepared.name)
         return None
 
+    def _has_room(self, known: rounds.Known) -> bool:
+        """Returns whether the session may keep one more named statement."""
+        limits = self.session.limits
+        if (
+            len(self.session.statements) + len(self.overlay)
+            >= limits.statements
+        ):
+            return False
+        characters = self.session.statement_characters + known.characters
+        for made in self.overlay.values():
+            if made is not None:
+                characters += made.characters
+        return characters <= limits.statement_characters
+
     def add_bind(self, payload: bytes) -> outcomes.Refusal | None:
         """Adds a Bind of a known statement."""
         portal, offset = wire.read_cstring(payload)
@@ -195,6 +209,7 @@
             and kept >= self.session.limits.portals
         ):
             return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
+        self.holds = True
         self.portals[portal] = known.statement
         self._need(known)
         body = wire.cstring(portal) + wire.cstring(known.prepared.name)
@@ -220,6 +235,7 @@
             self._need(known)
             payload = kind + wire.cstring(known.prepared.name)
         else:
+            self.holds = True
             self.use(self._find_portal(name))
         self.steps.append(work.Step(wire.Message(b"D", payload).encode()))
         return None
@@ -244,6 +260,7 @@
             self.marks.append(rounds.Mark(b"3", name=name))
             message = wire.close_statement(rounds.ABSENT_STATEMENT)
         else:
+            self.holds = True
             self.portals[name] = None
             self.marks.append(rounds.Mark(b"3"))
             message = wire.Message(b"C", payload).encode()
--- a/src/cuminwall/session_rounds.py
+++ b/src/cuminwall/session_rounds.py
@@ -48,6 +48,7 @@
         "request_id",
         "settings",
         "skipping",
+        "statement_characters",
         "statements",
         "status",
         "unsynced",
@@ -70,6 +71,7 @@
         self.request_id = ""
         self.settings = session_settings.SessionSettings(startup or {})
         self.skipping = False
+        self.statement_characters = 0
         self.statements: dict[str, rounds.Known] = {}
         self.status = _STATUS_IDLE
         self.unsynced = False
@@ -116,7 +118,11 @@
         return rounds.LocalAnswer(b"", synced=True)
 
     def _closing_sync(self) -> rounds.RoundReady:
-        round_ = work.Round(work.Access.READ, (work.Step(wire.sync()),))
+        round_ = work.Round(
+            access=work.Access.READ,
+            steps=(work.Step(wire.sync()),),
+            settings=tuple(self.settings.in_force.items()),
+        )
         return rounds.RoundReady(round_, (), watched=True)
 
     def _refuse(self, refusal: outcomes.Refusal, tag: bytes) -> rounds.Refused:
@@ -141,9 +147,16 @@
         for_server = building.steps and not bare_sync
         if not for_server and not (synced and self.unsynced):
             return self._answer_locally(building, synced)
+        closes = synced
+        if not synced and not self.unsynced and not building.holds:
+            # Statements alone outlive a Sync, so the server connection is not
+            # kept for a caller that only prepares them.
+            building.steps[-1] = work.Step(wire.sync())
+            closes = True
         self._keep_own(building)
         self._keep_portals(building)
-        access = building.access
+        # To prepare a statement, even a write, changes nothing.
+        access = building.access if building.holds else work.Access.READ
         if self._is_serializable():
             # A replica refuses to run these.
             access = work.Access.WRITE
@@ -156,7 +169,7 @@
             access=access,
             steps=tuple(building.steps),
             prepared=tuple(building.prepared.values()),
-            synced=synced,
+            synced=closes,
             begins=building.begins,
             ends_transaction=building.only_ends,
             settings=tuple(self.settings.in_force.items()),
@@ -168,6 +181,7 @@
         return rounds.RoundReady(
             round_,
             tuple(building.marks),
+            synced=synced,
             token=building.token,
             watched=self._is_watched(building, synced),
             muted=building.muted,
@@ -224,6 +238,7 @@
             self.skipping = failed
             self.unsynced = end.failure is None
             return reported
+        self.skipping = failed and not ready.synced
         self.unsynced = False
         self.executed = False
         self.failed = False
@@ -239,8 +254,7 @@
 
     def abandon(self, ready: rounds.RoundReady) -> None:
         """Notes that a round was refused after it had been cut."""
-        if not ready.round_.synced:
-            self.skipping = True
+        self.skipping = not ready.synced
 
     def _take_completions(
         self, marks: tuple[rounds.Mark, ...], seen: answers.Seen
@@ -265,13 +279,20 @@
         return reported
 
     def _take_statement(self, name: str, known: rounds.Known | None) -> None:
+        """Keeps a statement under `name`, or forgets it if `known` is None."""
+        replaced = self.statements.pop(name, None)
+        if replaced is not None and name:
+            self.statement_characters -= replaced.characters
         if known is None:
-            self.statements.pop(name, None)
-        else:
-            self.statements[name] = known
+            return
+        self.statements[name] = known
+        if name:
+            self.statement_characters += known.characters
 
     def _drop_statements(self, name: str | None) -> None:
-        if name is None:
-            self.statements.clear()
-        else:
-            self.statements.pop(name, None)
+        """Forgets one statement, or all if `name` is None."""
+        if name is not None:
+            self._take_statement(name, None)
+            return
+        self.statements.clear()
+        self.statement_characters = 0
--- a/src/cuminwall/statement_nodes.py
+++ b/src/cuminwall/statement_nodes.py
@@ -106,9 +106,6 @@
             self.visit_call(node)
         elif kind is ast.RangeVar:
             self.visit_table(node, scope)
-        elif kind is ast.SelectStmt:
-            if node.intoClause is not None or node.lockingClause is not None:
-                self.proved_read = False
         elif kind is ast.ExecuteStmt:
             self.executes = True
         elif kind is ast.CreateFunctionStmt:
@@ -163,6 +160,7 @@
         "session_authorization",
         "client_encoding",
         "standard_conforming_strings",
+        "synchronous_commit",
         "transaction_read_only",
     }
 )
