Let the store's fake await its hook, and prove the lost answer behind another change

The earlier test passed with the lookup in the history taken out: the retry always came before the other change. The other change now runs inside the hook between the swap and its retry.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,12 +1,16 @@
 """Small fakes of the platform's ports."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 from cuminwall.exceptions import StoreUnavailableError
 from cuminwall.ports import StoreEntry, SwapConflict, Swapped
 
 
+async def do_nothing(method: str, key: str) -> None:
+    """The hook of a store that nothing disturbs."""
+
+
 class FakeStore:
     """A key-value store in memory, with switches for what can go wrong.
 
@@ -16,7 +20,7 @@
       calls: The method and key of each call.
       down: Whether every call fails without effect.
       answers_lost: How many of the next swaps take effect unanswered.
-      before_call: Called before each call with its method and key.
+      before_call: Awaited before each call with its method and key.
     """
 
     def __init__(self) -> None:
@@ -25,12 +29,12 @@
         self.calls: list[tuple[str, str]] = []
         self.down = False
         self.answers_lost = 0
-        self.before_call: Callable[[str, str], None] = lambda method, key: None
+        self.before_call = do_nothing
         self.changed = asyncio.Condition()
 
     async def _enter(self, method: str, key: str) -> None:
         await asyncio.sleep(0)
-        self.before_call(method, key)
+        await self.before_call(method, key)
         self.calls.append((method, key))
         if self.down:
             raise StoreUnavailableError("down")
--- a/tests/test_configstore.py
+++ b/tests/test_configstore.py
@@ -16,7 +16,7 @@
 from cuminwall.configapply import Applied, ChangedBy, Refused, StoreDown
 from cuminwall.exceptions import StoreUnavailableError
 from tests.documents import sample
-from tests.fakes import FakeStore
+from tests.fakes import FakeStore, do_nothing
 
 WRITE_IDS = itertools.count(1)
 
@@ -175,7 +175,7 @@
         del later[dropped]
         self.store.entries = entries
 
-        def replace(method, key):
+        async def replace(method, key):
             if key == dropped:
                 self.store.entries = later
 
@@ -205,14 +205,14 @@
             await self.apply(sample(), 0)
             left = itertools.count(allowed, -1)
 
-            def go_down(method, key, left=left, store=self.store):
-                store.down = next(left) <= 0
+            async def go_down(method, key, left=left):
+                self.store.down = next(left) <= 0
 
             self.store.before_call = go_down
             with self.subTest(allowed=allowed):
                 found = await self.apply(with_rate(9), 1)
                 self.assertEqual(found, StoreDown(may_be_applied=False))
-                self.store.before_call = lambda method, key: None
+                self.store.before_call = do_nothing
                 self.store.down = False
                 self.assertEqual(await self.loaded(), before)
                 self.assertEqual(await self.apply(with_rate(9), 1), Applied(2))
@@ -228,9 +228,9 @@
             await self.apply(sample(), 0)
             left = itertools.count(lost, -1)
 
-            def lose_one(method, key, left=left, store=self.store):
+            async def lose_one(method, key, left=left):
                 if method == "swap" and next(left) == 0:
-                    store.answers_lost = 1
+                    self.store.answers_lost = 1
 
             self.store.before_call = lose_one
             with self.subTest(lost=lost):
@@ -241,31 +241,28 @@
 
     async def test_lost_answer_is_found_behind_another_change(self):
         await self.apply(sample(), 0)
-        state = {"step": 0}
-        other = None
+        head_swaps = itertools.count(1)
+        others = []
 
-        def disturb(method, key):
+        async def disturb(method, key):
             if (method, key) != ("swap", confighead.HEAD_KEY):
                 return
-            state["step"] += 1
-            if state["step"] == 1:
-                self.store.answers_lost = 1
+            match next(head_swaps):
+                case 1:
+                    self.store.answers_lost = 1
+                case 2:
+                    others.append(await self.apply(with_rate(10), 2, "ben"))
 
         self.store.before_call = disturb
-        first = asyncio.create_task(self.apply(with_rate(9), 1))
-        while state["step"] < 1:
-            await asyncio.sleep(0)
-        while other is None or not isinstance(other, Applied):
-            other = await self.apply(with_rate(10), 2, "ben")
-        self.assertEqual(other, Applied(3))
-        self.assertEqual(await first, Applied(2))
+        self.assertEqual(await self.apply(with_rate(9), 1), Applied(2))
+        self.assertEqual(others, [Applied(3)])
         expected = document.normalize(with_rate(10))
         self.assertEqual(await self.loaded(), (3, expected))
 
     async def test_swap_without_any_answer_may_be_applied(self):
         await self.apply(sample(), 0)
 
-        def lose(method, key):
+        async def lose(method, key):
             self.store.down = (method, key) == ("swap", confighead.HEAD_KEY)
 
         self.store.before_call = lose
