--- /dev/null
+++ b/src/cuminwall/operatorfile.py
@@ -0,0 +1,64 @@
+"""The file in which an operator keeps or edits the document.
+
+It holds the document and, as `base_version`, the version that it was made
+from, by which a change of another operator in between is found.
+"""
+
+import json
+from typing import Any, NamedTuple
+
+from cuminwall import document, jsontext
+from cuminwall.document import Document
+from cuminwall.faults import Fault, describe
+from cuminwall.redaction import redact
+
+BASE_VERSION = "base_version"
+INDENT = 2
+
+
+class OperatorFile(NamedTuple):
+    """A file without faults.
+
+    Attributes:
+      document: The document.
+      base_version: The version that it was made from; 0 means none.
+    """
+
+    document: Document
+    base_version: int
+
+
+def read(text: str) -> OperatorFile | list[Fault]:
+    """Returns the content of a file, or every fault in it."""
+    source = jsontext.read(text)
+    if isinstance(source, list):
+        return source
+    value = source.value
+    found: list[Fault] = []
+    base_version: Any = 0
+    if isinstance(value, dict):
+        value = dict(value)
+        base_version = value.pop(BASE_VERSION, 0)
+        if type(base_version) is not int or base_version < 0:
+            shown = describe(base_version)
+            expected = "a version, a whole number"
+            found.append(Fault((BASE_VERSION,), shown, expected))
+    checked = document.check(value)
+    if isinstance(checked, list):
+        return found + checked
+    return found or OperatorFile(checked, base_version)
+
+
+def write(value: Document, version: int, with_secrets: bool) -> str:
+    """Returns the text of a file that holds a document.
+
+    Args:
+      value: The document.
+      version: The version that it has.
+      with_secrets: Whether passwords are shown; a file in which they are
+        hidden is refused when it is applied.
+    """
+    shown = value if with_secrets else redact(value)
+    return json.dumps(
+        {BASE_VERSION: version, **shown}, indent=INDENT, ensure_ascii=False
+    )
