Add the operators' console of forms

Found by sending random forms back unchanged: a workspace with an empty list of services (none) came back without the list (all).

--- a/src/cuminwall/ctl.py
+++ b/src/cuminwall/ctl.py
@@ -15,6 +15,7 @@
 from cuminwall.ctlcommands import COMMANDS, Call, Command, Platform
 from cuminwall.ctltext import EXIT_FAULTS, EXIT_OK, Report
 
+EXIT_INTERRUPTED = 130
 HELP_WORDS = ("help", "--help", "-h")
 
 
@@ -93,7 +94,10 @@
 
 def run() -> None:
     """The entry point of the `cuminctl` program."""
-    made = asyncio.run(execute(sys.argv))
+    try:
+        made = asyncio.run(execute(sys.argv))
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
     sys.exit(print_report(made, sys.stdout, sys.stderr))
 
 
--- a/src/cuminwall/ctlcommands.py
+++ b/src/cuminwall/ctlcommands.py
@@ -14,6 +14,7 @@
     configapply,
     configchange,
     configstore,
+    console,
     document,
     edits,
     fleet,
@@ -200,6 +201,13 @@
     return Report(code, format_status(statuses))
 
 
+async def serve_console(call: Call) -> Report:
+    """Serves the console until it is interrupted."""
+    store = call.connect().store
+    await console.serve(store, call.flags.author, call.flags.port)
+    return Report(EXIT_OK, "")
+
+
 def _as_json(item: fleet.InstanceStatus) -> dict[str, Any]:
     """Returns the status of an instance as JSON values."""
     return {
@@ -261,6 +269,7 @@
         "server in SERVICE ID [--wait]", 2, functools.partial(set_server, "in")
     ),
     ("status",): Command("status [--json]", 0, status),
+    ("console",): Command("console [--port=N]", 0, serve_console),
     ("settings",): Command("settings FILE | settings --doc", 1, check_settings),
 }
 
--- a/src/cuminwall/document.py
+++ b/src/cuminwall/document.py
@@ -203,7 +203,13 @@
         },
     },
     {
-        "services": {"type": "array", "items": NAME, "uniqueItems": True},
+        # An empty list might be read as "all" or as "none".
+        "services": {
+            "type": "array",
+            "items": NAME,
+            "minItems": 1,
+            "uniqueItems": True,
+        },
         "keys_grace_s": {
             "type": "number",
             "minimum": 0,
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -88,6 +88,11 @@
             sorted(faults_of(value)), ["rules[3].tables", "rules[4].tables"]
         )
 
+    def test_an_empty_list_of_services_is_a_fault(self):
+        value = sample()
+        value["workspaces"]["crews"]["services"] = []
+        self.assertEqual(list(faults_of(value)), ["workspaces.crews.services"])
+
     def test_names_end_at_the_end(self):
         value = sample()
         value["zones"]["x\n"] = {}
