Mend the console's looks: widths, order of rows, long lines

Seen in a browser: the state's field was cut off, the history ran out of the page on long values, and rows came in the order of the store's parts.

--- a/src/cuminwall/console.py
+++ b/src/cuminwall/console.py
@@ -250,7 +250,7 @@
             return (*messages, Message(WARN, text))
         if not isinstance(result, Applied):
             return messages
-        shown = (f"key     {new.key_id}", f"secret  {new.secret}")
+        shown = (f"key: {new.key_id}", f"secret: {new.secret}")
         text = "Copy the secret now: only its verifier is kept."
         return (*messages, Message(GOOD, text, shown))
 
--- a/src/cuminwall/consoleforms.py
+++ b/src/cuminwall/consoleforms.py
@@ -67,8 +67,8 @@
     """Returns the place, the name and the content of each item."""
     found: list[tuple[Path, str, Any]] = []
     if section.name == "servers":
-        for service, entry in value["services"].items():
-            for server, item in entry["servers"].items():
+        for service, entry in sorted(value["services"].items()):
+            for server, item in sorted(entry["servers"].items()):
                 path = ("services", service, "servers", server)
                 found.append((path, f"{service}/{server}", item))
         return found
@@ -77,7 +77,7 @@
             place: Path = (section.name, index)
             found.append((place, document.item_name(item), item))
         return found
-    for name, item in value[section.name].items():
+    for name, item in sorted(value[section.name].items()):
         found.append(((section.name, name), name, item))
     return found
 
--- a/src/cuminwall/consolepages.py
+++ b/src/cuminwall/consolepages.py
@@ -25,6 +25,8 @@
 GOOD = "good"
 BAD = "bad"
 WARN = "warn"
+DELETE_TITLE = '<th class="delete">Delete</th>'
+NEW_HINT = "new"
 
 
 class Message(NamedTuple):
@@ -147,7 +149,7 @@
         page = page._replace(messages=(*page.messages, message))
     titles = "".join(f"<th>{_escape(c.label)}</th>" for c in section.columns)
     table = (
-        f"<table><thead><tr>{titles}<th>Delete</th></tr></thead>"
+        f"<table><thead><tr>{titles}{DELETE_TITLE}</tr></thead>"
         f"<tbody>{''.join(lines)}</tbody></table>"
     )
     body = _filter(page, len(whole) - 1, len(shown))
@@ -198,7 +200,11 @@
             value,
         )
     else:
-        field = f'<input type="text" {attributes} value="{_escape(value)}">'
+        hint = NEW_HINT if row.key == NEW else ""
+        field = (
+            f'<input type="text" {attributes} value="{_escape(value)}" '
+            f'placeholder="{hint}">'
+        )
     return f"<td>{field}{notes}</td>"
 
 
@@ -214,7 +220,7 @@
 def keys_page(page: Page) -> str:
     """Returns the page of keys."""
     value = page.snapshot.document
-    names = [name for name in value["keys"] if page.query in name]
+    names = sorted(name for name in value["keys"] if page.query in name)
     shown = names[:MAX_ROWS]
     lines = []
     for name in shown:
@@ -226,12 +232,12 @@
             f'aria-label="Withdraw {_escape(name)}"></td></tr>'
         )
     table = (
-        "<table><thead><tr><th>Key</th><th>Workspace</th><th>Withdraw</th>"
-        f"</tr></thead><tbody>{''.join(lines)}</tbody></table>"
-    )
-    select = _select(
-        'name="workspace" aria-label="Workspace"', value["workspaces"], ""
+        '<table class="plain"><thead><tr><th>Key</th><th>Workspace</th>'
+        '<th class="delete">Withdraw</th></tr></thead>'
+        f"<tbody>{''.join(lines)}</tbody></table>"
     )
+    workspaces = sorted(value["workspaces"])
+    select = _select('name="workspace" aria-label="Workspace"', workspaces, "")
     body = _filter(page, len(value["keys"]), len(shown))
     if lines:
         body += _form(page, table, "Withdraw the marked keys")
@@ -246,7 +252,8 @@
     for change in reversed(list(changes)):
         head, *items = format_change(change).split("\n")
         entries = "".join(f"<li>{_escape(item.strip())}</li>" for item in items)
-        lines.append(f"<h2>{_escape(head)}</h2><ul>{entries}</ul>")
+        lines.append(f"<h2>{_escape(head)}</h2>")
+        lines.append(f'<ul class="lines">{entries}</ul>')
     help_text = "The last changes, with what each made different."
     return _wrap(page, HISTORY_PAGE, "History", help_text, "".join(lines))
 
--- a/src/cuminwall/faults.py
+++ b/src/cuminwall/faults.py
@@ -119,7 +119,9 @@
         if name in instance:
             continue
         field = schema.get("properties", {}).get(name, {})
-        expected = field.get("description", "a value")
+        expected = "a value"
+        if "type" in field:
+            expected = _expected_type(field, field["type"])
         faults.append(Fault((*path, name), NOTHING, expected))
     return faults
 
--- a/src/cuminwall/operatorfile.py
+++ b/src/cuminwall/operatorfile.py
@@ -58,7 +58,9 @@
       with_secrets: Whether passwords are shown; a file in which they are
         hidden is refused when it is applied.
     """
-    shown = value if with_secrets else redact(value)
+    shown: dict[str, Any] = dict(value) if with_secrets else redact(value)
+    for section in document.MAPPED_SECTIONS:
+        shown[section] = dict(sorted(shown[section].items()))
     return json.dumps(
         {BASE_VERSION: version, **shown}, indent=INDENT, ensure_ascii=False
     )
