--- a/src/cuminwall/ctl.py
+++ b/src/cuminwall/ctl.py
@@ -10,6 +10,7 @@
 from typing import TextIO
 
 from absl import flags
+from loguru import logger
 
 from cuminwall import ctlcommands, ctlflags
 from cuminwall.ctlcommands import COMMANDS, Call, Command, Platform
@@ -94,6 +95,8 @@
 
 def run() -> None:
     """The entry point of the `cuminctl` program."""
+    # What the tool has to say of the store is in its report.
+    logger.remove()
     try:
         made = asyncio.run(execute(sys.argv))
     except KeyboardInterrupt:
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -1,11 +1,15 @@
 """Tests of the document, its faults and its parsed form."""
 
+import pathlib
 import unittest
 
-from cuminwall import configuration, document, jsontext
+from cuminwall import configuration, document, jsontext, operatorfile
 from cuminwall.faults import Fault, format_path
 from tests.documents import sample
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "operators" / "configuration.md"
+
 
 def faults_of(value) -> dict[str, str]:
     """Returns what was expected by the place of each fault."""
@@ -117,6 +121,26 @@
         )
 
 
+class PageTest(unittest.TestCase):
+    """The operators' page."""
+
+    def test_example_is_accepted_and_every_field_is_described(self):
+        text = PAGE.read_text(encoding="utf-8")
+        example = text.partition("```json\n")[2].partition("```")[0]
+        found = operatorfile.read(example)
+        self.assertIsInstance(found, operatorfile.OperatorFile, found)
+        schemas = (
+            document.SERVICE_SCHEMA,
+            document.SERVER_SCHEMA,
+            document.WORKSPACE_SCHEMA,
+            document.RULE_SCHEMA,
+            document.SCHEMA,
+        )
+        for schema in schemas:
+            for name in schema["properties"]:
+                self.assertRegex(text, rf"\| .*\b{name}\b.* \|")
+
+
 class JsonTextTest(unittest.TestCase):
     """Reading of JSON with comments."""
 
