--- a/tests/test_standin_database.py
+++ b/tests/test_standin_database.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
+import struct
 import sys
 import unittest
 from collections.abc import Callable
@@ -17,12 +19,17 @@
 from hypothesis import strategies as st
 from loguru import logger
 
+from cuminwall import wire
 from cuminwall_standins import (
     database,
     engine,
     errors,
+    executor,
+    extended,
+    members,
     rewriting,
     sql,
+    timelines,
     transactions,
 )
 
@@ -40,10 +47,12 @@
 
 def setUpModule():  # noqa: N802
     logger.disable("cuminwall_standins")
+    logging.getLogger("psycopg").setLevel(logging.CRITICAL)
 
 
 def tearDownModule():  # noqa: N802
     logger.enable("cuminwall_standins")
+    logging.getLogger("psycopg").setLevel(logging.NOTSET)
 
 
 async def wait_until(condition: Callable[[], Any]) -> None:
@@ -55,6 +64,16 @@
 class GroupCase(unittest.IsolatedAsyncioTestCase):
     """Servers that end with the test; the first one is the primary."""
 
+    async def asyncSetUp(self):
+        loop = asyncio.get_running_loop()
+        guard = loop.call_later(GUARD_S, self.expire)
+        self.addCleanup(guard.cancel)
+
+    def expire(self) -> None:
+        """Ends a test that waits for something that never comes."""
+        for task in asyncio.all_tasks():
+            task.cancel()
+
     async def start(self, count: int = 1, **options) -> None:
         self.servers: list[database.DatabaseServer] = []
         options = {"connect_delay_s": 0.0, "demote_delay_s": 0.0} | options
@@ -280,6 +299,27 @@
         self.assertEqual(await cursor.fetchone(), (1,))
 
 
+class PortalTest(unittest.IsolatedAsyncioTestCase):
+    """Execute with a limit on the rows."""
+
+    async def test_suspended_portal(self):
+        runner = executor.Executor(engine.Engine(True), 1, "test", {})
+        portals = extended.Extended(runner)
+        text = "VALUES (1), (2), (3)"
+        execute = wire.cstring("") + struct.pack("!i", 2)
+        tags = []
+        for tag, payload in (
+            (b"P", wire.cstring("") + wire.cstring(text) + b"\0\0"),
+            (b"B", wire.cstring("") * 2 + b"\0" * 6),
+            (b"E", execute),
+            (b"E", execute),
+        ):
+            message = wire.Message(tag, payload)
+            async for part in portals.handle(message):
+                tags.append(part[:1])
+        self.assertEqual(b"".join(tags), b"12DDsDC")
+
+
 class IsolationTest(GroupCase):
     """What sessions see of each other's transactions."""
 
@@ -509,6 +549,71 @@
         return current
 
 
+class HistoryTest(unittest.TestCase):
+    """Forks and truncation, against logs kept as plain lists."""
+
+    steps = st.lists(
+        st.tuples(
+            st.sampled_from(("write", "promote", "follow", "follow")),
+            st.integers(0, 2),
+            st.integers(0, 2),
+            st.integers(0, 4),
+        ),
+        min_size=12,
+        max_size=40,
+    )
+
+    @given(steps)
+    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
+    def test_follower_has_a_prefix_of_its_primary(self, steps):
+        group = [engine.Engine(index == 0) for index in range(3)]
+        naive: list[list[int]] = [[], [], []]
+        for number, (step, one, other, count) in enumerate(steps):
+            data = group[one]
+            if step == "write" and data.is_primary:
+                naive[one].append(number)
+                data.writer.execute("BEGIN")
+                data.commit(0.0, [(f"CREATE TABLE t{number} (n int)", [])])
+            elif step == "promote" and not data.is_primary:
+                highest = max(x.timeline for x in group)
+                data.highest_timeline = highest
+                data.promote()
+                self.assertEqual(data.timeline, highest + 1)
+            elif (
+                step == "follow"
+                and one != other
+                and self.follow(group[other], data, count)
+            ):
+                prefix = os.path.commonprefix([naive[one], naive[other]])
+                naive[other] = naive[one][: len(prefix) + count]
+        for data, expected in zip(group, naive, strict=True):
+            rows = data.committed.execute(
+                "SELECT name FROM sqlite_master ORDER BY rowid"
+            )
+            self.assertEqual([x for (x,) in rows], [f"t{x}" for x in expected])
+            self.assertEqual(len(data.records), len(expected))
+            starts = [x.start_lsn for x in data.history]
+            self.assertEqual(starts, sorted(starts))
+            self.assertEqual(data.history[0], timelines.FIRST)
+
+    def follow(
+        self, follower: engine.Engine, leader: engine.Engine, count: int
+    ) -> bool:
+        """Lets one follow the other for a few records, if it would."""
+        if not leader.is_primary or leader.timeline < follower.timeline:
+            return False
+        if follower.is_primary and leader.timeline == follower.timeline:
+            return False
+        if follower.is_primary:
+            follower.demote()
+        common = timelines.common_lsn(leader.history, follower.history)
+        common = min(follower.lsn, leader.lsn if common is None else common)
+        follower.follow(leader.history, common)
+        for record in leader.records_after(common)[:count]:
+            follower.append(record)
+        return True
+
+
 class FaultTest(GroupCase):
     """Each fault switch."""
 
@@ -554,8 +659,8 @@
         silent, other = await self.connect(), await self.connect()
         await silent.execute("BEGIN; INSERT INTO t VALUES (1)")
         self.assertEqual(self.servers[0].silence(1), 1)
-        answer = asyncio.create_task(silent.execute("SELECT 1"))
         await other.execute("INSERT INTO t VALUES (2)")
+        answer = asyncio.create_task(silent.execute("SELECT 1"))
         self.assertEqual(await self.run_sql("SELECT id FROM t"), [(2,)])
         self.assertFalse(answer.done())
         answer.cancel()
@@ -575,7 +680,12 @@
         await self.start(3)
         await self.run_sql("CREATE TABLE t (id int)")
         await self.caught_up(1)
-        self.servers[0].cut_members([self.servers[1].replication_address])
+        cut = [x.replication.members for x in self.servers[:2]]
+        self.servers[0].cut_members([cut[1].address])
+        with self.assertRaises(members.LOST):
+            await cut[0].poll(cut[1].address)
+        with self.assertRaises(members.LOST):
+            await cut[1].poll(cut[0].address)
         await wait_until(lambda: not self.servers[1].data.is_streaming)
         await self.run_sql("INSERT INTO t VALUES (1)")
         await self.caught_up(2)
