Answer with PostgreSQL's errors where SQLite would go on

SQLite gives NULL for a division by 0, 0 for a text cast to an integer, and goes on in floating point when an integer overflows; a client would have taken these for results.

--- a/src/cuminwall_standins/functions.py
+++ b/src/cuminwall_standins/functions.py
@@ -91,6 +91,17 @@
     return int(value != 0)
 
 
+def _to_int(value: Any) -> int | None:
+    if value is None:
+        return None
+    try:
+        return int(value) if isinstance(value, str) else round(value)
+    except (ValueError, OverflowError) as error:
+        raise errors.SqlError(
+            "22P02", f'invalid input syntax for type integer: "{value}"'
+        ) from error
+
+
 def _to_bytea(value: Any) -> bytes | None:
     return values.parse_bytea(value) if isinstance(value, str) else value
 
@@ -170,6 +181,7 @@
             "current_setting": (-1, self.setting),
             "to_bool": (1, _to_bool),
             "to_bytea": (1, _to_bytea),
+            "to_int": (1, _to_int),
         }
 
 
--- a/src/cuminwall_standins/sql.py
+++ b/src/cuminwall_standins/sql.py
@@ -157,12 +157,27 @@
     for inner in walk(node):
         if inner is not node and isinstance(inner, _CHANGES):
             raise errors.SqlError("0A000", "a writing CTE is not supported")
+        if _divides_by_zero(inner):
+            raise errors.SqlError("22012", "division by zero")
         name = _function_name(inner)
         # A replica runs the same statement, so its result must be the same.
         if kind is Kind.WRITE and name in _VOLATILE:
             raise errors.SqlError("0A000", f"{name}() in a write")
 
 
+@functools.singledispatch
+def _divides_by_zero(node: Any) -> bool:
+    """Returns whether a constant divisor is 0, which gives NULL on SQLite."""
+    return False
+
+
+@_divides_by_zero.register(ast.A_Expr)
+def _(node: Any) -> bool:
+    if node.name[-1].sval not in ("/", "%"):
+        return False
+    return getattr(getattr(node.rexpr, "val", None), "ival", None) == 0
+
+
 @functools.singledispatch
 def _function_name(node: Any) -> str:
     return ""
