--- a/src/cuminwall_standins/database.py
+++ b/src/cuminwall_standins/database.py
@@ -133,8 +133,11 @@
         if self.listener:
             self.listener.close()
         if not abort:
+            error = errors.SqlError(
+                "57P01", "the server is shutting down", "FATAL"
+            )
             for known in self.sessions.values():
-                known.say_goodbye()
+                known.say_goodbye(error)
         tasks = list(self.tasks)
         self.close_clients(abort)
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/cuminwall_standins/members.py
+++ b/src/cuminwall_standins/members.py
@@ -10,7 +10,7 @@
 
 import cbor2
 
-from cuminwall_standins import engine, faults
+from cuminwall_standins import engine, faults, messages
 
 POLL_INTERVAL_S = 0.03
 ANSWER_TIMEOUT_S = 1.0
@@ -34,9 +34,13 @@
 
 
 def write(writer: asyncio.StreamWriter, message: Any) -> None:
-    """Sends a message."""
+    """Sends a message.
+
+    Raises:
+      OSError: The connection is closed.
+    """
     data = cbor2.dumps(message)
-    writer.write(_LENGTH.pack(len(data)) + data)
+    messages.send(writer, _LENGTH.pack(len(data)) + data)
 
 
 class Members:
--- a/src/cuminwall_standins/messages.py
+++ b/src/cuminwall_standins/messages.py
@@ -1,5 +1,6 @@
 """Messages of the extended query protocol as a backend server meets them."""
 
+import asyncio
 import struct
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -105,6 +106,18 @@
     return formats[index] if len(formats) > 1 else formats[0]
 
 
+def send(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Sends bytes on a connection.
+
+    Raises:
+      ConnectionResetError: It is closed, of which asyncio would say nothing
+        and uvloop a RuntimeError.
+    """
+    if writer.is_closing():
+        raise ConnectionResetError("the connection is closed")
+    writer.write(data)
+
+
 def _read_formats(payload: bytes, offset: int) -> tuple[tuple[int, ...], int]:
     (count,) = _unpack("!h", payload, offset)
     formats = _unpack(f"!{count}h", payload, offset + 2)
--- a/src/cuminwall_standins/session.py
+++ b/src/cuminwall_standins/session.py
@@ -81,7 +81,7 @@
             while await self.reader.read(READ_BYTES):
                 continue
         except errors.SqlError as error:
-            self.writer.write(_error(error))
+            self.say_goodbye(error)
         except _LOST as error:
             logger.debug(
                 "session: connection {} ended: {}", self.process_id, error
@@ -125,14 +125,10 @@
         if self.is_idle:
             self.executor.end(is_committed=False)
 
-    def say_goodbye(self) -> None:
-        """Tells the client that the server stops."""
-        error = errors.SqlError(
-            "57P01",
-            "terminating connection due to administrator command",
-            "FATAL",
-        )
-        self.writer.write(_error(error))
+    def say_goodbye(self, error: errors.SqlError) -> None:
+        """Tells the client why its connection ends."""
+        if not self.writer.is_closing():
+            self.writer.write(_error(error))
 
     async def answer_messages(self) -> None:
         """Answers messages until Terminate or the end of the stream."""
@@ -205,7 +201,7 @@
         await self.host.faults.before_answer()
         if self.is_silent:
             raise SilencedError
-        self.writer.write(data)
+        messages.send(self.writer, data)
         await self.writer.drain()
 
     async def on_query(self, payload: bytes) -> None:
--- a/src/cuminwall_standins/startup.py
+++ b/src/cuminwall_standins/startup.py
@@ -53,7 +53,7 @@
         size = wire.parse_startup_length(await reader.readexactly(4))
         packet = wire.parse_startup(await reader.readexactly(size))
         if packet.code in _REFUSED:
-            writer.write(b"N")
+            messages.send(writer, b"N")
             continue
         if packet.code == wire.CANCEL_REQUEST_CODE:
             return Cancel(*wire.parse_cancel(packet.payload))
@@ -75,20 +75,20 @@
     """
     exchange = verifier.start()
     mechanisms = wire.cstring(MECHANISM) + b"\0"
-    writer.write(wire.authentication(_SASL, mechanisms))
+    messages.send(writer, wire.authentication(_SASL, mechanisms))
     try:
         _, first = messages.read_sasl_initial(await _read_password(reader))
         _set_client_first(exchange, first)
         answer = exchange.get_server_first().encode()
-        writer.write(wire.authentication(_SASL_CONTINUE, answer))
+        messages.send(writer, wire.authentication(_SASL_CONTINUE, answer))
         exchange.set_client_final((await _read_password(reader)).decode())
         answer = exchange.get_server_final().encode()
     except scramp.ScramException as error:
         raise _refused(user) from error
     if user != verifier.user:
         raise _refused(user)
-    writer.write(wire.authentication(_SASL_FINAL, answer))
-    writer.write(wire.authentication(0))
+    messages.send(writer, wire.authentication(_SASL_FINAL, answer))
+    messages.send(writer, wire.authentication(0))
 
 
 def _set_client_first(exchange: scramp.core.ScramServer, first: str) -> None:
--- a/tests/test_standin_database.py
+++ b/tests/test_standin_database.py
@@ -15,6 +15,7 @@
 import asyncpg
 import pg8000.native
 import psycopg
+import uvloop
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loguru import logger
@@ -478,6 +479,20 @@
         self.assertEqual(old.data.timeline, 1)
 
 
+class UvloopPromotionTest(PromotionTest):
+    """The same on uvloop, which treats closed connections differently."""
+
+    @classmethod
+    def setUpClass(cls):
+        # Read when the loop is made; the product may use no io_uring.
+        os.environ["UV_USE_IO_URING"] = "0"
+        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+
+    @classmethod
+    def tearDownClass(cls):
+        asyncio.set_event_loop_policy(None)
+
+
 class LogTest(unittest.IsolatedAsyncioTestCase):
     """The log replayed elsewhere, against a naive copy of the table."""
 
@@ -717,7 +732,7 @@
             "-m",
             "cuminwall_standins.database",
             "--primary",
-            env=os.environ,
+            env=dict(os.environ),
             stdout=asyncio.subprocess.PIPE,
         )
         try:
