Judge a new primary by newer probes only, and floors by own writes

Cause 1: right after a promotion the steward still held reports whose probes found the new primary in recovery, took it as failed and promoted another replica with a lower position. Ruled out: lease checks (no acknowledgement came after the fence) and the choice of the highest position (right both times).

Cause 2: a read on the primary raised the session's floor to the primary's position, which kept the session there while others wrote. A session may now see an older state after a read on the primary, never one without its own writes.

--- a/src/cuminwall/failover.py
+++ b/src/cuminwall/failover.py
@@ -175,7 +175,7 @@
             continue
         if _is_serving_primary(lent):
             serving.add(lent.zone)
-        else:
+        elif not lent.report.reachable or _is_newer(charge, lent):
             failing.add(lent.zone)
     failing -= serving
     needed = min(MIN_ZONES, _home_zone_count(state, charge.service))
@@ -187,6 +187,14 @@
     return lent.report.reachable and not lent.report.in_recovery
 
 
+def _is_newer(charge: Charge, lent: Lent) -> bool:
+    """Returns whether a report's probe came after the term was confirmed.
+
+    An older probe of the new primary finds it in recovery still.
+    """
+    return lent.received_at - lent.report.age_s > charge.confirmed_at
+
+
 def _home_zone_count(state: State, service: str) -> int:
     """Returns how many zones have homes of a service, at least 1."""
     zones = set()
@@ -631,6 +639,7 @@
         text = f"{charge.service} term {newest.term}: {newest.primary} leads"
         out.append(Log(PREFIX, text))
         charge.change = None
+        charge.confirmed_at = state.now
         charge.loans.clear()
         return
     change = charge.change
--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -426,10 +426,16 @@
 def _floor_after(
     job: Job, result: work.ServerResult, failure: outcomes.Failure | None
 ) -> work.Position | None:
-    """Returns the session's floor after a job, or None if unchanged."""
+    """Returns the session's floor after a job, or None if unchanged.
+
+    A read on the primary leaves the floor where it is. Raised to the primary's
+    position, it would keep the session off the replicas for as long as others
+    write.
+    """
     if failure is not None:
         return None
-    if job.as_primary and result.lsn:
+    wrote = job.order.access == work.Access.WRITE or job.wrote
+    if wrote and result.lsn:
         return work.Position(job.term, result.lsn)
     if job.order.floor is None:
         return job.floor
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -331,6 +331,7 @@
       reports: The newest report by home and server.
       change: The change of primary under way, or None.
       swapping: Whether an answer about the record is awaited.
+      confirmed_at: When the newest term was confirmed here.
     """
 
     __slots__ = (
@@ -341,6 +342,7 @@
         "reports",
         "change",
         "swapping",
+        "confirmed_at",
     )
 
     def __init__(self, service: str):
@@ -351,6 +353,7 @@
         self.reports: dict[tuple[str, str], Lent] = {}
         self.change: Change | None = None
         self.swapping = False
+        self.confirmed_at = leases.NEVER
 
 
 class Stewardship:
