Probe replicas out of turn while writes wait for one

Cause: after the first probe a waiting write was looked at again only at the next regular one. Hurried probes keep a pause of 10 ms.

--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -148,6 +148,8 @@
             continue
         _answer(state, job, answer, out)
     group.unconfirmed = left
+    if left:
+        _probe_replicas(group, out)
 
 
 def start_queued(
@@ -471,6 +473,11 @@
     job.answer = answer
     until = state.now + state.times.replica_ack_s
     group.unconfirmed.append((lsn, until, job))
+    _probe_replicas(group, out)
+
+
+def _probe_replicas(group: Group, out: list[Effect]) -> None:
+    """Probes the replicas out of turn, for the writes that wait for one."""
     for server in group.servers.values():
         if server is not group.primary and server.reachable:
             out.append(Probe(group.service, server.name))
--- a/src/cuminwall/prober.py
+++ b/src/cuminwall/prober.py
@@ -19,6 +19,7 @@
 
 PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.5
+MIN_PAUSE_S = 0.01
 
 
 class ProbeFailureReason(enum.Enum):
@@ -119,6 +120,8 @@
                 sent_at, answer = await probed.probe()
                 self.report(probed.target.name, sent_at, answer)
                 passed_s = time.monotonic() - started_at
+                # Hurried probes come one by one, and not without a pause.
+                await asyncio.sleep(max(0.0, MIN_PAUSE_S - passed_s))
                 await probed.wait(max(0.0, self.interval_s - passed_s))
         finally:
             await probed.close()
--- a/tests/world.py
+++ b/tests/world.py
@@ -32,6 +32,7 @@
 TIMELINE_START = 1
 BASE_LSN = 1000
 PROBE_DEAD_S = 0.3
+PROBE_PAUSE_S = 0.01
 
 
 class FakeServer:
@@ -296,7 +297,7 @@
         self.requests: dict[tuple[str, int], Request] = {}
         self.shown: dict[tuple[str, int], list[str]] = {}
         self.refused_writes: list[str] = []
-        self.counter = 0
+        self.probing_until: dict[tuple[str, str, str], float] = {}
         self.put_config(1, config)
         for zone, count in zones.items():
             for place in range(count):
@@ -460,7 +461,19 @@
         self.at(LIST_INTERVAL_S, lambda: self._list(node))
 
     def probe(self, node: Node, service: str, name: str) -> None:
-        """Probes a server for a node."""
+        """Probes a server for a node, after a pause since the last time."""
+        place = (node.name, service, name)
+        wait_s = self.probing_until.get(place, 0.0) - self.now
+        if wait_s > PROBE_PAUSE_S:
+            return
+        if wait_s > 0:
+            self.probing_until[place] += PROBE_PAUSE_S
+            self.at(wait_s, lambda: self._probe(node, service, name))
+            return
+        self.probing_until[place] = self.now + PROBE_PAUSE_S
+        self._probe(node, service, name)
+
+    def _probe(self, node: Node, service: str, name: str) -> None:
         server = self.groups[service].servers[name]
         sent_at = self.now
         is_there = server.is_alive and self.joined(node.zone, server.zone)
