Judge a position by every later fork, not only the next

Cause: a term may leave the history at a lower position than the term before it did (the only replica in reach was further behind). is_on_history and is_floor_lost looked at the next fork alone, so a replica that held a left-out tail was read, and a session whose write was lost was answered in silence. Ruled out: keeping forks monotonic in the record; the lower one is the truth.

--- a/src/cuminwall/groups.py
+++ b/src/cuminwall/groups.py
@@ -85,12 +85,14 @@
     """Returns whether a position on a timeline is part of the history."""
     if group.record is None:
         return False
-    newer_fork: int | None = None
+    lowest_fork: int | None = None
     for entry in reversed(group.record.terms):
         if entry.timeline == timeline:
-            return newer_fork is None or lsn <= newer_fork
-        if entry.timeline:
-            newer_fork = entry.fork_lsn
+            return lowest_fork is None or lsn <= lowest_fork
+        if not entry.timeline:
+            continue
+        if lowest_fork is None or entry.fork_lsn < lowest_fork:
+            lowest_fork = entry.fork_lsn
     return False
 
 
@@ -99,8 +101,10 @@
     if group.record is None:
         return False
     for entry in group.record.terms:
-        if entry.term > floor.term and entry.timeline:
-            return floor.lsn > entry.fork_lsn
+        if entry.term <= floor.term or not entry.timeline:
+            continue
+        if floor.lsn > entry.fork_lsn:
+            return True
     return False
 
 
--- /dev/null
+++ b/tests/lone.py
@@ -0,0 +1,308 @@
+"""One reducer alone, as a home, an entry instance or a steward."""
+
+from typing import Any
+
+from cuminwall import (
+    configuration,
+    document,
+    effects,
+    events,
+    leases,
+    messages,
+    outcomes,
+    ports,
+    probes,
+    reducer,
+    state,
+    timings,
+    work,
+)
+
+NOW = 100.0
+TIMES = timings.DEFAULTS
+ZONES = ("a", "b", "c")
+SERVERS = ("sa", "sb", "sc")
+FIRST = messages.TermEntry(1, "sa", 1, 0)
+RECORD = messages.GroupRecord("ledger", True, (FIRST,))
+
+
+def make_document(**changes: Any) -> document.Document:
+    """Returns a document of three zones and the service "ledger"."""
+    servers = {}
+    for zone in ZONES:
+        servers[f"s{zone}"] = {"host": "h", "port": 1, "zone": zone}
+    value = {
+        "zones": {zone: {} for zone in ZONES},
+        "workspaces": {"clerks": {"rate": 1000, "burst": 1000}},
+        "services": {
+            "ledger": {
+                "servers": servers,
+                "database": "ledger",
+                "user": "u",
+                "connections_per_server": 20,
+                "acknowledge": changes.pop("acknowledge", "primary"),
+            }
+        },
+        "keys": {"key": {"workspace": "clerks", "verifier": "v"}},
+    }
+    value.update(changes)
+    return document.normalize(value)
+
+
+def make_config(
+    version: int = 1, **changes: Any
+) -> configuration.Configuration:
+    """Returns a configuration in force."""
+    return configuration.parse(make_document(**changes), version)
+
+
+def zones_without(zone: str) -> dict[str, dict]:
+    """Returns the zones of a document with one taken out."""
+    zones: dict[str, dict] = {name: {} for name in ZONES}
+    zones[zone] = {"state": "out"}
+    return zones
+
+
+def record(*terms: tuple[int, str, int, int], active: bool = True) -> Any:
+    """Returns a group record from plain terms."""
+    entries = tuple(messages.TermEntry(*term) for term in terms)
+    return messages.GroupRecord("ledger", active, entries)
+
+
+class Lone:
+    """A reducer that knows three instances and the service "ledger".
+
+    Attributes:
+      state: Its state.
+      now: The clock; the test moves it.
+    """
+
+    def __init__(self, instance: str = "a-0", **changes: Any):
+        zone = instance[0]
+        self.now = NOW
+        self.state = state.State(instance, zone, TIMES, 1, NOW - 60.0)
+        self.state.now = NOW
+        self.state.fresh_until = NOW + 1000.0
+        shard = messages.ShardRecord(0, 1, "b-0", ("a-0", "c-0"), True, 5)
+        self.state.shards[0] = shard
+        self.list_instances("a-0", "b-0", "c-0")
+        self.load(1, **changes)
+
+    def reduce(self, make: Any, *fields: Any) -> list[Any]:
+        """Feeds an event and returns its effects, the log lines left out."""
+        found = reducer.reduce(self.state, make(self.now, *fields))
+        return [item for item in found if not isinstance(item, effects.Log)]
+
+    def hear(self, sender: str, message: Any) -> list[Any]:
+        """Feeds a peer's message."""
+        return self.reduce(events.PeerSaid, sender, message)
+
+    def tick(self, after_s: float = 0.0) -> list[Any]:
+        """Lets time go on."""
+        self.now += after_s
+        return self.reduce(events.Tick)
+
+    def load(self, version: int, **changes: Any) -> list[Any]:
+        """Puts a configuration in force."""
+        return self.reduce(events.ConfigLoaded, make_config(version, **changes))
+
+    def list_instances(self, *names: str, leaving: str = "") -> list[Any]:
+        """Shows the instance list."""
+        records = []
+        for name in names:
+            line = ports.InstanceRecord(name, name[0], "", 0, name == leaving)
+            records.append(line)
+        return self.reduce(events.InstancesListed, tuple(records))
+
+    @property
+    def group(self) -> state.Group:
+        """The group that it is a home of."""
+        return self.state.groups["ledger"]
+
+    def probe(
+        self,
+        server: str,
+        lsn: int,
+        in_recovery: bool = True,
+        timeline: int = 1,
+    ) -> list[Any]:
+        """Shows an answered probe that was sent just now."""
+        answer = probes.ProbeAnswer(in_recovery, lsn, timeline)
+        return self.reduce(
+            events.ServerProbed, "ledger", server, self.now, answer
+        )
+
+    def lose(self, server: str) -> list[Any]:
+        """Shows a probe without answer."""
+        return self.reduce(
+            events.ServerProbed, "ledger", server, self.now, outcomes.NO_SERVER
+        )
+
+    def lend(self, term: int = 1, until: float = NOW + 1000.0) -> None:
+        """Lends the write lease of a term."""
+        self.group.lease_term = term
+        self.group.lease_until = until
+
+    def arrive(self, number: int, **fields: Any) -> list[Any]:
+        """Brings a round of the entry instance b-0 to this home."""
+        key = work.WorkKey("b-0", number)
+        return self.reduce(events.WorkArrived, key, order(**fields))
+
+    def ran(self, number: int, **fields: Any) -> list[Any]:
+        """Brings a backend server's answer."""
+        key = work.WorkKey("b-0", number)
+        return self.reduce(events.WorkRan, key, result(**fields))
+
+    def open(self, number: int = 7, **fields: Any) -> Any:
+        """Opens a session; returns the failure or None."""
+        values = {
+            "service": "ledger",
+            "key_id": "key",
+            "workspace": "clerks",
+            "token": "",
+            "client": "test",
+        }
+        values.update(fields)
+        login = work.Login(**values)
+        found = self.reduce(events.SessionOpened, number, login)
+        return only(found, effects.Reject, effects.Admit)
+
+    def send(self, number: int, session: int = 7, **fields: Any) -> list[Any]:
+        """Sends a round of a caller here."""
+        access = fields.get("access", work.Access.READ)
+        return self.reduce(
+            events.RoundArrived,
+            session,
+            number,
+            access,
+            fields.get("begins", False),
+            fields.get("ends", False),
+            None,
+            fields.get("tables", ()),
+        )
+
+
+def make_home(term_record: Any = RECORD, **changes: Any) -> Lone:
+    """Returns a home with a lease, whose servers all stand at 1000."""
+    lone = Lone(**changes)
+    lone.hear("b-0", messages.RecordNews(term_record))
+    lone.lend(term_record.terms[-1].term)
+    primary = term_record.terms[-1].primary
+    timeline = term_record.terms[-1].timeline
+    for server in SERVERS:
+        lone.probe(server, 1000, server != primary, timeline)
+    return lone
+
+
+def order(**fields: Any) -> work.WorkOrder:
+    """Returns an order of a write, with the given fields changed."""
+    values: dict[str, Any] = {
+        "service": "ledger",
+        "workspace": "clerks",
+        "session": 7,
+        "access": work.Access.WRITE,
+        "begins": False,
+        "ends_transaction": False,
+        "pinned": False,
+        "floor": None,
+        "max_age_s": None,
+        "config_version": 1,
+    }
+    values.update(fields)
+    return work.WorkOrder(**values)
+
+
+def result(**fields: Any) -> work.ServerResult:
+    """Returns a server's success, with the given fields changed."""
+    values: dict[str, Any] = {
+        "status": b"I",
+        "loss": work.Loss.NONE,
+        "delivered": False,
+        "errored": False,
+        "in_recovery": False,
+        "lsn": 1001,
+    }
+    values.update(fields)
+    return work.ServerResult(**values)
+
+
+def find(found: list[Any], *types: type) -> list[Any]:
+    """Returns the effects of the given types."""
+    return [item for item in found if isinstance(item, types)]
+
+
+def only(found: list[Any], *types: type) -> Any:
+    """Returns the single effect of the given types."""
+    (item,) = find(found, *types)
+    return item
+
+
+def said(found: list[Any], type_: type) -> list[Any]:
+    """Returns who is sent which message of a type."""
+    pairs = []
+    for item in find(found, effects.Say):
+        if isinstance(item.message, type_):
+            pairs.append((item.instance, item.message))
+    return pairs
+
+
+def answer_of(found: list[Any]) -> work.WorkAnswer:
+    """Returns the answer to the single round that ended."""
+    return only(found, effects.Answer).answer
+
+
+def make_steward(term_record: Any = RECORD) -> Lone:
+    """Returns the instance b-0 as the steward of "ledger"."""
+    lone = Lone("b-0")
+    hold = lone.state.stewardships[0] = state.Stewardship(0)
+    hold.active = True
+    hold.epoch = 1
+    hold.lease_id = 9
+    hold.valid_until = NOW + 1000.0
+    hold.renewed_at = NOW
+    hold.record = {
+        "shard": 0,
+        "epoch": 1,
+        "steward": "b-0",
+        "successors": ["a-0", "c-0"],
+        "write_id": "b-0:1",
+    }
+    charge = hold.charges["ledger"] = state.Charge("ledger")
+    charge.record = term_record
+    charge.revision = 4
+    return lone
+
+
+def report(
+    server: str,
+    reachable: bool = True,
+    lsn: int = 1000,
+    primary: bool = False,
+    timeline: int = 1,
+) -> messages.ServerReport:
+    """Returns a home's report of a server."""
+    return messages.ServerReport(
+        "ledger", server, reachable, not primary, timeline, lsn, 0.0
+    )
+
+
+def tell(
+    steward: Lone,
+    home: str,
+    *reports: messages.ServerReport,
+    number: int = 1,
+) -> list[Any]:
+    """Sends a steward an ask of a home with its reports."""
+    known = ((("ledger", 1, True)),)
+    ask = messages.LeaseAsk(number, 0, home[0], known, tuple(reports))
+    return steward.hear(home, ask)
+
+
+def granted_s(found: list[Any]) -> float:
+    """Returns the length of the lease in the single answer of a steward."""
+    ((_, answer),) = said(found, messages.LeaseAnswer)
+    (grant,) = answer.grants
+    return grant.duration_s
+
+
+LONG_AGO = leases.NEVER
