Don't acknowledge a COMMIT of a replaced primary

Cause: a COMMIT is by itself a READ, and a round of an open transaction counted on the primary's lease only if it was a write or if the server was still the primary in the record. After a change of primary the old one's answer to COMMIT was therefore passed on as a success, and without waiting for a replica. The hold now remembers whether it began on the primary. Ruled out: classing COMMIT as a write; a read-only transaction on a replica would end in an error.

--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -72,7 +72,9 @@
         in_transaction = False
     if in_transaction:
         wrote = job.order.access == work.Access.WRITE or job.wrote
-        state.pins[pin] = Pin(group.service, job.server, job.term, wrote)
+        state.pins[pin] = Pin(
+            group.service, job.server, job.term, wrote, job.as_primary
+        )
     else:
         _leave_server(state, group, server, pin, out)
         if failure is not None:
@@ -296,7 +298,9 @@
     job.server = server.name
     job.attempts += 1
     pin = (job.key.origin, job.order.session)
-    state.pins[pin] = Pin(group.service, server.name, job.term, False)
+    state.pins[pin] = Pin(
+        group.service, server.name, job.term, False, job.as_primary
+    )
     out.append(_execute(group, job, pin))
     role = "primary" if job.as_primary else "replica"
     text = f"{group.service} {job.key.number} goes to {role} {server.name}"
@@ -318,10 +322,8 @@
     job.server = held.server
     job.term = held.term
     job.wrote = held.wrote
-    primary = group.primary
-    job.as_primary = primary is not None and primary.name == job.server
-    if job.order.access == work.Access.WRITE:
-        job.as_primary = True
+    # A COMMIT is no write by itself, so what counts is how the hold began.
+    job.as_primary = held.as_primary or job.order.access == work.Access.WRITE
     job.attempts += 1
     out.append(_execute(group, job, pin))
 
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -128,12 +128,14 @@
       server: The id of the backend server.
       term: The group's term when the hold began.
       wrote: Whether its transaction has written.
+      as_primary: Whether it counts on the server being primary.
     """
 
     service: str
     server: str
     term: int
     wrote: bool
+    as_primary: bool
 
 
 class Server:
