Call a lost COMMIT's outcome unknown when its home goes silent

Cause: the entry instance took the COMMIT for a read and told the caller that it failed without effect, although it may have committed a payment. A round of an open transaction that was not sent is now told as a lost transaction. Before: tests.test_sessions.HomeLostTest one failure; after: none.

--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -160,10 +160,11 @@
     if session is not None:
         session.home = ""
     failure = outcomes.ANSWER_LOST
-    if is_read:
-        failure = outcomes.READ_ANSWER_LOST
-    elif pinned and not sent:
+    if pinned and not sent:
         failure = outcomes.TRANSACTION_LOST
+    elif is_read and not pinned:
+        # In a transaction it may have been the COMMIT of a write.
+        failure = outcomes.READ_ANSWER_LOST
     _end(state, number, pending, failure, out)
 
 
