End the queue of a primary that is taken out

Cause: a queued job of a primary taken out no longer fitted there, was placed again, and came back to the same queue, as placing does not ask whether the primary is out. With two jobs in the queue the loop never ended. A queued job for the primary is now judged by the conditions of placing it. Before: tests.test_jobs.QueueTest .test_a_queue_of_a_primary_that_is_taken_out_comes_to_an_end used up 6 s of processor time and was killed; after: it passes.

--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -346,10 +346,9 @@
 
 def _still_fits(state: State, group: Group, server: Server, job: Job) -> bool:
     """Returns whether a queued job may still run on the server."""
-    if not server.reachable or server.out:
-        return False
     if job.as_primary:
-        return groups.is_lease_valid(state, group, job.term)
+        # The same conditions as for placing it, or it would come back here.
+        return _choose_for_write(state, group, job) is server
     return groups.is_usable(group, server) and _may_show(
         state, group, job, server
     )
