Refuse what waits at a home when its round is canceled

Cause: a cancel reached only what ran on a server. A round of a withdrawn key that waited for a primary ran when one came back, up to park_s later. What waits is now refused as canceled, which is true: nothing was sent. A round dropped while it waited gives up its place in the engine's tables, too.

--- a/src/cuminwall/engine.py
+++ b/src/cuminwall/engine.py
@@ -195,10 +195,15 @@
         pending = self.state.pending.get(found.running)
         home = pending.home if pending else found.home
         if home == self.state.instance:
-            await self.executor.cancel((home, session))
+            await self.cancel_here((home, session))
         elif home:
             await self.forwarder.tell(home, frames.Cancel(session))
 
+    async def cancel_here(self, pin: tuple[str, int]) -> None:
+        """Cancels what runs or waits at this home for a session."""
+        self.feed(events.CancelAsked(time.monotonic(), pin))
+        await self.executor.cancel(pin)
+
     async def close_session(self, session: int) -> None:
         """Ends a session and rolls back its open transaction."""
         self.feed(events.SessionClosed(time.monotonic(), session))
@@ -291,7 +296,7 @@
 @receive.register
 def _(frame: frames.Cancel, engine: Engine, link: links.Link) -> None:
     pin = (link.peer.instance, frame.session)
-    engine.spawn(engine.executor.cancel(pin))
+    engine.spawn(engine.cancel_here(pin))
 
 
 @receive.register
--- a/src/cuminwall/events.py
+++ b/src/cuminwall/events.py
@@ -135,6 +135,13 @@
     key: work.WorkKey
 
 
+class CancelAsked(NamedTuple):
+    """What runs or waits for a session shall be canceled."""
+
+    now: float
+    pin: tuple[str, int]
+
+
 class PinReleased(NamedTuple):
     """A session of an entry instance is gone; its transaction ends here."""
 
@@ -230,6 +237,7 @@
     | WorkArrived
     | WorkRan
     | WorkAbandoned
+    | CancelAsked
     | PinReleased
     | OriginLost
     | WorkAnswered
--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -94,14 +94,28 @@
     if job is None:
         return
     job.abandoned = True
-    group = state.groups.get(job.order.service)
-    if group is None or job.server:
-        return
+    if not job.server:
+        _drop_waiting(state, job, out)
+
+
+def cancel_waiting(
+    state: State, pin: tuple[str, int], out: list[Effect]
+) -> None:
+    """Refuses what waits here for a session and was not sent to a server."""
+    for job in list(state.jobs.values()):
+        if (job.key.origin, job.order.session) != pin or job.server:
+            continue
+        _drop_waiting(state, job, out)
+
+
+def _drop_waiting(state: State, job: Job, out: list[Effect]) -> None:
+    """Takes a job out of whatever it waits in and refuses it."""
+    group = state.groups[job.order.service]
     if job in group.parked:
         group.parked.remove(job)
     for server in group.servers.values():
         server.queue.remove(job.order.workspace, job)
-    del state.jobs[key]
+    _finish(state, job, outcomes.CANCELED, out)
 
 
 def release(state: State, pin: tuple[str, int], out: list[Effect]) -> None:
--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -96,6 +96,11 @@
     jobs.abandon(state, event.key, out)
 
 
+@handle.register
+def _(event: events.CancelAsked, state: State, out: list[Effect]) -> None:
+    jobs.cancel_waiting(state, event.pin, out)
+
+
 @handle.register
 def _(event: events.PinReleased, state: State, out: list[Effect]) -> None:
     jobs.release_session(state, event.pin, out)
