Send a round on when a home no longer serves its database

Cause: a home that leaves or whose zone is taken out answers NO_HOME to rounds of instances that don't know it yet, and the caller was refused although other homes serve. Nothing ran, so the round goes to the next one; each is tried once. Before: tests.test_sessions.HomeLostTest one failure; after: none.

--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -128,9 +128,16 @@
     state: State, number: int, answer: work.WorkAnswer, out: list[Effect]
 ) -> None:
     """Ends a round with its home's answer."""
-    pending = state.pending.pop(number, None)
+    pending = state.pending.get(number)
     if pending is None:
         return
+    if answer.failure is outcomes.NO_HOME and not pending.order.pinned:
+        # That instance serves the database no more; nothing ran there.
+        membership.pass_over(state, pending.home)
+        pending.home = ""
+        send(state, number, pending, out)
+        return
+    del state.pending[number]
     session = state.sessions.get(pending.session)
     if session is None:
         return
