Let callers without a key read open tables only

Cause: a caller on an open route was held to reads, but not to the tables that the route names: has_open_route decided on admission and is_open was asked by nobody, so one open table opened its whole service to everybody. A read of unknown tables is refused too, but for rounds of an open transaction that name none.

--- a/src/cuminwall/outcomes.py
+++ b/src/cuminwall/outcomes.py
@@ -75,6 +75,12 @@
     "not run: the key is withdrawn; the open transaction is rolled back",
     True,
 )
+KEY_NEEDED = Failure(
+    Kind.NOT_RUN,
+    "key_needed",
+    "42501",
+    "not run: this may not be read without a key",
+)
 KEYS_NOT_CURRENT = Failure(
     Kind.NOT_RUN,
     "keys_not_current",
--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -65,9 +65,8 @@
         max_age_s,
         state.config.version,
     )
-    is_request = not event.ends_transaction
     sessions.round_arrived(
-        state, event.session, event.number, order, is_request, out
+        state, event.session, event.number, order, event.tables, out
     )
 
 
--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -68,7 +68,7 @@
     session_number: int,
     number: int,
     order: work.WorkOrder,
-    is_request: bool,
+    tables: tuple[str, ...],
     out: list[Effect],
 ) -> None:
     """Checks a round and sends it to a home.
@@ -78,20 +78,21 @@
       session_number: The caller's session.
       number: The work's number on this instance.
       order: What the engine knows; key, floor and home are filled in here.
-      is_request: Whether it counts against the rate.
+      tables: The tables read; empty if unknown.
       out: Takes the effects.
     """
     session = state.sessions.get(session_number)
     if session is None:
         _refuse(number, IDLE, outcomes.SHUTTING_DOWN, out)
         return
-    failure = check_round(state, session, order)
+    failure = check_round(state, session, order, tables)
     if failure is not None:
         _refuse_checked(session, number, failure, out)
         return
     pending = Pending(
         session_number, _complete_order(state, session, order), state.now
     )
+    is_request = not order.ends_transaction
     if is_request and not rates.take(state, session.login.workspace, number):
         _refuse_checked(session, number, outcomes.RATE_EXCEEDED, out)
         return
@@ -212,7 +213,10 @@
 
 
 def check_round(
-    state: State, session: Session, order: work.WorkOrder
+    state: State,
+    session: Session,
+    order: work.WorkOrder,
+    tables: tuple[str, ...],
 ) -> outcomes.Failure | None:
     """Returns why a round must not run, or None."""
     failure = _check_key(state, session.login)
@@ -220,8 +224,10 @@
         if session.home and failure is outcomes.KEY_WITHDRAWN:
             return outcomes.KEY_WITHDRAWN_IN_TRANSACTION
         return failure
-    if not session.login.key_id and order.access != work.Access.READ:
-        return outcomes.NOT_CARRIED
+    if not session.login.key_id:
+        failure = _check_open(state, session, order, tables)
+        if failure is not None:
+            return failure
     if session.home:
         return None
     return _standing_failure(state, session)
@@ -274,6 +280,22 @@
     return None
 
 
+def _check_open(
+    state: State,
+    session: Session,
+    order: work.WorkOrder,
+    tables: tuple[str, ...],
+) -> outcomes.Failure | None:
+    """Returns why a round of a caller without key must not run, or None."""
+    if order.access != work.Access.READ:
+        return outcomes.NOT_CARRIED
+    if not tables and (order.ends_transaction or session.home):
+        return None
+    if not state.config.is_open(session.login.service, tables):
+        return outcomes.KEY_NEEDED
+    return None
+
+
 def _standing_failure(
     state: State, session: Session
 ) -> outcomes.Failure | None:
