Don't take a fork from a position behind it

Cause: when a promotion was seen in the reports of homes before the home that ordered it had told its fork, the newest position of the promoted server was recorded as the fork. A promotion writes to the log by itself, so a session whose write was lost in that stretch would have been answered in silence, and a replica with the lost tail would have been read. The position at the choice now stands in the unconfirmed term and is used if the report stays out for promote_s. It may only be too low, which tells a floor as lost too often. Ruled out: asking a server for its fork later; it may have been restarted.

--- a/src/cuminwall/failover.py
+++ b/src/cuminwall/failover.py
@@ -262,10 +262,9 @@
         # Servers that failed before may have come back.
         change.failed.clear()
         return
-    server, lsn = best
-    if change.planned and not _has_caught_up(state, charge, change, lsn):
+    if change.planned and not _has_caught_up(state, charge, change, best[1]):
         return
-    _agree(state, hold, charge, change, server, out)
+    _agree(state, hold, charge, change, best, out)
 
 
 def _is_still_due(state: State, charge: Charge, change: Change) -> bool:
@@ -282,11 +281,15 @@
     hold: Stewardship,
     charge: Charge,
     change: Change,
-    server: str,
+    best: tuple[str, int],
     out: list[Effect],
 ) -> None:
-    """Writes the new term, not yet confirmed, to the store."""
+    """Writes the new term, not yet confirmed, to the store.
+
+    The server's position at the choice stands as its fork until that is known.
+    """
     assert charge.record is not None
+    server, lsn = best
     change.server = server
     change.phase = Phase.AGREEING
     change.since = state.now
@@ -294,7 +297,7 @@
     kept = charge.record.terms
     if not charge.record.active:
         kept = kept[:-1]
-    entry = messages.TermEntry(newest.term + 1, server, 0, 0)
+    entry = messages.TermEntry(newest.term + 1, server, 0, lsn)
     terms = (*kept, entry)[-KEPT_TERMS:]
     record = messages.GroupRecord(charge.service, False, terms)
     text = f"{charge.service} term {entry.term}: choosing {server}"
@@ -420,6 +423,8 @@
     assert charge.record is not None
     if charge.record.active or len(charge.record.terms) < 2:
         return False
+    if _is_report_due(state, change):
+        return False
     newest = charge.record.terms[-1]
     former = charge.record.terms[-2].timeline
     for (_, server), lent in charges.fresh_reports(
@@ -428,18 +433,21 @@
         if server != newest.primary or not _is_serving_primary(lent):
             continue
         if lent.report.timeline > former:
-            _confirm(
-                state,
-                hold,
-                charge,
-                lent.report.timeline,
-                lent.report.lsn,
-                out,
-            )
+            # The report shows a position behind the fork, which would hide
+            # lost writes; the one at the choice may only be too low.
+            timeline = lent.report.timeline
+            _confirm(state, hold, charge, timeline, newest.fork_lsn, out)
             return True
     return False
 
 
+def _is_report_due(state: State, change: Change) -> bool:
+    """Returns whether the home that promotes may still tell the fork."""
+    if change.phase is not Phase.PROMOTING or not change.home:
+        return False
+    return state.now - change.since < state.times.promote_s
+
+
 def _order(
     state: State, charge: Charge, change: Change, out: list[Effect]
 ) -> None:
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,471 @@
+"""A change of primary, step by step, at its steward."""
+
+import unittest
+
+from cuminwall import (
+    calls,
+    charges,
+    effects,
+    events,
+    messages,
+    ports,
+    probes,
+    state,
+)
+from cuminwall.failover import Phase
+from tests import lone
+
+AGREED = lone.record((1, "sa", 1, 0), (2, "sb", 0, 990), active=False)
+UP = (lone.report("sa", primary=True), lone.report("sb"), lone.report("sc"))
+DOWN = (
+    lone.report("sa", reachable=False),
+    lone.report("sb", lsn=990),
+    lone.report("sc", lsn=980),
+)
+
+
+class StewardCase(unittest.TestCase):
+    """The steward of "ledger", whose primary is "sa"."""
+
+    record = lone.RECORD
+
+    def setUp(self):
+        self.steward = lone.make_steward(self.record)
+        self.hold = self.steward.state.stewardships[0]
+        self.charge = self.hold.charges["ledger"]
+
+    def tell_all(self, *reports, homes=("a-0", "b-0", "c-0")):
+        for home in homes:
+            lone.tell(self.steward, home, *reports)
+
+    def tick(self, after_s=0.1):
+        return self.steward.tick(after_s)
+
+    @property
+    def phase(self):
+        return self.charge.change.phase if self.charge.change else None
+
+    def fence(self):
+        """Goes on until nobody holds a lease any more."""
+        self.tell_all(*DOWN)
+        self.tick()
+        self.charge.loans.clear()
+        self.tick()
+        self.assertIs(self.phase, Phase.CHOOSING)
+
+    def agree(self):
+        """Goes on to the write of the new term and returns it."""
+        self.fence()
+        self.tell_all(*DOWN)
+        return lone.only(self.tick(), effects.SwapValue)
+
+    def answer(self, call, value):
+        return self.steward.reduce(
+            events.StoreAnswered, call.call, self.steward.now, value
+        )
+
+    def promote(self):
+        """Goes on to the order to promote; returns home and order."""
+        found = self.answer(self.agree(), ports.Swapped(5))
+        ((home, order),) = lone.said(found, messages.PromoteOrder)
+        return home, order
+
+    def ask_permit(self, home, server="sb", term=2):
+        ask = messages.PermitAsk(3, 0, "ledger", server, term)
+        found = self.steward.hear(home, ask)
+        return lone.said(found, messages.PermitGrant)
+
+    def report_done(self, server="sb", term=2, done=True, fork=995):
+        report = messages.PromoteReport(
+            0, "ledger", server, term, done, 2, fork
+        )
+        return self.steward.hear("b-0", report)
+
+
+class SuspicionTest(StewardCase):
+    """When a primary counts as failed."""
+
+    def test_failures_seen_from_two_zones_begin_a_change(self):
+        self.tell_all(*DOWN, homes=("a-0", "c-0"))
+        self.tick()
+        self.assertIs(self.phase, Phase.FENCING)
+
+    def test_failures_seen_from_one_zone_do_not(self):
+        self.tell_all(*UP, homes=("b-0", "c-0"))
+        self.tell_all(*DOWN, homes=("a-0",))
+        self.tick()
+        self.assertIsNone(self.phase)
+
+    def test_failures_seen_by_one_home_of_a_zone_do_not(self):
+        self.tell_all(*UP, homes=("b-0", "c-0"))
+        self.tell_all(*DOWN, homes=("a-0", "a-1"))
+        self.tick()
+        self.assertIsNone(self.phase)
+
+    def test_an_even_split_does_not(self):
+        self.steward.list_instances("a-0", "b-0", "c-0", "d-0")
+        self.tell_all(*UP, homes=("b-0", "c-0"))
+        self.tell_all(*DOWN, homes=("a-0", "d-0"))
+        self.tick()
+        self.assertIsNone(self.phase)
+
+    def test_old_reports_do_not_count(self):
+        self.tell_all(*DOWN, homes=("a-0",))
+        self.tick(lone.TIMES.report_age_s + 0.1)
+        self.tell_all(*DOWN, homes=("c-0",))
+        self.tick()
+        self.assertIsNone(self.phase)
+
+    def test_a_primary_that_says_it_is_a_replica_has_failed(self):
+        self.tell_all(lone.report("sa"), lone.report("sb"), lone.report("sc"))
+        self.tick()
+        self.assertIs(self.phase, Phase.FENCING)
+
+    def test_a_primary_taken_out_is_replaced_as_planned(self):
+        self.steward.load(2, zones=lone.zones_without("a"))
+        self.tell_all(*UP, homes=("b-0", "c-0"))
+        self.tick()
+        self.assertTrue(self.charge.change.planned)
+
+
+class FenceTest(StewardCase):
+    """Nobody may hold a lease when another primary is chosen."""
+
+    def test_every_holder_is_asked_for_its_lease(self):
+        self.tell_all(*UP)
+        self.tell_all(*DOWN, homes=("a-0", "b-0", "c-0"))
+        recalls = lone.said(self.tick(), messages.Recall)
+        holders = sorted(holder for holder, _ in recalls)
+        self.assertEqual(holders, ["a-0", "b-0", "c-0"])
+
+    def test_it_waits_until_the_last_lease_lapses(self):
+        self.tell_all(*UP)
+        lapse = max(self.charge.loans.values())
+        self.tell_all(*DOWN)
+        self.tick()
+        self.tick(lapse - self.steward.now - 0.001)
+        self.assertIs(self.phase, Phase.FENCING)
+        self.tick(0.002)
+        self.assertIs(self.phase, Phase.CHOOSING)
+
+    def test_it_goes_on_once_every_lease_is_handed_back(self):
+        self.tell_all(*UP)
+        self.tell_all(*DOWN)
+        self.tick()
+        back = messages.HandBack(0, "ledger", 1)
+        self.steward.hear("a-0", back)
+        self.steward.hear("b-0", back)
+        self.assertIs(self.phase, Phase.FENCING)
+        self.steward.hear("c-0", back)
+        self.assertIs(self.phase, Phase.CHOOSING)
+
+    def test_it_waits_after_a_take_over(self):
+        self.hold.quiet_until = self.steward.now + 1.0
+        self.tell_all(*DOWN)
+        self.tick()
+        self.tick(0.5)
+        self.assertIs(self.phase, Phase.FENCING)
+
+    def test_a_primary_that_is_back_stays(self):
+        self.fence()
+        self.tell_all(*UP)
+        self.tick()
+        self.assertIsNone(self.phase)
+        self.assertEqual(self.charge.record, lone.RECORD)
+
+
+class ChoiceTest(StewardCase):
+    """Which replica becomes the primary."""
+
+    def chosen(self, *reports):
+        self.fence()
+        self.tell_all(*reports)
+        found = lone.find(self.tick(1.0), effects.SwapValue)
+        return found[0].value["terms"][-1][1] if found else ""
+
+    def test_the_highest_position_wins(self):
+        self.assertEqual(self.chosen(*DOWN), "sb")
+        self.setUp()
+        other = lone.report("sb", lsn=970)
+        self.assertEqual(self.chosen(DOWN[0], other, DOWN[2]), "sc")
+
+    def test_the_highest_timeline_wins_over_the_position(self):
+        self.charge.record = lone.record((1, "sa", 1, 0), (2, "sa", 2, 500))
+        behind = lone.report("sb", lsn=500, timeline=1)
+        ahead = lone.report("sc", lsn=600, timeline=2)
+        self.assertEqual(self.chosen(DOWN[0], behind, ahead), "sc")
+
+    def test_a_replica_off_the_history_is_not_chosen(self):
+        self.charge.record = lone.record((1, "sc", 1, 0), (2, "sa", 2, 500))
+        off = lone.report("sb", lsn=501, timeline=1)
+        on = lone.report("sc", lsn=499, timeline=1)
+        self.assertEqual(self.chosen(DOWN[0], off, on), "sc")
+
+    def test_a_replica_seen_from_one_zone_is_not_chosen(self):
+        self.fence()
+        self.tell_all(*DOWN, homes=("a-0",))
+        only_c = (DOWN[0], lone.report("sb", reachable=False), DOWN[2])
+        self.tell_all(*only_c, homes=("b-0", "c-0"))
+        found = lone.only(self.tick(1.0), effects.SwapValue)
+        self.assertEqual(found.value["terms"][-1][1], "sc")
+
+    def test_a_server_taken_out_is_not_chosen(self):
+        self.steward.load(2, zones=lone.zones_without("b"))
+        self.assertEqual(self.chosen(*DOWN), "sc")
+
+    def test_reports_from_before_the_fence_do_not_choose(self):
+        self.fence()
+        self.charge.change.fenced_at = self.steward.now + 0.01
+        found = self.tick(1.0)
+        self.assertEqual(lone.find(found, effects.SwapValue), [])
+
+
+class PlannedTest(StewardCase):
+    """A planned change loses nothing."""
+
+    def setUp(self):
+        super().setUp()
+        self.steward.load(2, zones=lone.zones_without("a"))
+        self.tell_all(*UP)
+        self.tick()
+        self.charge.loans.clear()
+        self.tick()
+
+    def test_it_waits_until_the_replica_has_everything(self):
+        behind = lone.report("sb", lsn=999)
+        self.tell_all(UP[0], behind, lone.report("sc", lsn=998))
+        found = self.tick()
+        self.assertEqual(lone.find(found, effects.SwapValue), [])
+        self.tell_all(*UP)
+        self.assertEqual(len(lone.find(self.tick(), effects.SwapValue)), 1)
+
+    def test_it_is_called_off_when_the_zone_is_back(self):
+        self.steward.load(3)
+        self.tell_all(*UP)
+        self.tick()
+        self.assertIsNone(self.phase)
+
+
+class AgreementTest(StewardCase):
+    """The record changes by compare-and-swap, and is read back if unclear."""
+
+    def test_the_new_term_is_written_unconfirmed(self):
+        swap = self.agree()
+        self.assertEqual(swap.expected_revision, 4)
+        self.assertFalse(swap.value["active"])
+        self.assertEqual(swap.value["terms"][-1][:2], [2, "sb"])
+
+    def test_nothing_is_ordered_before_the_answer(self):
+        self.agree()
+        found = self.tick(1.0)
+        self.assertEqual(lone.said(found, messages.PromoteOrder), [])
+
+    def test_a_lost_answer_is_read_back(self):
+        swap = self.agree()
+        read = lone.only(self.answer(swap, None), effects.ReadValue)
+        self.assertEqual(read.key, swap.key)
+        self.assertEqual(lone.find(self.tick(9.0), effects.SwapValue), [])
+
+    def test_a_write_that_took_effect_is_not_repeated(self):
+        swap = self.agree()
+        read = lone.only(self.answer(swap, None), effects.ReadValue)
+        found = self.answer(read, calls.Found(swap.key, 5, swap.value))
+        self.assertEqual(lone.find(found, effects.SwapValue), [])
+        self.assertEqual(len(lone.said(found, messages.PromoteOrder)), 1)
+        self.assertEqual(self.charge.record.terms[-1].term, 2)
+
+    def test_a_write_that_may_still_arrive_is_repeated_as_it_was(self):
+        swap = self.agree()
+        read = lone.only(self.answer(swap, None), effects.ReadValue)
+        old = charges.to_json(lone.RECORD, "b-0:0")
+        found = self.answer(read, calls.Found(swap.key, 4, old))
+        again = lone.only(found, effects.SwapValue)
+        self.assertEqual(again.value, swap.value)
+        self.assertEqual(again.expected_revision, swap.expected_revision)
+
+    def test_another_stewards_record_is_taken_over(self):
+        swap = self.agree()
+        read = lone.only(
+            self.answer(swap, ports.SwapConflict(None)), effects.ReadValue
+        )
+        other = lone.record((1, "sa", 1, 0), (2, "sc", 2, 990))
+        value = charges.to_json(other, "c-0:8")
+        found = self.answer(read, calls.Found(swap.key, 6, value))
+        self.assertEqual(lone.said(found, messages.PromoteOrder), [])
+        self.assertEqual(self.charge.record, other)
+        self.assertIsNone(self.phase)
+
+    def test_a_read_without_answer_decides_nothing(self):
+        swap = self.agree()
+        read = lone.only(self.answer(swap, None), effects.ReadValue)
+        found = self.answer(read, None)
+        self.assertEqual(len(lone.find(found, effects.ReadValue)), 1)
+        self.assertTrue(self.charge.swapping)
+
+
+class PermitTest(StewardCase):
+    """An order to promote stands for a short time and for one home."""
+
+    def test_it_is_confirmed_to_the_home_that_was_ordered(self):
+        home, order = self.promote()
+        self.assertEqual((order.server, order.term), ("sb", 2))
+        self.assertEqual(len(self.ask_permit(home)), 1)
+
+    def test_it_is_not_confirmed_to_another_home(self):
+        home, _ = self.promote()
+        other = "a-0" if home != "a-0" else "c-0"
+        self.assertEqual(self.ask_permit(other), [])
+
+    def test_it_is_not_confirmed_for_another_server_or_term(self):
+        home, _ = self.promote()
+        self.assertEqual(self.ask_permit(home, server="sc"), [])
+        self.assertEqual(self.ask_permit(home, term=1), [])
+
+    def test_it_is_not_confirmed_late(self):
+        home, _ = self.promote()
+        self.steward.now += lone.TIMES.promote_s
+        self.assertEqual(self.ask_permit(home), [])
+
+    def test_it_is_not_confirmed_after_another_was_chosen(self):
+        home, _ = self.promote()
+        self.tick(lone.TIMES.promote_s)
+        self.assertIs(self.phase, Phase.CHOOSING)
+        self.assertEqual(self.ask_permit(home), [])
+
+    def test_another_is_chosen_only_once_the_permit_has_lapsed(self):
+        home, _ = self.promote()
+        self.steward.now += lone.TIMES.promote_s - 0.1
+        self.ask_permit(home)
+        self.tick(0.2)
+        self.assertIs(self.phase, Phase.PROMOTING)
+        self.tick(lone.TIMES.permit_s + 0.1)
+        self.assertIs(self.phase, Phase.CHOOSING)
+        self.assertIn("sb", self.charge.change.failed)
+
+    def test_a_lapsed_steward_confirms_nothing(self):
+        home, _ = self.promote()
+        self.hold.valid_until = self.steward.now
+        self.assertEqual(self.ask_permit(home), [])
+
+
+class ConfirmationTest(StewardCase):
+    """A term is lent for once its primary is known to be promoted."""
+
+    def test_a_report_confirms_the_term_with_its_fork(self):
+        self.promote()
+        swap = lone.only(self.report_done(), effects.SwapValue)
+        self.assertTrue(swap.value["active"])
+        self.assertEqual(swap.value["terms"][-1], [2, "sb", 2, 995])
+        self.answer(swap, ports.Swapped(6))
+        found = lone.tell(self.steward, "a-0")
+        self.assertEqual(lone.granted_s(found), lone.TIMES.write_lease_s)
+
+    def test_a_report_of_a_failure_confirms_nothing(self):
+        self.promote()
+        found = self.report_done(done=False)
+        self.assertEqual(lone.find(found, effects.SwapValue), [])
+
+    def test_a_report_of_another_term_or_server_confirms_nothing(self):
+        self.promote()
+        for found in (self.report_done(term=1), self.report_done("sc")):
+            self.assertEqual(lone.find(found, effects.SwapValue), [])
+
+    def test_a_fork_is_not_taken_from_a_position_behind_it(self):
+        self.promote()
+        promoted = lone.report("sb", lsn=5000, primary=True, timeline=2)
+        self.tell_all(DOWN[0], promoted, DOWN[2])
+        self.assertEqual(lone.find(self.tick(), effects.SwapValue), [])
+        self.tell_all(DOWN[0], promoted, DOWN[2])
+        found = lone.only(
+            self.tick(lone.TIMES.promote_s), effects.SwapValue
+        )
+        self.assertEqual(found.value["terms"][-1], [2, "sb", 2, 990])
+
+
+class UnconfirmedTest(StewardCase):
+    """A term that a former steward left unconfirmed."""
+
+    record = AGREED
+
+    def test_nothing_is_lent(self):
+        found = lone.tell(self.steward, "a-0", *DOWN)
+        self.assertEqual(lone.granted_s(found), 0.0)
+
+    def test_it_is_confirmed_when_its_server_was_promoted(self):
+        promoted = lone.report("sb", lsn=5000, primary=True, timeline=2)
+        self.tell_all(DOWN[0], promoted, DOWN[2])
+        swap = lone.only(self.tick(), effects.SwapValue)
+        self.assertEqual(swap.value["terms"][-1], [2, "sb", 2, 990])
+
+    def test_it_is_replaced_by_a_newer_term_otherwise(self):
+        self.tell_all(*DOWN)
+        self.tick()
+        self.tell_all(*DOWN)
+        swap = lone.only(self.tick(), effects.SwapValue)
+        terms = [entry[0] for entry in swap.value["terms"]]
+        self.assertEqual(terms, [1, 3])
+
+
+class OrderTest(unittest.TestCase):
+    """A home promotes only while its permit stands."""
+
+    def setUp(self):
+        self.home = lone.make_home()
+        order = messages.PromoteOrder(0, "ledger", "sb", 2)
+        ((steward, self.ask),) = lone.said(
+            self.home.hear("b-0", order), messages.PermitAsk
+        )
+        self.assertEqual(steward, "b-0")
+
+    def permit(self, sender="b-0"):
+        grant = messages.PermitGrant(self.ask.number, "ledger", "sb", 2, 1.0)
+        found = self.home.hear(sender, grant)
+        return lone.find(found, effects.Promote)
+
+    def test_it_asks_before_it_acts(self):
+        (promote,) = self.permit()
+        self.assertEqual(promote.server, "sb")
+        self.assertLess(promote.not_after, lone.NOW + 1.0)
+
+    def test_a_late_permit_is_void(self):
+        self.home.now += 1.0
+        self.assertEqual(self.permit(), [])
+
+    def test_a_permit_of_another_is_void(self):
+        self.assertEqual(self.permit("c-0"), [])
+
+    def test_a_permit_is_used_once(self):
+        self.permit()
+        self.assertEqual(self.permit(), [])
+
+    def test_the_end_is_reported(self):
+        self.permit()
+        answer = probes.ProbeAnswer(False, 1200, 2)
+        found = self.home.reduce(
+            events.PromotionRan, "ledger", "sb", 2, answer, 1100
+        )
+        ((steward, report),) = lone.said(found, messages.PromoteReport)
+        self.assertEqual(steward, "b-0")
+        self.assertTrue(report.done)
+        self.assertEqual((report.timeline, report.fork_lsn), (2, 1100))
+
+    def test_no_answer_is_no_promotion(self):
+        self.permit()
+        found = self.home.reduce(
+            events.PromotionRan, "ledger", "sb", 2, None, 0
+        )
+        ((_, report),) = lone.said(found, messages.PromoteReport)
+        self.assertFalse(report.done)
+
+
+class FirstTest(unittest.TestCase):
+    """The first record of a group."""
+
+    def test_it_names_the_serving_primary(self):
+        steward = lone.make_steward()
+        hold = steward.state.stewardships[0]
+        hold.charges["ledger"] = state.Charge("ledger")
+        lone.tell(steward, "a-0", *UP)
+        swap = lone.only(steward.tick(0.1), effects.SwapValue)
+        self.assertEqual(swap.expected_revision, 0)
+        self.assertEqual(swap.value["terms"], [[1, "sa", 1, 0]])
