--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,109 @@
+"""The CBOR form of messages and frames."""
+
+import enum
+import types
+import typing
+import unittest
+
+import cbor2
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from cuminwall import exceptions, frames, messages, outcomes
+
+quiet = settings(derandomize=True, deadline=None, database=None)
+brief = settings(quiet, max_examples=25)
+PLAIN = {
+    int: st.integers(-(1 << 63), (1 << 64) - 1),
+    float: st.floats(allow_nan=False),
+    bool: st.booleans(),
+    str: st.text(max_size=20),
+    bytes: st.binary(max_size=20),
+    types.NoneType: st.none(),
+}
+ALL_CODECS = (messages.CODEC, frames.CODEC)
+values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.binary(max_size=5)
+    | st.sampled_from(sorted(outcomes.BY_REASON)),
+    lambda inner: st.lists(inner, max_size=6)
+    | st.dictionaries(st.integers() | st.text(max_size=3), inner, max_size=3),
+    max_leaves=20,
+)
+
+
+def strategy_for(hint):
+    """Returns values of a type as messages hold them."""
+    if hint in PLAIN:
+        return PLAIN[hint]
+    if hint is outcomes.Failure:
+        return st.sampled_from(list(outcomes.BY_REASON.values()))
+    if typing.get_origin(hint) is tuple:
+        parts = typing.get_args(hint)
+        if parts[-1] is Ellipsis:
+            items = st.lists(strategy_for(parts[0]), max_size=3)
+            return items.map(tuple)
+        return st.tuples(*(strategy_for(part) for part in parts))
+    if typing.get_origin(hint) in (typing.Union, types.UnionType):
+        parts = typing.get_args(hint)
+        return st.one_of(*(strategy_for(part) for part in parts))
+    if issubclass(hint, enum.Enum):
+        return st.sampled_from(list(hint))
+    hints = typing.get_type_hints(hint)
+    fields = {name: strategy_for(hints[name]) for name in hint._fields}
+    return st.builds(hint, **fields)
+
+
+class CodecTest(unittest.TestCase):
+    """Every type comes back as it went; garbage is a protocol error."""
+
+    def check_type(self, codec, type_):
+        @brief
+        @given(message=strategy_for(type_))
+        def comes_back(message):
+            found = codec.decode(codec.encode(message))
+            self.assertEqual(found, message)
+            self.assertIs(type(found), type_)
+
+        comes_back()
+
+    def test_every_message_comes_back(self):
+        for type_ in messages.TYPES:
+            with self.subTest(type=type_.__name__):
+                self.check_type(messages.CODEC, type_)
+
+    def test_every_frame_comes_back(self):
+        for type_ in frames.TYPES:
+            with self.subTest(type=type_.__name__):
+                self.check_type(frames.CODEC, type_)
+
+    def check_garbage(self, data):
+        for codec in ALL_CODECS:
+            try:
+                found = codec.decode(data)
+            except exceptions.ProtocolError:
+                continue
+            self.assertIn(type(found), codec.numbers)
+
+    @quiet
+    @given(data=st.binary())
+    @example(data=b"\x81" * 100_000)
+    @example(data=b"\x82\x00" * 300 + b"\x00")
+    @example(data=b"\x82\x00" * 600 + b"\x00")
+    @example(data=b"\x82\x00" * 900 + b"\x00")
+    def test_bytes_give_a_message_or_a_protocol_error(self, data):
+        self.check_garbage(data)
+
+    @quiet
+    @given(value=values)
+    def test_values_give_a_message_or_a_protocol_error(self, value):
+        self.check_garbage(cbor2.dumps(value))
+
+    def test_a_message_with_missing_fields_is_a_protocol_error(self):
+        number = messages.CODEC.numbers[messages.HandBack]
+        with self.assertRaises(exceptions.ProtocolError):
+            messages.decode(cbor2.dumps([number, 0, "ledger"]))
