Choose a primary by positions probed after the fence

Cause: a report counted as made after the fence when it arrived after it, even if its probe was sent before. A planned change could then take a replica for caught up with a primary whose last writes its stale position lacked, and leave acknowledged writes out; an unplanned one could pass over the replica that had confirmed the last write. The age that reports carry is now taken off. What is left is the difference of two network delays. Ruled out: sending positions with the hand-back; not every holder probes.

--- a/src/cuminwall/charges.py
+++ b/src/cuminwall/charges.py
@@ -77,13 +77,17 @@
 def fresh_reports(
     state: State, charge: Charge, since: float
 ) -> dict[tuple[str, str], Lent]:
-    """Returns the reports that came at or after `since`, by home and server."""
+    """Returns the reports by home and server that show `since` or later.
+
+    A report shows the time when its probe was sent.
+    """
     found = {}
     for key, lent in list(charge.reports.items()):
         if state.now - lent.received_at > state.times.report_age_s:
             del charge.reports[key]
             continue
-        if lent.received_at >= since:
+        shown_at = lent.received_at - max(0.0, lent.report.age_s)
+        if shown_at >= since:
             found[key] = lent
     return found
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -213,6 +213,13 @@
         self.steward.load(2, zones=lone.zones_without("b"))
         self.assertEqual(self.chosen(*DOWN), "sc")
 
+    def test_positions_from_before_the_fence_do_not_choose(self):
+        self.fence()
+        stale = [item._replace(age_s=0.05) for item in DOWN]
+        self.tell_all(*stale)
+        found = self.tick(0.4)
+        self.assertEqual(lone.find(found, effects.SwapValue), [])
+
     def test_reports_from_before_the_fence_do_not_choose(self):
         self.fence()
         self.charge.change.fenced_at = self.steward.now + 0.01
@@ -239,6 +246,14 @@
         self.tell_all(*UP)
         self.assertEqual(len(lone.find(self.tick(), effects.SwapValue)), 1)
 
+    def test_a_position_from_before_the_fence_does_not_count(self):
+        stale = UP[0]._replace(age_s=0.08)
+        self.tell_all(stale, *UP[1:])
+        found = self.tick()
+        self.assertEqual(lone.find(found, effects.SwapValue), [])
+        self.tell_all(UP[0], *UP[1:])
+        self.assertEqual(len(lone.find(self.tick(), effects.SwapValue)), 1)
+
     def test_it_is_called_off_when_the_zone_is_back(self):
         self.steward.load(3)
         self.tell_all(*UP)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,163 @@
+"""Rounds on another instance: both ends of a data link."""
+
+import asyncio
+import unittest
+
+from cuminwall import forwarding, frames, work
+from tests import lone
+
+GUARD_S = 10.0
+ROUND = work.Round(access=work.Access.WRITE, steps=(work.Step(b"x"),))
+ANSWER = work.WorkAnswer(b"I", None, None, "sa", False)
+
+
+class FakeLink:
+    """Keeps what is sent over it.
+
+    Attributes:
+      sent: The frames.
+      takes: Whether the peer still takes messages.
+    """
+
+    def __init__(self):
+        self.sent = []
+        self.takes = True
+        self.peer = lone.ports.InstanceRecord("b-0", "b", "", 0, False)
+
+    def post(self, data):
+        if self.takes:
+            self.sent.append(forwarding.decode(data))
+        return self.takes
+
+    async def put(self, data):
+        self.post(data)
+
+
+class FakePeers:
+    """Opens the given link, or none."""
+
+    def __init__(self, link):
+        self.link = link
+
+    async def open_data(self, instance):
+        return self.link
+
+
+class EntryTest(unittest.IsolatedAsyncioTestCase):
+    """The entry instance: a round is sent, and its answer passed on."""
+
+    def setUp(self):
+        self.answers = []
+        self.losses = []
+        self.taken = b""
+        self.link = FakeLink()
+        self.forwarder = forwarding.Forwarder(
+            lambda number, answer: self.answers.append((number, answer)),
+            lambda *loss: self.losses.append(loss),
+            lambda key, run, sink: None,
+        )
+        self.forwarder.peers = FakePeers(self.link)
+
+    async def sink(self, data):
+        self.taken += data
+
+    def dispatch(self, number=1):
+        self.forwarder.dispatch(
+            number, "b-0", lone.order(), ROUND, self.sink
+        )
+
+    async def settle(self):
+        """Waits until every round has come to its end."""
+        async with asyncio.timeout(GUARD_S):
+            while self.forwarder.tasks:
+                await asyncio.sleep(0)
+
+    async def until_sent(self, count):
+        async with asyncio.timeout(GUARD_S):
+            while len(self.link.sent) < count:
+                await asyncio.sleep(0)
+
+    async def test_an_answer_is_passed_on_whole(self):
+        self.dispatch()
+        await self.until_sent(1)
+        for part in (b"one", b"two"):
+            self.forwarder.receive_chunk(frames.Chunk(1, part))
+        self.forwarder.receive_chunk(frames.End(1, ANSWER))
+        await self.settle()
+        self.assertEqual(self.taken, b"onetwo")
+        self.assertEqual(self.answers, [(1, ANSWER)])
+        self.assertEqual(self.link.sent[1:], [frames.Took(1, 3)] * 2)
+
+    async def test_answers_that_cross_reach_their_own_rounds(self):
+        self.dispatch(1)
+        self.dispatch(2)
+        await self.until_sent(2)
+        self.forwarder.receive_chunk(frames.End(2, ANSWER))
+        self.forwarder.receive_chunk(frames.End(1, ANSWER))
+        await self.settle()
+        self.assertEqual(sorted(item[0] for item in self.answers), [1, 2])
+
+    async def test_a_late_answer_is_dropped(self):
+        self.forwarder.receive_chunk(frames.Chunk(9, b"late"))
+        self.forwarder.receive_chunk(frames.End(9, ANSWER))
+        self.assertEqual((self.taken, self.answers), (b"", []))
+
+    async def test_a_home_out_of_reach_was_not_sent_to(self):
+        self.forwarder.peers = FakePeers(None)
+        self.dispatch()
+        await self.settle()
+        self.assertEqual(self.losses, [(1, False, False)])
+
+    async def test_a_link_that_takes_nothing_was_not_sent_to(self):
+        self.link.takes = False
+        self.dispatch()
+        await self.settle()
+        self.assertEqual(self.losses, [(1, False, False)])
+
+    async def test_a_link_that_ends_may_have_carried_the_round(self):
+        self.dispatch()
+        await self.until_sent(1)
+        self.forwarder.link_ended(self.link)
+        await self.settle()
+        self.assertEqual(self.losses, [(1, True, False)])
+
+    async def test_a_link_that_ends_amid_an_answer_cuts_it_openly(self):
+        self.dispatch()
+        await self.until_sent(1)
+        self.forwarder.receive_chunk(frames.Chunk(1, b"part"))
+        await self.until_sent(2)
+        self.forwarder.link_ended(self.link)
+        await self.settle()
+        self.assertEqual(self.losses, [(1, True, True)])
+        self.assertEqual(self.answers, [])
+
+
+class HomeTest(unittest.IsolatedAsyncioTestCase):
+    """The home: what it sends ahead is bounded."""
+
+    async def test_it_waits_for_room(self):
+        link = FakeLink()
+        sink = forwarding.RemoteSink(link, 1)
+        size = 4 * forwarding.WINDOW_BYTES
+        task = asyncio.create_task(sink(bytes(size)))
+        await asyncio.sleep(0)
+        sent = sum(len(frame.data) for frame in link.sent)
+        self.assertEqual(sent, forwarding.WINDOW_BYTES)
+        async with asyncio.timeout(GUARD_S):
+            while not task.done():
+                sink.took(forwarding.CHUNK_BYTES)
+                await asyncio.sleep(0)
+        sent = sum(len(frame.data) for frame in link.sent)
+        self.assertEqual(sent, size)
+
+    async def test_the_end_of_an_answer_is_given_once(self):
+        link = FakeLink()
+        forwarder = forwarding.Forwarder(
+            lambda *_: None, lambda *_: None, lambda *_: None
+        )
+        run = frames.Run(4, lone.order(), ROUND)
+        forwarder.take(link, run)
+        key = work.WorkKey("b-0", 4)
+        forwarder.give(key, ANSWER)
+        forwarder.give(key, ANSWER)
+        self.assertEqual(link.sent, [frames.End(4, ANSWER)])
