--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -72,7 +72,9 @@
         in_transaction = False
     if in_transaction:
         wrote = job.order.access == work.Access.WRITE or job.wrote
-        state.pins[pin] = Pin(group.service, job.server, job.term, wrote)
+        state.pins[pin] = Pin(
+            group.service, job.server, job.term, wrote, job.as_primary
+        )
     else:
         _leave_server(state, group, server, pin, out)
         if failure is not None:
@@ -92,14 +94,28 @@
     if job is None:
         return
     job.abandoned = True
-    group = state.groups.get(job.order.service)
-    if group is None or job.server:
-        return
+    if not job.server:
+        _drop_waiting(state, job, out)
+
+
+def cancel_waiting(
+    state: State, pin: tuple[str, int], out: list[Effect]
+) -> None:
+    """Refuses what waits here for a session and was not sent to a server."""
+    for job in list(state.jobs.values()):
+        if (job.key.origin, job.order.session) != pin or job.server:
+            continue
+        _drop_waiting(state, job, out)
+
+
+def _drop_waiting(state: State, job: Job, out: list[Effect]) -> None:
+    """Takes a job out of whatever it waits in and refuses it."""
+    group = state.groups[job.order.service]
     if job in group.parked:
         group.parked.remove(job)
     for server in group.servers.values():
         server.queue.remove(job.order.workspace, job)
-    del state.jobs[key]
+    _finish(state, job, outcomes.CANCELED, out)
 
 
 def release(state: State, pin: tuple[str, int], out: list[Effect]) -> None:
@@ -298,7 +314,9 @@
     job.server = server.name
     job.attempts += 1
     pin = (job.key.origin, job.order.session)
-    state.pins[pin] = Pin(group.service, server.name, job.term, False)
+    state.pins[pin] = Pin(
+        group.service, server.name, job.term, False, job.as_primary
+    )
     out.append(_execute(group, job, pin))
     role = "primary" if job.as_primary else "replica"
     text = f"{group.service} {job.key.number} goes to {role} {server.name}"
@@ -320,10 +338,8 @@
     job.server = held.server
     job.term = held.term
     job.wrote = held.wrote
-    primary = group.primary
-    job.as_primary = primary is not None and primary.name == job.server
-    if job.order.access == work.Access.WRITE:
-        job.as_primary = True
+    # A COMMIT is no write by itself, so what counts is how the hold began.
+    job.as_primary = held.as_primary or job.order.access == work.Access.WRITE
     job.attempts += 1
     out.append(_execute(group, job, pin))
 
@@ -346,10 +362,9 @@
 
 def _still_fits(state: State, group: Group, server: Server, job: Job) -> bool:
     """Returns whether a queued job may still run on the server."""
-    if not server.reachable or server.out:
-        return False
     if job.as_primary:
-        return groups.is_lease_valid(state, group, job.term)
+        # The same conditions as for placing it, or it would come back here.
+        return _choose_for_write(state, group, job) is server
     return groups.is_usable(group, server) and _may_show(
         state, group, job, server
     )
--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -65,9 +65,8 @@
         max_age_s,
         state.config.version,
     )
-    is_request = not event.ends_transaction
     sessions.round_arrived(
-        state, event.session, event.number, order, is_request, out
+        state, event.session, event.number, order, event.tables, out
     )
 
 
@@ -96,6 +95,11 @@
     jobs.abandon(state, event.key, out)
 
 
+@handle.register
+def _(event: events.CancelAsked, state: State, out: list[Effect]) -> None:
+    jobs.cancel_waiting(state, event.pin, out)
+
+
 @handle.register
 def _(event: events.PinReleased, state: State, out: list[Effect]) -> None:
     jobs.release_session(state, event.pin, out)
