Lend rates and connections by demand in place of a fixed split

Every instance took an equal part of a workspace's rate and of a server's connections, whoever had the callers.

--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -163,6 +163,23 @@
         _start(state, group, server, job, out)
 
 
+def permits_changed(
+    state: State, group: Group, server: Server, out: list[Effect]
+) -> None:
+    """Follows a new share of a server's connections.
+
+    Without any, what waits for the server is placed anew.
+    """
+    if server.permits:
+        start_queued(state, group, server, out)
+        retry_parked(state, group, out)
+        return
+    while server.queue.size:
+        job = server.queue.pop()
+        job.server = ""
+        place(state, group, job, out)
+
+
 def _choose_for_write(
     state: State, group: Group, job: Job
 ) -> Server | outcomes.Failure | None:
@@ -170,6 +187,8 @@
     primary = group.primary
     if primary is None or not primary.reachable or group.recalled:
         return None
+    if not primary.permits:
+        return None
     if not groups.is_lease_valid(state, group, group.term):
         return None
     job.as_primary = True
--- /dev/null
+++ b/src/cuminwall/lending.py
@@ -0,0 +1,467 @@
+"""The lender's table of one shared limit.
+
+What the lender counts for a holder is never below what that holder may use:
+the holder shrinks before it tells, and an answer that it might still take is
+counted as taken. So the sum over all holders never exceeds the whole. The
+tokens that belong to the unlent part (`level`) are counted the same way.
+"""
+
+from typing import NamedTuple
+
+from cuminwall import leases, messages
+from cuminwall.shares import Amounts
+
+DIVIDE_INTERVAL_S = 0.05
+STOCK_PART = 0.5  # Of the lender's tokens, for a holder that has no waiters.
+
+
+class Policy(NamedTuple):
+    """How a kind of limit is lent.
+
+    Attributes:
+      lease_s: How long a share is lent.
+      floor_s: How long the floor of a share is lent.
+      drain_s: How long a holder may go on using what has lapsed.
+      lendable: The part of each component that regular wants may take.
+      floor_part: The part of the whole that all floors may take.
+      floor_most: The same when each floor needs its least amount.
+      floor_least: The least amounts that are of use as a floor.
+      is_whole: Whether amounts are whole numbers.
+      has_level: Whether the last component is a burst, with tokens.
+    """
+
+    lease_s: float
+    floor_s: float
+    drain_s: float
+    lendable: Amounts
+    floor_part: float
+    floor_most: float
+    floor_least: Amounts
+    is_whole: bool
+    has_level: bool
+
+
+class Loan:
+    """What a holder has of a limit, as the lender counts it.
+
+    Attributes:
+      number: The number of the holder's latest ask.
+      held: What the holder may use at most.
+      floor: What it may use at most after `lapses_at`.
+      wanted: What it would like to hold.
+      lapses_at: When all beyond the floor has surely lapsed.
+      floor_lapses_at: When the floor has surely lapsed.
+      level_sent: The tokens that the last answer carried.
+      returned: The tokens that it has ever given back.
+      is_open: Whether the holder takes part in the division.
+      extra: What it gets beyond its ceiling, of whole amounts that do not
+        divide evenly.
+    """
+
+    __slots__ = (
+        "number",
+        "held",
+        "floor",
+        "wanted",
+        "lapses_at",
+        "floor_lapses_at",
+        "level_sent",
+        "returned",
+        "is_open",
+        "extra",
+    )
+
+    def __init__(self, components: int):
+        zeros = (0.0,) * components
+        self.number = 0
+        self.held: Amounts = zeros
+        self.floor: Amounts = zeros
+        self.wanted: Amounts = zeros
+        self.lapses_at = leases.NEVER
+        self.floor_lapses_at = leases.NEVER
+        self.level_sent = 0.0
+        self.returned = 0.0
+        self.is_open = True
+        self.extra = 0.0
+
+
+class Limit:
+    """A shared limit at its lender.
+
+    Attributes:
+      whole: What may be held in all.
+      policy: How it is lent.
+      unclaimed: What holders of an earlier lender may still use unheard.
+      lent: The sum of all loans.
+      floors: The sum of all floors.
+      level: The tokens of the unlent part.
+      level_at: When the level was worked out.
+      loans: By holder.
+      open_count: How many of them take part in the division.
+      ceilings: What no holder gets more of, by component.
+      divided_at: When that was worked out.
+      quiet_until: When earlier loans beyond their floors have lapsed.
+      floor_quiet_until: When every earlier loan has lapsed.
+    """
+
+    __slots__ = (
+        "whole",
+        "policy",
+        "unclaimed",
+        "lent",
+        "floors",
+        "level",
+        "level_at",
+        "loans",
+        "open_count",
+        "ceilings",
+        "divided_at",
+        "quiet_until",
+        "floor_quiet_until",
+    )
+
+    def __init__(
+        self, whole: Amounts, policy: Policy, is_first: bool, since: float
+    ):
+        """Begins to lend a limit.
+
+        Args:
+          whole: What may be held in all.
+          policy: How it is lent.
+          is_first: Whether nobody lent it before.
+          since: When this lender took over.
+        """
+        zeros = (0.0,) * len(whole)
+        self.whole = whole
+        self.policy = policy
+        self.unclaimed: Amounts = zeros if is_first else whole
+        self.lent: Amounts = zeros
+        self.floors: Amounts = zeros
+        self.level = whole[-1] if is_first else 0.0
+        self.level_at = since
+        self.loans: dict[str, Loan] = {}
+        self.open_count = 0
+        self.ceilings: Amounts = whole
+        self.divided_at = leases.NEVER
+        self.quiet_until = leases.NEVER
+        self.floor_quiet_until = leases.NEVER
+        if not is_first:
+            self.quiet_until = _lapses_at(policy, since, policy.lease_s)
+            self.floor_quiet_until = _lapses_at(policy, since, policy.floor_s)
+
+
+def asked(
+    limit: Limit, holder: str, number: int, line: messages.ShareLine, now: float
+) -> messages.ShareGrant | None:
+    """Takes in what a holder states and returns what it may have.
+
+    Returns None when the ask is an old one.
+    """
+    settle(limit, now)
+    loan = limit.loans.get(holder)
+    is_new = loan is None
+    if loan is None:
+        loan = limit.loans[holder] = Loan(len(limit.whole))
+        loan.returned = line.returned
+        limit.open_count += 1
+    elif number <= loan.number:
+        return None
+    _lapse(limit, loan, now)
+    _count_stated(limit, loan, line, is_new)
+    _take_tokens(limit, loan, line)
+    loan.number = number
+    _set_open(limit, loan, not line.is_leaving)
+    if line.is_leaving:
+        return None
+    loan.wanted = line.wanted
+    _extend(limit, loan, now)
+    if now - limit.divided_at >= DIVIDE_INTERVAL_S or is_new:
+        _divide(limit, now)
+    return _grant(limit, loan, line, now)
+
+
+def set_whole(limit: Limit, whole: Amounts, now: float) -> None:
+    """Takes over a changed configuration of the limit."""
+    if whole == limit.whole:
+        return
+    settle(limit, now)
+    limit.whole = whole
+    limit.divided_at = leases.NEVER
+    _trim_level(limit)
+
+
+def free(limit: Limit) -> Amounts:
+    """Returns what nobody holds; negative after the whole was reduced."""
+    found = []
+    for whole, unclaimed, lent in zip(
+        limit.whole, limit.unclaimed, limit.lent, strict=True
+    ):
+        found.append(whole - unclaimed - lent)
+    return tuple(found)
+
+
+def settle(limit: Limit, now: float) -> None:
+    """Lets the unlent part gain tokens up to `now`."""
+    if limit.level_at < limit.quiet_until <= now:
+        _gain(limit, limit.quiet_until)
+        limit.unclaimed = _unclaimed_floors(limit)
+    if limit.level_at < limit.floor_quiet_until <= now:
+        _gain(limit, limit.floor_quiet_until)
+        limit.unclaimed = (0.0,) * len(limit.whole)
+    _gain(limit, now)
+
+
+def water_level(wants: list[float], whole: float) -> float:
+    """Returns the max-min fair ceiling: nobody gets more, all of it fits."""
+    left = whole
+    for place, want in enumerate(sorted(wants)):
+        part = left / (len(wants) - place)
+        if want > part:
+            return max(0.0, part)
+        left -= want
+    return float("inf")
+
+
+def _lapses_at(policy: Policy, now: float, duration_s: float) -> float:
+    """Returns when a loan of now has surely lapsed and drained."""
+    return leases.lapses_at(now, duration_s) + policy.drain_s
+
+
+def _gain(limit: Limit, now: float) -> None:
+    """Adds the tokens of the unlent rate."""
+    passed_s = now - limit.level_at
+    limit.level_at = now
+    if not limit.policy.has_level:
+        return
+    limit.level += passed_s * max(0.0, free(limit)[0])
+    _trim_level(limit)
+
+
+def _trim_level(limit: Limit) -> None:
+    """Keeps the tokens within the unlent burst."""
+    limit.level = min(limit.level, max(0.0, free(limit)[-1]))
+
+
+def _unclaimed_floors(limit: Limit) -> Amounts:
+    """Returns what unheard holders may still have once shares lapsed."""
+    left = []
+    budgets = _floor_budgets(limit)
+    for unclaimed, budget, floors in zip(
+        limit.unclaimed, budgets, limit.floors, strict=True
+    ):
+        left.append(min(unclaimed, max(0.0, budget - floors)))
+    return tuple(left)
+
+
+def _floor_budgets(limit: Limit) -> list[float]:
+    """Returns what all floors together may take at most."""
+    policy = limit.policy
+    budgets = []
+    for whole, least in zip(limit.whole, policy.floor_least, strict=True):
+        part = policy.floor_most if least else policy.floor_part
+        budgets.append(whole * part)
+    return budgets
+
+
+def _set_loan(limit: Limit, loan: Loan, held: Amounts, floor: Amounts) -> None:
+    """Changes a loan and the sums."""
+    lent = []
+    floors = []
+    for place, amount in enumerate(held):
+        lent.append(limit.lent[place] + amount - loan.held[place])
+        floors.append(limit.floors[place] + floor[place] - loan.floor[place])
+    limit.lent = tuple(lent)
+    limit.floors = tuple(floors)
+    loan.held = held
+    loan.floor = floor
+
+
+def _set_open(limit: Limit, loan: Loan, is_open: bool) -> None:
+    """Notes whether a holder takes part in the division."""
+    if loan.is_open != is_open:
+        limit.open_count += 1 if is_open else -1
+        limit.divided_at = leases.NEVER
+    loan.is_open = is_open
+
+
+def _extend(limit: Limit, loan: Loan, now: float) -> None:
+    """Counts a loan as lent from now on."""
+    loan.lapses_at = _lapses_at(limit.policy, now, limit.policy.lease_s)
+    loan.floor_lapses_at = max(loan.floor_lapses_at, loan.lapses_at)
+
+
+def _lapse(limit: Limit, loan: Loan, now: float) -> None:
+    """Takes back what has lapsed; its tokens are lost."""
+    if now >= loan.floor_lapses_at:
+        zeros = (0.0,) * len(limit.whole)
+        _set_loan(limit, loan, zeros, zeros)
+    elif now >= loan.lapses_at:
+        _set_loan(limit, loan, loan.floor, loan.floor)
+
+
+def _count_stated(
+    limit: Limit, loan: Loan, line: messages.ShareLine, is_new: bool
+) -> None:
+    """Lowers a loan to what its holder states.
+
+    A holder that is new to this lender had its share from an earlier one;
+    that share is claimed once, from what is not yet claimed.
+    """
+    if is_new:
+        held = _least(line.held, limit.unclaimed)
+        floor = _least(line.floor, held)
+        unclaimed = []
+        for left, claimed in zip(limit.unclaimed, held, strict=True):
+            unclaimed.append(left - claimed)
+        limit.unclaimed = tuple(unclaimed)
+    else:
+        held = _least(line.held, loan.held)
+        floor = _least(line.floor, loan.floor)
+    _set_loan(limit, loan, held, floor)
+
+
+def _take_tokens(limit: Limit, loan: Loan, line: messages.ShareLine) -> None:
+    """Takes in the tokens given back, or sent with an answer not taken."""
+    if not limit.policy.has_level:
+        return
+    if line.accepted != loan.number:
+        limit.level += loan.level_sent
+    loan.level_sent = 0.0
+    limit.level += max(0.0, line.returned - loan.returned)
+    loan.returned = line.returned
+    _trim_level(limit)
+
+
+def _least(one: Amounts, other: Amounts) -> Amounts:
+    """Returns the lesser amount of each component."""
+    return tuple(map(min, one, other))
+
+
+def _divide(limit: Limit, now: float) -> None:
+    """Drops lapsed loans and works out the max-min fair ceilings."""
+    _expire(limit, now)
+    limit.divided_at = now
+    ceilings = []
+    for place, whole in enumerate(limit.whole):
+        wants = []
+        lendable = whole * limit.policy.lendable[place]
+        least = _floor_of_one(limit, place)
+        for loan in limit.loans.values():
+            if loan.is_open:
+                wants.append(max(loan.wanted[place], least))
+        ceilings.append(water_level(wants, lendable))
+    limit.ceilings = tuple(ceilings)
+    if limit.policy.is_whole:
+        _divide_rest(limit)
+
+
+def _divide_rest(limit: Limit) -> None:
+    """Gives out, one each, what does not divide evenly."""
+    ceiling = limit.ceilings[0]
+    least = _floor_of_one(limit, 0)
+    rest = limit.whole[0]
+    above = []
+    for holder, loan in limit.loans.items():
+        loan.extra = 0.0
+        if not loan.is_open:
+            continue
+        want = max(loan.wanted[0], least)
+        rest -= int(min(want, ceiling))
+        if want > ceiling:
+            above.append(holder)
+    for holder in sorted(above)[: max(0, int(rest))]:
+        limit.loans[holder].extra = 1.0
+
+
+def _expire(limit: Limit, now: float) -> None:
+    """Drops what has lapsed."""
+    for holder, loan in list(limit.loans.items()):
+        _lapse(limit, loan, now)
+        if now < loan.lapses_at:
+            continue
+        _set_open(limit, loan, False)
+        if now < max(loan.floor_lapses_at, limit.floor_quiet_until):
+            # Until then it must not claim from an earlier lender again.
+            continue
+        del limit.loans[holder]
+
+
+def _floor_of_one(limit: Limit, place: int) -> float:
+    """Returns the floor that each open holder should have."""
+    policy = limit.policy
+    count = max(1, limit.open_count)
+    whole = limit.whole[place]
+    least = policy.floor_least[place]
+    budget = max(
+        whole * policy.floor_part, min(whole * policy.floor_most, count * least)
+    )
+    part = max(least, budget / count)
+    return float(int(part)) if policy.is_whole else part
+
+
+def _floor_for(limit: Limit, loan: Loan) -> Amounts:
+    """Returns the floor for one holder, within the budget of all floors."""
+    found = []
+    budgets = _floor_budgets(limit)
+    for place, budget in enumerate(budgets):
+        others = limit.floors[place] - loan.floor[place]
+        part = min(_floor_of_one(limit, place), budget - others)
+        if part < limit.policy.floor_least[place] or part < 0:
+            part = 0.0
+        found.append(float(int(part)) if limit.policy.is_whole else part)
+    return tuple(found)
+
+
+def _grant(
+    limit: Limit, loan: Loan, line: messages.ShareLine, now: float
+) -> messages.ShareGrant:
+    """Lends what fits, counts it, and returns it."""
+    policy = limit.policy
+    kept = loan.held
+    targets = []
+    for place, left in enumerate(free(limit)):
+        share = _share_of(limit, loan, line, place)
+        targets.append(max(0.0, min(share, kept[place] + max(0.0, left))))
+    target = tuple(targets)
+    floor = _least(_floor_for(limit, loan), target)
+    held = tuple(map(max, kept, target))
+    _set_loan(limit, loan, held, tuple(map(max, loan.floor, floor)))
+    if any(floor):
+        loan.floor_lapses_at = _lapses_at(policy, now, policy.floor_s)
+    level = _send_tokens(limit, loan, line, target)
+    return messages.ShareGrant(
+        line.name, target, floor, level, policy.lease_s, policy.floor_s
+    )
+
+
+def _share_of(
+    limit: Limit, loan: Loan, line: messages.ShareLine, place: int
+) -> float:
+    """Returns a holder's fair part of a component."""
+    want = max(loan.wanted[place], _floor_of_one(limit, place))
+    share = min(want, limit.ceilings[place])
+    if limit.policy.is_whole:
+        return float(int(share)) + loan.extra
+    is_burst = limit.policy.has_level and place == len(limit.whole) - 1
+    if is_burst and line.short > 0:
+        share = max(share, line.level + min(line.short, limit.level))
+    return share
+
+
+def _send_tokens(
+    limit: Limit, loan: Loan, line: messages.ShareLine, target: Amounts
+) -> float:
+    """Moves tokens to a holder, as far as its burst has room."""
+    if not limit.policy.has_level:
+        return 0.0
+    room = max(0.0, target[-1] - line.level)
+    sent = min(line.short, limit.level, room)
+    stock = min(line.stock, (limit.level - sent) * STOCK_PART, room - sent)
+    sent += max(0.0, stock)
+    # The burst was lent already; tokens that no longer fit go with it.
+    excess = limit.level - sent - max(0.0, free(limit)[-1])
+    sent += max(0.0, min(excess, room - sent))
+    limit.level -= sent
+    _trim_level(limit)
+    loan.level_sent = sent
+    return sent
--- a/src/cuminwall/messages.py
+++ b/src/cuminwall/messages.py
@@ -258,35 +258,70 @@
 
 
 class ShareLine(NamedTuple):
-    """An amount of one shared limit.
+    """What a holder states of one shared limit.
 
     Attributes:
       name: The limit, for example "rate:clerks".
-      amounts: Its parts, for example rate and burst.
+      accepted: The number of the last ask whose answer the holder took.
+      held: The amounts that it holds, for example rate and burst.
+      floor: The part of them that is lent for long.
+      wanted: What it would like to hold in all.
+      level: The tokens that it has.
+      short: The tokens that it lacks for requests that wait.
+      stock: The tokens that it would like to have beyond these.
+      returned: The tokens that it has ever given back.
+      is_leaving: Whether it gives all back and wants nothing.
     """
 
     name: str
-    amounts: tuple[float, ...]
+    accepted: int
+    held: tuple[float, ...]
+    floor: tuple[float, ...]
+    wanted: tuple[float, ...]
+    level: float
+    short: float
+    stock: float
+    returned: float
+    is_leaving: bool
 
 
 class ShareAsk(NamedTuple):
     """A holder states what it holds and what it needs of shared limits.
 
     Attributes:
-      number: Running number of the asker for this shard.
+      number: Running number of the asker.
       shard: The shard of the limits.
-      accepted: The number of the last answer that the holder took.
-      holding: What the holder has.
-      given_back: What it gives back with this ask.
-      wanted: What it would like to hold in all.
+      epoch: The lender's epoch, as the holder knows it.
+      started_at: When the asker started, on its own clock in seconds; tells
+        it from an earlier process of the same name.
+      lines: One for each limit.
     """
 
     number: int
     shard: int
-    accepted: int
-    holding: tuple[ShareLine, ...]
-    given_back: tuple[ShareLine, ...]
-    wanted: tuple[ShareLine, ...]
+    epoch: int
+    started_at: float
+    lines: tuple[ShareLine, ...]
+
+
+class ShareGrant(NamedTuple):
+    """What a holder may have of one shared limit.
+
+    Attributes:
+      name: The limit.
+      target: What it holds from now on in all.
+      floor: The part of it that is lent for long.
+      level: The tokens that come with it.
+      lease_s: How long all of it is lent, from before the ask.
+      floor_s: How long the floor is lent, from before the ask.
+    """
+
+    name: str
+    target: tuple[float, ...]
+    floor: tuple[float, ...]
+    level: float
+    lease_s: float
+    floor_s: float
 
 
 class ShareAnswer(NamedTuple):
@@ -295,16 +330,12 @@
     Attributes:
       number: The number of the ask.
       shard: The shard of the limits.
-      added: What the holder has from now on beyond `holding`.
-      duration_s: How long all of the holding is lent, from before the ask.
-      floor_duration_s: How long its reserved part is lent.
+      grants: One for each limit that the lender knows.
     """
 
     number: int
     shard: int
-    added: tuple[ShareLine, ...]
-    duration_s: float
-    floor_duration_s: float
+    grants: tuple[ShareGrant, ...]
 
 
 TYPES: tuple[type, ...] = (
@@ -328,6 +359,7 @@
     RelayAnswer,
     ShareLine,
     ShareAsk,
+    ShareGrant,
     ShareAnswer,
 )
 
--- a/src/cuminwall/rates.py
+++ b/src/cuminwall/rates.py
@@ -1,50 +1,169 @@
-"""Each workspace's rate and burst at this instance, as a fixed split.
+"""Each workspace's rate and burst at this instance: a bucket of its share.
 
-Every instance takes an equal part of the whole.
+A request that finds no token waits a short time, while the instance asks the
+lender for more. All buckets of a workspace and the lender's rest together
+never admit more than one bucket with the whole rate and burst would.
 """
 
-from typing import NamedTuple
+import enum
+import math
 
-from cuminwall import membership
-from cuminwall.state import State
+from cuminwall import messages, sharelending, shares
+from cuminwall.state import Bucket, State
 
+MAX_WAITING = 200  # Requests of a workspace that wait for a token.
 
-class Bucket:
-    """A token bucket.
+DEMAND_TIME_S = 1.0  # Time constant of the smoothed demand.
+DEMAND_STEP_S = 0.2  # Shortest time over which demand is measured.
+HEADROOM = 1.25  # Wanted rate per demand.
+WANTED_BURST_S = 1.0  # Demand that the wanted burst covers.
+SPARE_BURST = 2.0  # Requests beyond that.
+STOCK_S = 0.6  # Demand for which tokens are kept ready.
+KEPT_S = 1.2  # Tokens beyond this demand are given back.
+RECENT_S = 5.0  # Smoothed demand that still justifies spare tokens.
+IDLE_DEMAND = 0.01  # Requests a second that count as none.
 
-    Attributes:
-      level: Requests that may come at once.
-      filled_at: When the level was worked out, in seconds.
-    """
 
-    __slots__ = ("level", "filled_at")
+class Taken(enum.Enum):
+    """What became of a request."""
 
-    def __init__(self, level: float, filled_at: float):
-        self.level = level
-        self.filled_at = filled_at
+    ADMITTED = enum.auto()
+    WAITS = enum.auto()
+    REFUSED = enum.auto()
 
 
-class Part(NamedTuple):
-    """This instance's part of a workspace's rate."""
+def find(state: State, workspace: str) -> Bucket | None:
+    """Returns a workspace's bucket, or None if it has no limit."""
+    bucket = state.buckets.get(workspace)
+    if bucket is not None or workspace not in state.config.workspaces:
+        return bucket
+    line = shares.Line(sharelending.rate_name(workspace), 2)
+    bucket = state.buckets[workspace] = Bucket(workspace, line, state.now)
+    return bucket
 
-    rate: float
-    burst: float
 
+def take(state: State, bucket: Bucket, number: int) -> Taken:
+    """Takes a token for a request, or lets the request wait."""
+    bucket.arrivals += 1
+    settle(bucket, state.now)
+    if not bucket.waiting and bucket.level >= 1.0:
+        bucket.level -= 1.0
+        return Taken.ADMITTED
+    if len(bucket.waiting) >= MAX_WAITING:
+        return Taken.REFUSED
+    bucket.waiting.append((number, state.now))
+    state.waiting[bucket.workspace] = bucket
+    return Taken.WAITS
 
-def take(state: State, workspace: str, number: int) -> bool:
-    """Takes one request off the workspace's bucket, if there is one."""
-    entry = state.config.workspaces.get(workspace)
-    if entry is None:
-        return True
-    count = max(1, len(membership.staying(state)))
-    part = Part(entry.rate / count, max(1.0, entry.burst / count))
-    bucket = state.buckets.get(workspace)
-    if bucket is None:
-        bucket = state.buckets[workspace] = Bucket(part.burst, state.now)
-    gained = (state.now - bucket.filled_at) * part.rate
-    bucket.level = min(part.burst, bucket.level + gained)
-    bucket.filled_at = state.now
-    if bucket.level < 1.0:
+
+def settle(bucket: Bucket, now: float) -> None:
+    """Lets a bucket gain tokens up to `now`, at what was held when."""
+    line = bucket.line
+    for until in (line.until, line.floor_until):
+        if bucket.level_at < until <= now:
+            _gain(bucket, until)
+        if until <= now:
+            shares.lapse(line, until)
+            bucket.level = min(bucket.level, line.held[1])
+    _gain(bucket, now)
+
+
+def state_line(bucket: Bucket, now: float) -> messages.ShareLine:
+    """Returns what an ask states, after giving surplus tokens back."""
+    settle(bucket, now)
+    _measure_demand(bucket, now)
+    demand = bucket.demand
+    waiting = float(len(bucket.waiting))
+    spare = min(1.0, demand * RECENT_S)
+    kept = waiting + KEPT_S * demand + SPARE_BURST * spare
+    surplus = max(0.0, bucket.level - kept)
+    bucket.level -= surplus
+    bucket.returned += surplus
+    wanted = (
+        HEADROOM * demand,
+        WANTED_BURST_S * demand + waiting + SPARE_BURST * spare,
+    )
+    line = bucket.line
+    return messages.ShareLine(
+        name=line.name,
+        accepted=line.accepted,
+        held=line.held,
+        floor=line.floor,
+        wanted=wanted,
+        level=bucket.level,
+        short=max(0.0, waiting - bucket.level),
+        stock=max(
+            0.0,
+            STOCK_S * demand + spare - max(0.0, bucket.level - waiting),
+        ),
+        returned=bucket.returned,
+        is_leaving=False,
+    )
+
+
+def give_back(bucket: Bucket, now: float) -> messages.ShareLine:
+    """Returns the last ask of a bucket, which gives all of it back."""
+    settle(bucket, now)
+    bucket.returned += bucket.level
+    bucket.level = 0.0
+    line = bucket.line
+    line.held = line.floor = (0.0, 0.0)
+    return messages.ShareLine(
+        line.name,
+        line.accepted,
+        line.held,
+        line.floor,
+        line.held,
+        0.0,
+        0.0,
+        0.0,
+        bucket.returned,
+        True,
+    )
+
+
+def granted(
+    bucket: Bucket, number: int, grant: messages.ShareGrant, now: float
+) -> shares.Accepted | None:
+    """Takes the lender's answer; None if it is not for the latest ask."""
+    settle(bucket, now)
+    accepted = shares.accept(bucket.line, number, grant, now)
+    if accepted is None:
+        return None
+    bucket.level += grant.level
+    over = max(0.0, bucket.level - bucket.line.held[1])
+    bucket.level -= over
+    bucket.returned += over
+    return accepted
+
+
+def is_idle(state: State, bucket: Bucket) -> bool:
+    """Returns whether nobody here needs a share."""
+    if bucket.sessions or bucket.waiting:
         return False
-    bucket.level -= 1.0
-    return True
+    return state.draining or (
+        not bucket.arrivals and bucket.demand < IDLE_DEMAND
+    )
+
+
+def _gain(bucket: Bucket, now: float) -> None:
+    """Adds tokens at the rate held, within the burst held."""
+    passed_s = max(0.0, now - bucket.level_at)
+    bucket.level_at = max(bucket.level_at, now)
+    rate, burst = bucket.line.held
+    bucket.level = min(burst, bucket.level + passed_s * rate)
+
+
+def _measure_demand(bucket: Bucket, now: float) -> None:
+    """Smooths the arrivals since the last measurement."""
+    passed_s = now - bucket.demand_at
+    if passed_s < DEMAND_STEP_S:
+        # A sudden rise counts at once.
+        least = bucket.arrivals / DEMAND_TIME_S
+        bucket.demand = max(bucket.demand, least)
+        return
+    kept = math.exp(-passed_s / DEMAND_TIME_S)
+    measured = bucket.arrivals / passed_s
+    bucket.demand = bucket.demand * kept + measured * (1 - kept)
+    bucket.arrivals = 0
+    bucket.demand_at = now
--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -8,8 +8,10 @@
 from typing import Any
 
 from cuminwall import (
+    admission,
     calls,
     charges,
+    connectionshares,
     events,
     failover,
     groups,
@@ -19,6 +21,8 @@
     orders,
     relays,
     sessions,
+    shareasks,
+    sharelending,
     stewards,
     work,
     writeleases,
@@ -196,10 +200,13 @@
         if stewards.is_active(state, hold.shard):
             failover.tick(state, hold, out)
     writeleases.ask_due(state, out)
+    shareasks.tick(state, out)
+    admission.tick(state, out)
     relays.tick(state, out)
     relays.expire(state)
     orders.expire(state)
     for group in state.groups.values():
+        connectionshares.tick(state, group, out)
         writeleases.finish_recall(state, group, out)
         jobs.check_replicas(state, group, out)
         jobs.retry_parked(state, group, out)
@@ -316,6 +323,23 @@
     relays.answered(state, sender, message, out)
 
 
+@hear.register
+def _(
+    message: messages.ShareAsk, state: State, sender: str, out: list[Effect]
+) -> None:
+    hold = _active_hold(state, message.shard)
+    if hold is not None:
+        sharelending.asked(state, hold, sender, message, out)
+
+
+@hear.register
+def _(
+    message: messages.ShareAnswer, state: State, sender: str, out: list[Effect]
+) -> None:
+    shareasks.answered(state, message, out)
+    admission.answered(state, out)
+
+
 def _active_hold(state: State, shard: int) -> Stewardship | None:
     """Returns the hold on a shard if this instance may act on it."""
     if not stewards.is_active(state, shard):
--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -4,7 +4,15 @@
 is looked up again for every round, so that a withdrawn one stops at once.
 """
 
-from cuminwall import jobs, membership, outcomes, rates, tokens, work
+from cuminwall import (
+    jobs,
+    membership,
+    outcomes,
+    rates,
+    shareasks,
+    tokens,
+    work,
+)
 from cuminwall.effects import (
     Admit,
     CancelRound,
@@ -34,6 +42,7 @@
         out.append(Reject(number, failure))
         return
     state.sessions[number] = session
+    _count_in(state, login.workspace, out)
     out.append(Admit(number))
 
 
@@ -42,6 +51,9 @@
     session = state.sessions.pop(number, None)
     if session is None:
         return
+    bucket = state.buckets.get(session.login.workspace)
+    if bucket is not None:
+        bucket.sessions -= 1
     if session.running:
         _abandon(state, session.running, out)
     if session.home == state.instance:
@@ -92,12 +104,48 @@
     pending = Pending(
         session_number, _complete_order(state, session, order), state.now
     )
-    if is_request and not rates.take(state, session.login.workspace, number):
+    taken = rates.Taken.ADMITTED
+    bucket = state.buckets.get(session.login.workspace)
+    if is_request and bucket is not None:
+        taken = rates.take(state, bucket, number)
+    if taken is rates.Taken.REFUSED:
         _refuse_checked(session, number, outcomes.RATE_EXCEEDED, out)
         return
     state.pending[number] = pending
     session.running = number
+    if taken is rates.Taken.WAITS and bucket is not None:
+        shareasks.ask_at_once(state, bucket, out)
+        return
+    send(state, number, pending, out)
+
+
+def resume(state: State, number: int, out: list[Effect]) -> bool:
+    """Sends a round that got its token; returns whether it used it.
+
+    It is checked again: its key may have been withdrawn while it waited.
+    """
+    pending = state.pending.get(number)
+    session = state.sessions.get(pending.session) if pending else None
+    if pending is None or session is None:
+        return False
+    failure = check_round(state, session, pending.order)
+    if failure is not None:
+        refuse(state, number, failure, out)
+        return False
     send(state, number, pending, out)
+    return True
+
+
+def refuse(
+    state: State, number: int, failure: outcomes.Failure, out: list[Effect]
+) -> None:
+    """Refuses a round that waited and has gone nowhere."""
+    pending = state.pending.get(number)
+    if pending is None:
+        return
+    text = f"session {pending.session}: {failure.reason}"
+    out.append(Log(PREFIX, text))
+    _end(state, number, pending, failure, out)
 
 
 def send(
@@ -219,6 +267,17 @@
     return _standing_failure(state, session)
 
 
+def _count_in(state: State, workspace: str, out: list[Effect]) -> None:
+    """Notes a new caller of a workspace; its first request is expected."""
+    bucket = shareasks.take_up_workspace(state, workspace)
+    if bucket is None:
+        return
+    bucket.sessions += 1
+    bucket.arrivals += 1
+    if not any(bucket.line.held):
+        shareasks.ask_at_once(state, bucket, out)
+
+
 def _abandon(state: State, number: int, out: list[Effect]) -> None:
     """Drops what runs for a caller that is gone."""
     pending = state.pending.pop(number, None)
--- a/src/cuminwall/settingstable.py
+++ b/src/cuminwall/settingstable.py
@@ -276,6 +276,41 @@
         60,
         "How long a home that did not answer is passed over.",
     ),
+    _time(
+        "share_lease_s",
+        0.5,
+        60,
+        "How long an instance may use its share of a workspace's rate "
+        "without hearing from the steward; after that it has its floor.",
+    ),
+    _time(
+        "share_floor_s",
+        60,
+        3600,
+        "How long an instance that cannot reach the steward keeps its floor "
+        "of rates and connections.",
+    ),
+    _time("share_renew_s", 0.05, 10, "How often shares are renewed."),
+    _time(
+        "share_wait_s",
+        0,
+        5,
+        "How long a request over its instance's share waits for more.",
+    ),
+    _time(
+        "connection_lease_s",
+        1,
+        60,
+        "How long a home may use its share of a backend server's "
+        "connections without hearing from the steward.",
+    ),
+    _time(
+        "connection_drain_s",
+        0,
+        3600,
+        "How long a connection in use may outlast its share before another "
+        "home may open one in its place.",
+    ),
     _time(
         "store_timeout_s",
         0.05,
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -13,8 +13,10 @@
     document,
     fairness,
     leases,
+    lending,
     messages,
     ports,
+    shares,
     timings,
     work,
 )
@@ -120,6 +122,56 @@
         self.wrote = False
 
 
+class Bucket:
+    """This instance's share of a workspace's rate and burst.
+
+    Attributes:
+      workspace: The workspace.
+      line: The share: rate and burst.
+      level: The tokens: requests that may come at once.
+      level_at: When the level was worked out, in seconds.
+      returned: The tokens ever given back to the lender.
+      demand: Requests a second, smoothed, whether served or not.
+      arrivals: Requests since `demand` was worked out.
+      demand_at: When that was.
+      sessions: The callers of the workspace here.
+      waiting: Rounds that wait for a token: number and arrival time.
+    """
+
+    __slots__ = (
+        "workspace",
+        "line",
+        "level",
+        "level_at",
+        "returned",
+        "demand",
+        "arrivals",
+        "demand_at",
+        "sessions",
+        "waiting",
+    )
+
+    def __init__(self, workspace: str, line: shares.Line, now: float):
+        self.workspace = workspace
+        self.line = line
+        self.level = 0.0
+        self.level_at = now
+        self.returned = 0.0
+        self.demand = 0.0
+        self.arrivals = 0
+        self.demand_at = now
+        self.sessions = 0
+        self.waiting: deque[tuple[int, float]] = deque()
+
+
+class ServerShare(NamedTuple):
+    """Names a backend server whose connections are shared."""
+
+    service: str
+    server: str
+    line: shares.Line
+
+
 class Pin(NamedTuple):
     """A session's hold on a connection to a backend server.
 
@@ -151,6 +203,7 @@
       failing_since: Since when probes fail, or None.
       shows_since: It shows all that the primary had at this time.
       permits: How many connections this instance may have to it.
+      share: What the steward has lent it of the connections.
       in_use: How many are busy.
       queue: Jobs that wait for a connection.
     """
@@ -167,6 +220,7 @@
         "failing_since",
         "shows_since",
         "permits",
+        "share",
         "in_use",
         "queue",
     )
@@ -183,6 +237,7 @@
         self.failing_since: float | None = None
         self.shows_since = leases.NEVER
         self.permits = 0
+        self.share = shares.Line("", 1)
         self.in_use = 0
         self.queue: fairness.FairQueue[Job] = fairness.FairQueue()
 
@@ -374,6 +429,8 @@
       promises: Who promised in it.
       store_failing: Whether the last renewal got no answer.
       retaking: Whether the lapsed key is being set again.
+      limits: The shared limits of the shard by name.
+      active_since: When it began to lend.
     """
 
     __slots__ = (
@@ -394,6 +451,8 @@
         "promises",
         "store_failing",
         "retaking",
+        "limits",
+        "active_since",
     )
 
     def __init__(self, shard: int):
@@ -414,6 +473,8 @@
         self.promises: set[str] = set()
         self.store_failing = False
         self.retaking = False
+        self.limits: dict[str, lending.Limit] = {}
+        self.active_since = leases.NEVER
 
 
 class RelayView:
@@ -526,7 +587,11 @@
             tuple[str, int], tuple[messages.PromoteOrder, str]
         ] = {}
 
-        self.buckets: dict[str, Any] = {}
+        self.buckets: dict[str, Bucket] = {}
+        self.waiting: dict[str, Bucket] = {}
+        self.share_holders: dict[int, dict[str, Bucket | ServerShare]] = {}
+        self.share_asks: dict[int, float] = {}
+        self.urgent_shares: dict[str, Bucket | ServerShare] = {}
         self.calls: dict[int, tuple[Any, ...]] = {}
         self.last_number = 0
 
--- a/src/cuminwall/stewards.py
+++ b/src/cuminwall/stewards.py
@@ -410,6 +410,7 @@
     for found in event.answer:
         charges.load(hold, found)
     hold.active = True
+    hold.active_since = state.now
     longest_s = max(state.times.write_lease_s, state.times.permit_s)
     hold.quiet_until = leases.lapses_at(state.now, longest_s)
     text = f"shard {then.shard} is held, epoch {hold.epoch}"
--- a/src/cuminwall/timings.py
+++ b/src/cuminwall/timings.py
@@ -35,6 +35,13 @@
       list_interval_s: Between two readings of the instance list.
       drain_s: How long a graceful shutdown waits for open work.
       home_retry_s: How long an unreachable home is passed over.
+      share_lease_s: How long an instance's share of a rate is lent.
+      share_floor_s: How long the floor of a share is lent.
+      share_renew_s: Between two regular asks for shares.
+      share_wait_s: How long a request waits for a token of its workspace.
+      connection_lease_s: How long a home's share of a backend server's
+        connections is lent.
+      connection_drain_s: How long a connection in use may outlast it.
     """
 
     tick_s: float = 0.05
@@ -59,6 +66,12 @@
     withdrawn_grace_s: float = 1.0
     members_keep_s: float = 3.0
     home_retry_s: float = 1.0
+    share_lease_s: float = 5.0
+    share_floor_s: float = 180.0
+    share_renew_s: float = 0.5
+    share_wait_s: float = 0.25
+    connection_lease_s: float = 10.0
+    connection_drain_s: float = 60.0
     store_timeout_s: float = 1.0
     list_interval_s: float = 0.5
     drain_s: float = 60.0
--- a/src/cuminwall/writeleases.py
+++ b/src/cuminwall/writeleases.py
@@ -6,20 +6,19 @@
 """
 
 from cuminwall import (
-    configuration,
     groups,
     jobs,
     leases,
     membership,
     messages,
     placement,
+    shareasks,
 )
 from cuminwall.effects import (
     Effect,
     Log,
     Probe,
     Say,
-    SetPermits,
     WatchServers,
 )
 from cuminwall.state import Group, Server, State
@@ -39,10 +38,11 @@
         if wanted or _is_busy(state, group):
             continue
         _hand_back(state, group, out)
+        shareasks.give_back_group(state, group, out)
         del state.groups[service]
         changed = True
     for group in state.groups.values():
-        changed |= _update_servers(state, group, out)
+        changed |= _update_servers(state, group)
     if changed:
         watch_servers(state, out)
 
@@ -163,18 +163,7 @@
     return True
 
 
-def _equal_part(
-    state: State, group: Group, entry: configuration.Service
-) -> int:
-    """Returns this home's equal part of a server's connections.
-
-    One connection of the part is kept for probes.
-    """
-    homes = max(1, len(membership.homes(state, group.service)))
-    return max(1, entry.connections_per_server // homes - 1)
-
-
-def _update_servers(state: State, group: Group, out: list[Effect]) -> bool:
+def _update_servers(state: State, group: Group) -> bool:
     """Follows the configuration; returns whether the servers changed."""
     entry = state.config.services.get(group.service)
     if entry is None:
@@ -184,10 +173,9 @@
         server = group.servers.get(name)
         if server is None:
             server = group.servers[name] = Server(name, wanted.zone)
+            shareasks.take_up_server(state, group, server)
             changed = True
         server.out = not state.config.is_server_serving(group.service, name)
-        permits = _equal_part(state, group, entry)
-        set_permits(state, group, server, permits, out)
     for name in list(group.servers):
         if name not in entry.servers:
             group.servers[name].out = True
@@ -269,14 +257,3 @@
         return
     answer = messages.HandBack(shard, group.service, group.lease_term)
     out.append(Say(view.steward, answer))
-
-
-def set_permits(
-    state: State, group: Group, server: Server, permits: int, out: list[Effect]
-) -> None:
-    """Takes over a new share of a server's connections."""
-    if permits == server.permits:
-        return
-    server.permits = permits
-    out.append(SetPermits(group.service, server.name, permits))
-    jobs.start_queued(state, group, server, out)
