--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -387,7 +387,7 @@
 
 
 def _floor_of_one(limit: Limit, place: int) -> float:
-    """Returns the floor that each open holder should have."""
+    """Returns the floor that each open holder should have, if it is of use."""
     policy = limit.policy
     count = max(1, limit.open_count)
     whole = limit.whole[place]
@@ -395,7 +395,9 @@
     budget = max(
         whole * policy.floor_part, min(whole * policy.floor_most, count * least)
     )
-    part = max(least, budget / count)
+    part = budget / count
+    if part < least:
+        return 0.0
     return float(int(part)) if policy.is_whole else part
 
 
@@ -406,8 +408,8 @@
     for place, budget in enumerate(budgets):
         others = limit.floors[place] - loan.floor[place]
         part = min(_floor_of_one(limit, place), budget - others)
-        if part < limit.policy.floor_least[place] or part < 0:
-            part = 0.0
+        if part <= 0 or part < limit.policy.floor_least[place]:
+            return (0.0,) * len(budgets)
         found.append(float(int(part)) if limit.policy.is_whole else part)
     return tuple(found)
 
--- a/src/cuminwall/rates.py
+++ b/src/cuminwall/rates.py
@@ -13,15 +13,15 @@
 
 MAX_WAITING = 200  # Requests of a workspace that wait for a token.
 
-DEMAND_TIME_S = 1.0  # Time constant of the smoothed demand.
+DEMAND_TIME_S = 0.5  # Time constant of the smoothed demand.
 DEMAND_STEP_S = 0.2  # Shortest time over which demand is measured.
-HEADROOM = 1.25  # Wanted rate per demand.
-WANTED_BURST_S = 1.0  # Demand that the wanted burst covers.
-SPARE_BURST = 2.0  # Requests beyond that.
-STOCK_S = 0.6  # Demand for which tokens are kept ready.
-KEPT_S = 1.2  # Tokens beyond this demand are given back.
-RECENT_S = 5.0  # Smoothed demand that still justifies spare tokens.
-IDLE_DEMAND = 0.01  # Requests a second that count as none.
+SUDDEN_S = 1.0  # Time over which a sudden rise is spread.
+OWN_PART = 0.5  # Wanted rate per demand; the rest comes from the pool.
+STOCK_S = 0.25  # Demand for which tokens are kept ready.
+KEPT_S = 0.3  # Tokens beyond this demand are given back.
+ROOM_S = 0.2  # Demand for which the burst has room beyond that.
+LEAST_DEMAND = 4.0  # Requests a second; below, each fetches its own token.
+LOW_LEVEL_S = 0.05  # Demand below whose tokens more are asked for at once.
 
 
 class Taken(enum.Enum):
@@ -56,6 +56,15 @@
     return Taken.WAITS
 
 
+def is_low(bucket: Bucket) -> bool:
+    """Returns whether the tokens will not last until the regular ask."""
+    if bucket.waiting:
+        return True
+    if bucket.demand < LEAST_DEMAND:
+        return False
+    return bucket.level < LOW_LEVEL_S * bucket.demand
+
+
 def settle(bucket: Bucket, now: float) -> None:
     """Lets a bucket gain tokens up to `now`, at what was held when."""
     line = bucket.line
@@ -72,17 +81,13 @@
     """Returns what an ask states, after giving surplus tokens back."""
     settle(bucket, now)
     _measure_demand(bucket, now)
-    demand = bucket.demand
+    demand = bucket.demand if bucket.demand >= LEAST_DEMAND else 0.0
     waiting = float(len(bucket.waiting))
-    spare = min(1.0, demand * RECENT_S)
-    kept = waiting + KEPT_S * demand + SPARE_BURST * spare
+    kept = waiting + KEPT_S * demand
     surplus = max(0.0, bucket.level - kept)
     bucket.level -= surplus
     bucket.returned += surplus
-    wanted = (
-        HEADROOM * demand,
-        WANTED_BURST_S * demand + waiting + SPARE_BURST * spare,
-    )
+    wanted = (OWN_PART * demand, kept + ROOM_S * demand)
     line = bucket.line
     return messages.ShareLine(
         name=line.name,
@@ -94,7 +99,7 @@
         short=max(0.0, waiting - bucket.level),
         stock=max(
             0.0,
-            STOCK_S * demand + spare - max(0.0, bucket.level - waiting),
+            STOCK_S * demand - max(0.0, bucket.level - waiting),
         ),
         returned=bucket.returned,
         is_leaving=False,
@@ -141,9 +146,7 @@
     """Returns whether nobody here needs a share."""
     if bucket.sessions or bucket.waiting:
         return False
-    return state.draining or (
-        not bucket.arrivals and bucket.demand < IDLE_DEMAND
-    )
+    return state.draining or not bucket.arrivals
 
 
 def _gain(bucket: Bucket, now: float) -> None:
@@ -159,7 +162,7 @@
     passed_s = now - bucket.demand_at
     if passed_s < DEMAND_STEP_S:
         # A sudden rise counts at once.
-        least = bucket.arrivals / DEMAND_TIME_S
+        least = bucket.arrivals / SUDDEN_S
         bucket.demand = max(bucket.demand, least)
         return
     kept = math.exp(-passed_s / DEMAND_TIME_S)
--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -113,8 +113,9 @@
         return
     state.pending[number] = pending
     session.running = number
-    if taken is rates.Taken.WAITS and bucket is not None:
+    if bucket is not None and rates.is_low(bucket):
         shareasks.ask_at_once(state, bucket, out)
+    if taken is rates.Taken.WAITS:
         return
     send(state, number, pending, out)
 
--- a/src/cuminwall/shares.py
+++ b/src/cuminwall/shares.py
@@ -14,8 +14,8 @@
 Amounts = tuple[float, ...]
 
 ASK_TIMEOUT_S = 0.1
-FIRST_PAUSE_S = 0.05
-LONGEST_PAUSE_S = 0.4
+FIRST_PAUSE_S = 0.01
+LONGEST_PAUSE_S = 0.15
 
 
 class Line:
--- /dev/null
+++ b/tests/share_world.py
@@ -0,0 +1,243 @@
+"""Holders and lenders of one limit, with the messages between them.
+
+Time is a number that the test moves. Messages may be late, lost or overtake
+each other; instances die and pause; lenders are replaced.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+
+from cuminwall import lending, messages, rates, shares, state
+
+RATE_POLICY = lending.Policy(
+    lease_s=2.0,
+    floor_s=6.0,
+    drain_s=0.0,
+    lendable=(1.0, 0.75),
+    floor_part=0.2,
+    floor_most=0.5,
+    floor_least=(0.0, 1.0),
+    is_whole=False,
+    has_level=True,
+)
+CONNECTIONS_POLICY = RATE_POLICY._replace(
+    lendable=(1.0,),
+    floor_part=0.5,
+    floor_most=1.0,
+    floor_least=(1.0,),
+    is_whole=True,
+    has_level=False,
+)
+RENEW_S = 0.5
+LONG_DELAY_S = 1.5
+
+
+class Holder:
+    """An instance with a bucket, or with a number of connections."""
+
+    def __init__(self, name: str, components: int, now: float):
+        self.name = name
+        self.line = shares.Line("limit", components)
+        self.bucket = state.Bucket("w", self.line, now)
+        self.is_rate = components == 2
+        self.wanted = 0.0
+        self.epoch = 0
+        self.is_alive = True
+        self.is_cut = False
+        self.paused_until = 0.0
+
+    def held(self, now: float) -> shares.Amounts:
+        """Returns what it would use now."""
+        if self.is_rate:
+            rates.settle(self.bucket, now)
+        shares.lapse(self.line, now)
+        return self.line.held
+
+    def state_line(self, now: float) -> messages.ShareLine:
+        """Returns what an ask states."""
+        if self.is_rate:
+            return rates.state_line(self.bucket, now)
+        shares.lapse(self.line, now)
+        line = self.line
+        want = (self.wanted,)
+        return messages.ShareLine(
+            line.name, line.accepted, line.held, line.floor, want,
+            0.0, 0.0, 0.0, 0.0, False,
+        )  # fmt: skip
+
+    def granted(self, number: int, grant: messages.ShareGrant, now: float):
+        """Takes an answer."""
+        if self.is_rate:
+            return rates.granted(self.bucket, number, grant, now)
+        return shares.accept(self.line, number, grant, now)
+
+
+class ShareWorld:
+    """One limit, its holders, and its lender of the day."""
+
+    def __init__(self, whole: shares.Amounts, count: int, seed: int):
+        self.now = 100.0
+        self.whole = whole
+        self.random = random.Random(seed)
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = 0
+        self.number = 0
+        self.losses = 0
+        self.delays = 0
+        self.epoch = 1
+        self.is_vacant = False
+        self.policy = RATE_POLICY if len(whole) == 2 else CONNECTIONS_POLICY
+        self.limit = lending.Limit(whole, self.policy, True, self.now)
+        self.holders: dict[str, Holder] = {}
+        self.admitted: list[float] = []
+        self.most_held = (0.0,) * len(whole)
+        for place in range(count):
+            self.join(f"i{place}")
+
+    def join(self, name: str) -> None:
+        """Starts an instance, or one with the name of another again."""
+        holder = Holder(name, len(self.whole), self.now)
+        self.holders[f"{name}@{self.now}"] = holder
+        holder.epoch = self.epoch
+        self.at(0.0, lambda: self.renew(holder))
+
+    def find(self, name: str) -> Holder | None:
+        """Returns the living instance of a name."""
+        for holder in self.holders.values():
+            if holder.name == name and holder.is_alive:
+                return holder
+        return None
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Does something later."""
+        self.order += 1
+        heapq.heappush(self.heap, (self.now + delay_s, self.order, action))
+
+    def run(self, duration_s: float) -> None:
+        """Lets time go on, with a check after each step."""
+        end = self.now + duration_s
+        while self.heap and self.heap[0][0] <= end:
+            at, _, action = heapq.heappop(self.heap)
+            self.now = max(self.now, at)
+            action()
+            self.check()
+        self.now = end
+        self.check()
+
+    def check(self) -> None:
+        """Adds up what all holders would use now."""
+        sums = [0.0] * len(self.whole)
+        for holder in self.holders.values():
+            if not holder.is_alive:
+                continue
+            for place, amount in enumerate(holder.held(self.now)):
+                sums[place] += amount
+        self.most_held = tuple(map(max, self.most_held, sums))
+
+    def wake(self, holder: Holder, action: Callable[[], None]) -> None:
+        """Does something at an instance once it is not paused."""
+        if not holder.is_alive:
+            return
+        if self.now < holder.paused_until:
+            wait_s = holder.paused_until - self.now
+            self.at(wait_s, lambda: self.wake(holder, action))
+            return
+        action()
+
+    def renew(self, holder: Holder) -> None:
+        """Asks regularly."""
+        if not holder.is_alive:
+            return
+        self.wake(holder, lambda: self.ask(holder))
+        self.at(RENEW_S, lambda: self.renew(holder))
+
+    def ask(self, holder: Holder) -> None:
+        """Sends an ask to the lender whom the instance believes in."""
+        if not shares.may_ask_now(holder.line, self.now):
+            return
+        if not holder.is_cut and not self.is_vacant:
+            holder.epoch = self.epoch
+        self.number += 1
+        number = self.number
+        line = holder.state_line(self.now)
+        shares.note_asked(holder.line, number, self.now)
+        epoch = holder.epoch
+        self.carry(holder, lambda: self.hear(holder, number, epoch, line))
+
+    def hear(self, holder, number, epoch, line) -> None:
+        """The lender answers."""
+        if self.is_vacant or epoch != self.epoch:
+            return
+        key = f"{holder.name}@{id(holder)}"
+        grant = lending.asked(self.limit, key, number, line, self.now)
+        if grant is None:
+            return
+        self.carry(
+            holder,
+            lambda: self.wake(
+                holder, lambda: self.answered(holder, number, grant)
+            ),
+        )
+
+    def answered(self, holder, number, grant) -> None:
+        """The instance takes an answer; what it gave up it tells at once."""
+        accepted = holder.granted(number, grant, self.now)
+        if holder.is_rate:
+            self.serve(holder)
+        if accepted is not None and accepted.has_shrunk:
+            self.at(0.05, lambda: self.wake(holder, lambda: self.ask(holder)))
+
+    def carry(self, holder: Holder, action: Callable[[], None]) -> None:
+        """Carries a message, or loses it."""
+        if holder.is_cut:
+            return
+        if self.losses:
+            self.losses -= 1
+            return
+        delay_s = self.random.uniform(0.0005, 0.004)
+        if self.delays:
+            self.delays -= 1
+            delay_s = self.random.uniform(0.1, LONG_DELAY_S)
+        self.at(delay_s, action)
+
+    def request(self, holder: Holder) -> None:
+        """A caller's request."""
+        if not holder.is_rate:
+            return
+        bucket = holder.bucket
+        bucket.arrivals += 1
+        bucket.waiting.append((0, self.now))
+        self.serve(holder)
+        if bucket.waiting:
+            self.ask(holder)
+
+    def serve(self, holder: Holder) -> None:
+        """Admits what has tokens, and drops what waited long."""
+        bucket = holder.bucket
+        rates.settle(bucket, self.now)
+        while bucket.waiting and bucket.level >= 1.0:
+            bucket.waiting.popleft()
+            bucket.level -= 1.0
+            self.admitted.append(self.now)
+        while bucket.waiting and self.now - bucket.waiting[0][1] > 0.25:
+            bucket.waiting.popleft()
+
+    def replace_lender(self, gap_s: float) -> None:
+        """The lender goes; after a time a new one lends, under a new epoch."""
+        self.epoch += 1
+        self.is_vacant = True
+        epoch = self.epoch
+        self.at(gap_s, lambda: self.take_over(epoch))
+
+    def take_over(self, epoch: int) -> None:
+        """A new lender begins, which knows no loans."""
+        if epoch != self.epoch:
+            return
+        self.is_vacant = False
+        self.limit = lending.Limit(self.whole, self.policy, False, self.now)
+
+    def set_whole(self, whole: shares.Amounts) -> None:
+        """Changes the configuration."""
+        self.whole = whole
+        lending.set_whole(self.limit, whole, self.now)
