--- a/src/cuminwall/connectionshares.py
+++ b/src/cuminwall/connectionshares.py
@@ -22,8 +22,7 @@
 def tick(state: State, group: Group, out: list[Effect]) -> None:
     """Drops permits that have lapsed."""
     for server in group.servers.values():
-        if shares.lapse(server.share, state.now):
-            apply(state, group, server, out)
+        apply(state, group, server, out)
 
 
 def needs_more(server: Server) -> bool:
@@ -33,14 +32,15 @@
     return bool(server.queue.size) and server.in_use >= server.permits
 
 
-def state_line(server: Server) -> messages.ShareLine:
+def state_line(server: Server, now: float) -> messages.ShareLine:
     """Returns what an ask states."""
     line = server.share
+    shares.lapse(line, now)
     needed = server.in_use + server.queue.size
     wanted = needed + SPARE + int(needed * SPARE_PART)
     if server.out:
         wanted = 0
-    held = max(line.held[0], float(server.in_use))
+    held = max(line.held[0], server.in_use - line.floor[0])
     return _line(line, (held,), line.floor, (float(wanted),), False)
 
 
@@ -55,7 +55,7 @@
     state: State, group: Group, server: Server, out: list[Effect]
 ) -> None:
     """Puts the share of a server's connections in force."""
-    permits = int(server.share.held[0])
+    permits = int(shares.usable(server.share, state.now)[0])
     if permits == server.permits:
         return
     server.permits = permits
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -6,6 +6,7 @@
 tokens that belong to the unlent part (`level`) are counted the same way.
 """
 
+import operator
 from typing import NamedTuple
 
 from cuminwall import leases, messages
@@ -46,10 +47,12 @@
 
     Attributes:
       number: The number of the holder's latest ask.
-      held: What the holder may use at most.
-      floor: What it may use at most after `lapses_at`.
+      held: What is lent for a short time, at most.
+      floor: What is lent for long beside it, at most.
       wanted: What it would like to hold.
-      lapses_at: When all beyond the floor has surely lapsed.
+      granted_at: When the last answer was given.
+      reserve_until: Until when the holder surely doesn't use its floor.
+      lapses_at: When `held` has surely lapsed.
       floor_lapses_at: When the floor has surely lapsed.
       level_sent: The tokens that the last answer carried.
       returned: The tokens that it has ever given back.
@@ -63,6 +66,8 @@
         "held",
         "floor",
         "wanted",
+        "granted_at",
+        "reserve_until",
         "lapses_at",
         "floor_lapses_at",
         "level_sent",
@@ -77,6 +82,8 @@
         self.held: Amounts = zeros
         self.floor: Amounts = zeros
         self.wanted: Amounts = zeros
+        self.granted_at = leases.NEVER
+        self.reserve_until = leases.NEVER
         self.lapses_at = leases.NEVER
         self.floor_lapses_at = leases.NEVER
         self.level_sent = 0.0
@@ -92,9 +99,11 @@
       whole: What may be held in all.
       policy: How it is lent.
       unclaimed: What holders of an earlier lender may still use unheard.
-      lent: The sum of all loans.
+      lent: The sum of what is lent for a short time.
       floors: The sum of all floors.
-      level: The tokens of the unlent part.
+      reserve: The sum of the floors that no holder uses now.
+      reserve_until: When that must be worked out anew.
+      level: The tokens of the pool: of the unlent part and the reserve.
       level_at: When the level was worked out.
       loans: By holder.
       open_count: How many of them take part in the division.
@@ -110,6 +119,8 @@
         "unclaimed",
         "lent",
         "floors",
+        "reserve",
+        "reserve_until",
         "level",
         "level_at",
         "loans",
@@ -137,6 +148,8 @@
         self.unclaimed: Amounts = zeros if is_first else whole
         self.lent: Amounts = zeros
         self.floors: Amounts = zeros
+        self.reserve: Amounts = zeros
+        self.reserve_until = float("inf")
         self.level = whole[-1] if is_first else 0.0
         self.level_at = since
         self.loans: dict[str, Loan] = {}
@@ -168,6 +181,8 @@
         return None
     _lapse(limit, loan, now)
     _count_stated(limit, loan, line, is_new)
+    if not is_new:
+        _note_accepted(limit, loan, line, now)
     _take_tokens(limit, loan, line)
     loan.number = number
     _set_open(limit, loan, not line.is_leaving)
@@ -193,15 +208,14 @@
 def free(limit: Limit) -> Amounts:
     """Returns what nobody holds; negative after the whole was reduced."""
     found = []
-    for whole, unclaimed, lent in zip(
-        limit.whole, limit.unclaimed, limit.lent, strict=True
-    ):
-        found.append(whole - unclaimed - lent)
+    for place, whole in enumerate(limit.whole):
+        held = limit.lent[place] + limit.floors[place]
+        found.append(whole - limit.unclaimed[place] - held)
     return tuple(found)
 
 
 def settle(limit: Limit, now: float) -> None:
-    """Lets the unlent part gain tokens up to `now`."""
+    """Lets the pool gain tokens up to `now`."""
     if limit.level_at < limit.quiet_until <= now:
         _gain(limit, limit.quiet_until)
         limit.unclaimed = _unclaimed_floors(limit)
@@ -228,18 +242,45 @@
 
 
 def _gain(limit: Limit, now: float) -> None:
-    """Adds the tokens of the unlent rate."""
-    passed_s = now - limit.level_at
-    limit.level_at = now
+    """Adds the tokens of the pool's rate."""
+    while limit.reserve_until <= now:
+        _gain_evenly(limit, limit.reserve_until)
+        _sum_reserve(limit, limit.level_at)
+    _gain_evenly(limit, now)
+
+
+def _gain_evenly(limit: Limit, now: float) -> None:
+    """Adds the tokens of a time in which the pool did not change."""
+    passed_s = max(0.0, now - limit.level_at)
+    limit.level_at = max(limit.level_at, now)
     if not limit.policy.has_level:
         return
-    limit.level += passed_s * max(0.0, free(limit)[0])
+    limit.level += passed_s * max(0.0, _pool(limit, 0))
     _trim_level(limit)
 
 
+def _pool(limit: Limit, place: int) -> float:
+    """Returns the pool's amount of a component."""
+    return free(limit)[place] + limit.reserve[place]
+
+
 def _trim_level(limit: Limit) -> None:
-    """Keeps the tokens within the unlent burst."""
-    limit.level = min(limit.level, max(0.0, free(limit)[-1]))
+    """Keeps the tokens within the pool's burst."""
+    limit.level = min(limit.level, max(0.0, _pool(limit, -1)))
+
+
+def _sum_reserve(limit: Limit, now: float) -> None:
+    """Adds up the floors that their holders surely don't use now."""
+    sums = [0.0] * len(limit.whole)
+    limit.reserve_until = float("inf")
+    for loan in limit.loans.values():
+        if now >= loan.reserve_until:
+            continue
+        limit.reserve_until = min(limit.reserve_until, loan.reserve_until)
+        for place, amount in enumerate(loan.floor):
+            sums[place] += amount
+    limit.reserve = tuple(sums)
+    _trim_level(limit)
 
 
 def _unclaimed_floors(limit: Limit) -> Amounts:
@@ -265,13 +306,18 @@
 
 def _set_loan(limit: Limit, loan: Loan, held: Amounts, floor: Amounts) -> None:
     """Changes a loan and the sums."""
+    is_reserved = limit.level_at < loan.reserve_until
     lent = []
     floors = []
+    reserve = []
     for place, amount in enumerate(held):
         lent.append(limit.lent[place] + amount - loan.held[place])
-        floors.append(limit.floors[place] + floor[place] - loan.floor[place])
+        change = floor[place] - loan.floor[place]
+        floors.append(limit.floors[place] + change)
+        reserve.append(limit.reserve[place] + change * is_reserved)
     limit.lent = tuple(lent)
     limit.floors = tuple(floors)
+    limit.reserve = tuple(reserve)
     loan.held = held
     loan.floor = floor
 
@@ -292,11 +338,11 @@
 
 def _lapse(limit: Limit, loan: Loan, now: float) -> None:
     """Takes back what has lapsed; its tokens are lost."""
+    zeros = (0.0,) * len(limit.whole)
     if now >= loan.floor_lapses_at:
-        zeros = (0.0,) * len(limit.whole)
         _set_loan(limit, loan, zeros, zeros)
     elif now >= loan.lapses_at:
-        _set_loan(limit, loan, loan.floor, loan.floor)
+        _set_loan(limit, loan, zeros, loan.floor)
 
 
 def _count_stated(
@@ -307,19 +353,35 @@
     A holder that is new to this lender had its share from an earlier one;
     that share is claimed once, from what is not yet claimed.
     """
-    if is_new:
-        held = _least(line.held, limit.unclaimed)
-        floor = _least(line.floor, held)
-        unclaimed = []
-        for left, claimed in zip(limit.unclaimed, held, strict=True):
-            unclaimed.append(left - claimed)
-        limit.unclaimed = tuple(unclaimed)
-    else:
+    if not is_new:
         held = _least(line.held, loan.held)
-        floor = _least(line.floor, loan.floor)
+        _set_loan(limit, loan, held, _least(line.floor, loan.floor))
+        return
+    floor = _least(line.floor, limit.unclaimed)
+    limit.unclaimed = _minus(limit.unclaimed, floor)
+    held = _least(line.held, limit.unclaimed)
+    limit.unclaimed = _minus(limit.unclaimed, held)
     _set_loan(limit, loan, held, floor)
 
 
+def _note_accepted(
+    limit: Limit, loan: Loan, line: messages.ShareLine, now: float
+) -> None:
+    """Extends the time in which the holder surely leaves its floor alone.
+
+    It does so for as long as its last answer is lent, from its receipt.
+    """
+    if line.accepted != loan.number:
+        return
+    until = leases.lapses_at(loan.granted_at, limit.policy.lease_s)
+    if now >= until:
+        return
+    was_reserved = now < loan.reserve_until
+    loan.reserve_until = until
+    if not was_reserved:
+        _sum_reserve(limit, now)
+
+
 def _take_tokens(limit: Limit, loan: Loan, line: messages.ShareLine) -> None:
     """Takes in the tokens given back, or sent with an answer not taken."""
     if not limit.policy.has_level:
@@ -332,6 +394,11 @@
     _trim_level(limit)
 
 
+def _minus(one: Amounts, other: Amounts) -> Amounts:
+    """Returns the difference of each component."""
+    return tuple(map(operator.sub, one, other))
+
+
 def _least(one: Amounts, other: Amounts) -> Amounts:
     """Returns the lesser amount of each component."""
     return tuple(map(min, one, other))
@@ -345,10 +412,9 @@
     for place, whole in enumerate(limit.whole):
         wants = []
         lendable = whole * limit.policy.lendable[place]
-        least = _floor_of_one(limit, place)
         for loan in limit.loans.values():
             if loan.is_open:
-                wants.append(max(loan.wanted[place], least))
+                wants.append(_want_of(limit, loan, place))
         ceilings.append(water_level(wants, lendable))
     limit.ceilings = tuple(ceilings)
     if limit.policy.is_whole:
@@ -358,14 +424,13 @@
 def _divide_rest(limit: Limit) -> None:
     """Gives out, one each, what does not divide evenly."""
     ceiling = limit.ceilings[0]
-    least = _floor_of_one(limit, 0)
     rest = limit.whole[0]
     above = []
     for holder, loan in limit.loans.items():
         loan.extra = 0.0
         if not loan.is_open:
             continue
-        want = max(loan.wanted[0], least)
+        want = _want_of(limit, loan, 0)
         rest -= int(min(want, ceiling))
         if want > ceiling:
             above.append(holder)
@@ -395,21 +460,20 @@
     budget = max(
         whole * policy.floor_part, min(whole * policy.floor_most, count * least)
     )
-    part = budget / count
-    if part < least:
-        return 0.0
+    part = max(least, budget / count)
     return float(int(part)) if policy.is_whole else part
 
 
 def _floor_for(limit: Limit, loan: Loan) -> Amounts:
     """Returns the floor for one holder, within the budget of all floors."""
     found = []
-    budgets = _floor_budgets(limit)
-    for place, budget in enumerate(budgets):
+    unlent = free(limit)
+    for place, budget in enumerate(_floor_budgets(limit)):
         others = limit.floors[place] - loan.floor[place]
-        part = min(_floor_of_one(limit, place), budget - others)
+        room = min(budget - others, loan.floor[place] + unlent[place])
+        part = min(_floor_of_one(limit, place), room)
         if part <= 0 or part < limit.policy.floor_least[place]:
-            return (0.0,) * len(budgets)
+            return (0.0,) * len(limit.whole)
         found.append(float(int(part)) if limit.policy.is_whole else part)
     return tuple(found)
 
@@ -420,14 +484,17 @@
     """Lends what fits, counts it, and returns it."""
     policy = limit.policy
     kept = loan.held
+    floor = _floor_for(limit, loan)
+    _set_loan(limit, loan, kept, tuple(map(max, loan.floor, floor)))
     targets = []
     for place, left in enumerate(free(limit)):
         share = _share_of(limit, loan, line, place)
+        if not policy.has_level:
+            share -= floor[place]
         targets.append(max(0.0, min(share, kept[place] + max(0.0, left))))
     target = tuple(targets)
-    floor = _least(_floor_for(limit, loan), target)
-    held = tuple(map(max, kept, target))
-    _set_loan(limit, loan, held, tuple(map(max, loan.floor, floor)))
+    _set_loan(limit, loan, tuple(map(max, kept, target)), loan.floor)
+    loan.granted_at = now
     if any(floor):
         loan.floor_lapses_at = _lapses_at(policy, now, policy.floor_s)
     level = _send_tokens(limit, loan, line, target)
@@ -436,12 +503,18 @@
     )
 
 
+def _want_of(limit: Limit, loan: Loan, place: int) -> float:
+    """Returns what a holder wants, at least what it has for long."""
+    if limit.policy.has_level:
+        return loan.wanted[place]
+    return max(loan.wanted[place], _floor_of_one(limit, place))
+
+
 def _share_of(
     limit: Limit, loan: Loan, line: messages.ShareLine, place: int
 ) -> float:
     """Returns a holder's fair part of a component."""
-    want = max(loan.wanted[place], _floor_of_one(limit, place))
-    share = min(want, limit.ceilings[place])
+    share = min(_want_of(limit, loan, place), limit.ceilings[place])
     if limit.policy.is_whole:
         return float(int(share)) + loan.extra
     is_burst = limit.policy.has_level and place == len(limit.whole) - 1
@@ -461,7 +534,7 @@
     stock = min(line.stock, (limit.level - sent) * STOCK_PART, room - sent)
     sent += max(0.0, stock)
     # The burst was lent already; tokens that no longer fit go with it.
-    excess = limit.level - sent - max(0.0, free(limit)[-1])
+    excess = limit.level - sent - max(0.0, _pool(limit, -1))
     sent += max(0.0, min(excess, room - sent))
     limit.level -= sent
     _trim_level(limit)
--- a/src/cuminwall/messages.py
+++ b/src/cuminwall/messages.py
@@ -263,8 +263,8 @@
     Attributes:
       name: The limit, for example "rate:clerks".
       accepted: The number of the last ask whose answer the holder took.
-      held: The amounts that it holds, for example rate and burst.
-      floor: The part of them that is lent for long.
+      held: What it holds for a short time, for example rate and burst.
+      floor: What it holds for long beside it.
       wanted: What it would like to hold in all.
       level: The tokens that it has.
       short: The tokens that it lacks for requests that wait.
@@ -309,10 +309,10 @@
 
     Attributes:
       name: The limit.
-      target: What it holds from now on in all.
-      floor: The part of it that is lent for long.
+      target: What it holds from now on for a short time.
+      floor: What it holds for long beside it.
       level: The tokens that come with it.
-      lease_s: How long all of it is lent, from before the ask.
+      lease_s: How long `target` is lent, from before the ask.
       floor_s: How long the floor is lent, from before the ask.
     """
 
--- a/src/cuminwall/rates.py
+++ b/src/cuminwall/rates.py
@@ -20,7 +20,7 @@
 STOCK_S = 0.25  # Demand for which tokens are kept ready.
 KEPT_S = 0.3  # Tokens beyond this demand are given back.
 ROOM_S = 0.2  # Demand for which the burst has room beyond that.
-LEAST_DEMAND = 4.0  # Requests a second; below, each fetches its own token.
+LEAST_DEMAND = 20.0  # Requests a second; below, each fetches its own token.
 LOW_LEVEL_S = 0.05  # Demand below whose tokens more are asked for at once.
 
 
@@ -66,15 +66,14 @@
 
 
 def settle(bucket: Bucket, now: float) -> None:
-    """Lets a bucket gain tokens up to `now`, at what was held when."""
+    """Lets a bucket gain tokens up to `now`, at what was lent when."""
     line = bucket.line
-    for until in (line.until, line.floor_until):
-        if bucket.level_at < until <= now:
-            _gain(bucket, until)
-        if until <= now:
-            shares.lapse(line, until)
-            bucket.level = min(bucket.level, line.held[1])
+    bounds = sorted((line.until, line.floor_from, line.floor_until))
+    for bound in bounds:
+        if bucket.level_at < bound <= now:
+            _gain(bucket, bound)
     _gain(bucket, now)
+    shares.lapse(line, now)
 
 
 def state_line(bucket: Bucket, now: float) -> messages.ShareLine:
@@ -136,7 +135,8 @@
     if accepted is None:
         return None
     bucket.level += grant.level
-    over = max(0.0, bucket.level - bucket.line.held[1])
+    _, burst = shares.usable(bucket.line, now)
+    over = max(0.0, bucket.level - burst)
     bucket.level -= over
     bucket.returned += over
     return accepted
@@ -150,11 +150,13 @@
 
 
 def _gain(bucket: Bucket, now: float) -> None:
-    """Adds tokens at the rate held, within the burst held."""
+    """Adds tokens at what was lent since, and keeps them within what is."""
     passed_s = max(0.0, now - bucket.level_at)
-    bucket.level_at = max(bucket.level_at, now)
-    rate, burst = bucket.line.held
+    rate, burst = shares.usable(bucket.line, bucket.level_at)
     bucket.level = min(burst, bucket.level + passed_s * rate)
+    bucket.level_at = max(bucket.level_at, now)
+    _, burst = shares.usable(bucket.line, now)
+    bucket.level = min(burst, bucket.level)
 
 
 def _measure_demand(bucket: Bucket, now: float) -> None:
--- a/src/cuminwall/shareasks.py
+++ b/src/cuminwall/shareasks.py
@@ -49,7 +49,7 @@
     for server in group.servers.values():
         holders.pop(server.share.name, None)
         state.urgent_shares.pop(server.share.name, None)
-        if any(server.share.held):
+        if any(server.share.held) or any(server.share.floor):
             lines.append(connectionshares.give_back(server))
             connectionshares.apply(state, group, server, out)
     _say(state, shard, state.next_number(), lines, out)
@@ -119,7 +119,7 @@
 @state_line.register
 def _(holder: ServerShare, state: State) -> messages.ShareLine:
     group = state.groups[holder.service]
-    return connectionshares.state_line(group.servers[holder.server])
+    return connectionshares.state_line(group.servers[holder.server], state.now)
 
 
 @functools.singledispatch
@@ -159,7 +159,8 @@
     group = state.groups[holder.service]
     server = group.servers[holder.server]
     if accepted.has_grown or accepted.has_shrunk:
-        text = f"{holder.line.name}: {int(holder.line.held[0])} lent here"
+        count = int(shares.usable(holder.line, state.now)[0])
+        text = f"{holder.line.name}: {count} lent here"
         out.append(Log(PREFIX, text))
     connectionshares.apply(state, group, server, out)
     if connectionshares.needs_more(server):
--- a/src/cuminwall/sharelending.py
+++ b/src/cuminwall/sharelending.py
@@ -12,9 +12,9 @@
 RATE_KIND = "rate"
 CONNECTIONS_KIND = "connections"
 
-RATE_LENDABLE = (0.5, 0.75)  # The rest stays for sudden needs.
+RATE_LENDABLE = (0.5, 0.5)  # The rest stays for sudden needs.
 RATE_FLOOR_PART = 0.2
-RATE_FLOOR_MOST = 0.5
+RATE_FLOOR_MOST = 0.3
 RATE_FLOOR_LEAST = (0.0, 1.0)
 
 CONNECTIONS_FLOOR_PART = 0.5
--- a/src/cuminwall/shares.py
+++ b/src/cuminwall/shares.py
@@ -1,10 +1,12 @@
 """A holder's part of a shared limit, lent by the steward of the limit.
 
 A limit has one or more components, for example rate and burst. The holder
-has all of its share until `until` and the smaller floor of it until
-`floor_until`, both counted from before the ask that was answered. Only the
-answer to the latest ask counts, so what the latest ask stated can only grow
-by its own answer.
+has its share until `until` and a smaller floor until `floor_until`, both
+counted from before the ask that was answered. Only the answer to the latest
+ask counts, so what the latest ask stated can only grow by its own answer.
+
+The floor of a pooled limit is used by the lender while the holder is in
+touch, so the holder begins to use it only once the lender has surely ceased.
 """
 
 from typing import NamedTuple
@@ -23,9 +25,11 @@
 
     Attributes:
       name: The limit.
-      held: The amounts that count now.
-      floor: The part of them that is lent for long.
-      until: When all beyond the floor lapses.
+      is_pooled: Whether the floor is of use only when out of touch.
+      held: What is lent for a short time.
+      floor: What is lent for long beside it.
+      until: When `held` lapses.
+      floor_from: From when a pooled floor may be used.
       floor_until: When the floor lapses.
       accepted: The number of the last ask whose answer was taken.
       asked: The number of the latest ask.
@@ -37,9 +41,11 @@
 
     __slots__ = (
         "name",
+        "is_pooled",
         "held",
         "floor",
         "until",
+        "floor_from",
         "floor_until",
         "accepted",
         "asked",
@@ -51,9 +57,11 @@
 
     def __init__(self, name: str, components: int):
         self.name = name
+        self.is_pooled = components > 1
         self.held: Amounts = (0.0,) * components
         self.floor: Amounts = self.held
         self.until = leases.NEVER
+        self.floor_from = leases.NEVER
         self.floor_until = leases.NEVER
         self.accepted = 0
         self.asked = 0
@@ -75,14 +83,25 @@
     has_shrunk: bool
 
 
-def lapse(line: Line, now: float) -> bool:
-    """Drops what has lapsed; returns whether the held amounts changed."""
-    before = line.held
+def usable(line: Line, now: float) -> Amounts:
+    """Returns what the holder may use now."""
+    floor = line.floor
     if now >= line.floor_until:
-        line.floor = (0.0,) * len(line.floor)
+        floor = (0.0,) * len(line.held)
     if now >= line.until:
-        line.held = line.floor
-    return line.held != before
+        waits = line.is_pooled and now < line.floor_from
+        return (0.0,) * len(line.held) if waits else floor
+    if line.is_pooled:
+        return line.held
+    return tuple(map(sum, zip(line.held, floor, strict=True)))
+
+
+def lapse(line: Line, now: float) -> None:
+    """Drops what has lapsed."""
+    if now >= line.until:
+        line.held = (0.0,) * len(line.held)
+    if now >= line.floor_until:
+        line.floor = (0.0,) * len(line.floor)
 
 
 def accept(
@@ -91,17 +110,19 @@
     """Takes the lender's answer to the latest ask; None for any other."""
     if number != line.asked or line.is_answered:
         return None
-    before = line.held
+    before = usable(line, now)
     line.is_answered = True
     line.accepted = number
     line.held = grant.target
     line.floor = grant.floor
     line.until = leases.held_until(line.asked_at, grant.lease_s)
+    lender_s = leases.lapses_at(0.0, grant.lease_s)
+    line.floor_from = leases.lapses_at(now, lender_s)
     line.floor_until = leases.held_until(line.asked_at, grant.floor_s)
     lapse(line, now)
     has_grown = False
     has_shrunk = False
-    for old, new in zip(before, line.held, strict=True):
+    for old, new in zip(before, usable(line, now), strict=True):
         has_grown = has_grown or new > old
         has_shrunk = has_shrunk or new < old
     return Accepted(has_grown, has_shrunk)
