--- a/bench/limits.py
+++ b/bench/limits.py
@@ -11,10 +11,10 @@
 from typing import Any, NamedTuple
 
 from absl import app, flags
+from tests import naive_bucket, world
 
 from bench import fixed_split
 from cuminwall import effects, events, messages, outcomes, timings
-from tests import naive_bucket, world
 
 DURATION = flags.DEFINE_float("duration_s", 60.0, "Virtual seconds of load.")
 SEED = flags.DEFINE_integer("seed", 1, "Seed of arrivals and of roaming.")
--- a/src/cuminwall/admission.py
+++ b/src/cuminwall/admission.py
@@ -21,7 +21,9 @@
     for bucket in list(state.waiting.values()):
         release(state, bucket, out)
         if bucket.waiting:
-            shares.lengthen_pause(bucket.line)
+            if bucket.line.was_short and bucket.line.is_answered:
+                shares.lengthen_pause(bucket.line)
+            shareasks.ask_at_once(state, bucket, out)
             continue
         del state.waiting[bucket.workspace]
 
--- a/src/cuminwall/connectionshares.py
+++ b/src/cuminwall/connectionshares.py
@@ -19,10 +19,22 @@
     return ServerShare(group.service, server.name, server.share)
 
 
-def tick(state: State, group: Group, out: list[Effect]) -> None:
-    """Drops permits that have lapsed."""
-    for server in group.servers.values():
-        apply(state, group, server, out)
+def lapse(state: State, out: list[Effect]) -> None:
+    """Drops permits that have lapsed; called before anything else happens."""
+    if state.now < state.permits_until:
+        return
+    state.permits_until = float("inf")
+    for group in list(state.groups.values()):
+        for server in list(group.servers.values()):
+            note_bounds(state, server)
+            apply(state, group, server, out)
+
+
+def note_bounds(state: State, server: Server) -> None:
+    """Notes when a server's permits lapse next."""
+    for bound in (server.share.until, server.share.floor_until):
+        if state.now < bound:
+            state.permits_until = min(state.permits_until, bound)
 
 
 def needs_more(server: Server) -> bool:
@@ -41,7 +53,8 @@
     if server.out:
         wanted = 0
     held = max(line.held[0], server.in_use - line.floor[0])
-    return _line(line, (held,), line.floor, (float(wanted),), False)
+    stated = _line(line, (held,), line.floor, (float(wanted),), False)
+    return stated._replace(short=float(needs_more(server)))
 
 
 def give_back(server: Server) -> messages.ShareLine:
--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -35,6 +35,7 @@
     """Takes in one event and returns what is to be done."""
     state.now = event.now
     out: list[Effect] = []
+    connectionshares.lapse(state, out)
     handle(event, state, out)
     return out
 
@@ -206,7 +207,6 @@
     relays.expire(state)
     orders.expire(state)
     for group in state.groups.values():
-        connectionshares.tick(state, group, out)
         writeleases.finish_recall(state, group, out)
         jobs.check_replicas(state, group, out)
         jobs.retry_parked(state, group, out)
--- a/src/cuminwall/shareasks.py
+++ b/src/cuminwall/shareasks.py
@@ -72,8 +72,7 @@
 
 
 def ask_at_once(state: State, holder: Holder, out: list[Effect]) -> None:
-    """Asks for one limit now, or as soon as that makes sense."""
-    state.urgent_shares[holder.line.name] = holder
+    """Asks for one limit now, unless an ask is on its way or was of no use."""
     if not shares.may_ask_now(holder.line, state.now):
         return
     shard = _shard_of(state, holder)
@@ -162,6 +161,7 @@
         count = int(shares.usable(holder.line, state.now)[0])
         text = f"{holder.line.name}: {count} lent here"
         out.append(Log(PREFIX, text))
+    connectionshares.note_bounds(state, server)
     connectionshares.apply(state, group, server, out)
     if connectionshares.needs_more(server):
         shares.lengthen_pause(holder.line)
@@ -190,8 +190,9 @@
         if not line.is_answered and since_s < shares.ASK_TIMEOUT_S:
             continue
         state.urgent_shares.pop(line.name, None)
-        lines.append(state_line(holder, state))
-        shares.note_asked(line, number, state.now)
+        stated = state_line(holder, state)
+        lines.append(stated)
+        shares.note_asked(line, number, state.now, stated.short > 0)
     _say(state, shard, number, lines, out)
 
 
--- a/src/cuminwall/shares.py
+++ b/src/cuminwall/shares.py
@@ -35,8 +35,8 @@
       asked: The number of the latest ask.
       asked_at: When it was sent.
       is_answered: Whether its answer has come.
-      is_urgent: Whether an ask shall not wait for the regular time.
-      pause_s: The least time between two urgent asks.
+      was_short: Whether it asked for what work waits for.
+      pause_s: The least time between two such asks.
     """
 
     __slots__ = (
@@ -51,7 +51,7 @@
         "asked",
         "asked_at",
         "is_answered",
-        "is_urgent",
+        "was_short",
         "pause_s",
     )
 
@@ -67,7 +67,7 @@
         self.asked = 0
         self.asked_at = leases.NEVER
         self.is_answered = True
-        self.is_urgent = False
+        self.was_short = False
         self.pause_s = FIRST_PAUSE_S
 
 
@@ -128,12 +128,12 @@
     return Accepted(has_grown, has_shrunk)
 
 
-def note_asked(line: Line, number: int, now: float) -> None:
+def note_asked(line: Line, number: int, now: float, was_short: bool) -> None:
     """Notes that an ask which states this line is being sent."""
     line.asked = number
     line.asked_at = now
     line.is_answered = False
-    line.is_urgent = False
+    line.was_short = was_short
 
 
 def may_ask_now(line: Line, now: float) -> bool:
@@ -145,7 +145,7 @@
     since_s = now - line.asked_at
     if not line.is_answered:
         return since_s >= ASK_TIMEOUT_S
-    return since_s >= line.pause_s
+    return not line.was_short or since_s >= line.pause_s
 
 
 def lengthen_pause(line: Line) -> None:
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -591,6 +591,7 @@
         self.waiting: dict[str, Bucket] = {}
         self.share_holders: dict[int, dict[str, Bucket | ServerShare]] = {}
         self.share_asks: dict[int, float] = {}
+        self.permits_until = float("inf")
         self.urgent_shares: dict[str, Bucket | ServerShare] = {}
         self.calls: dict[int, tuple[Any, ...]] = {}
         self.last_number = 0
--- a/tests/share_world.py
+++ b/tests/share_world.py
@@ -160,7 +160,7 @@
         self.number += 1
         number = self.number
         line = holder.state_line(self.now)
-        shares.note_asked(holder.line, number, self.now)
+        shares.note_asked(holder.line, number, self.now, line.short > 0)
         epoch = holder.epoch
         self.carry(holder, lambda: self.hear(holder, number, epoch, line))
 
