Keep what unheard holders may have for long apart after a change of lender

The generated test found it: an instance paused over a change of lender kept a floor that the new lender had given to others. The new lender now gives no floor beyond those that were claimed, until all earlier ones have lapsed.

--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -99,6 +99,7 @@
       whole: What may be held in all.
       policy: How it is lent.
       unclaimed: What holders of an earlier lender may still use unheard.
+      unheard_floors: The part of that which is lent for long, at most.
       lent: The sum of what is lent for a short time.
       floors: The sum of all floors.
       reserve: The sum of the floors that no holder uses now.
@@ -117,6 +118,7 @@
         "whole",
         "policy",
         "unclaimed",
+        "unheard_floors",
         "lent",
         "floors",
         "reserve",
@@ -146,6 +148,7 @@
         self.whole = whole
         self.policy = policy
         self.unclaimed: Amounts = zeros if is_first else whole
+        self.unheard_floors: Amounts = zeros
         self.lent: Amounts = zeros
         self.floors: Amounts = zeros
         self.reserve: Amounts = zeros
@@ -159,6 +162,7 @@
         self.quiet_until = leases.NEVER
         self.floor_quiet_until = leases.NEVER
         if not is_first:
+            self.unheard_floors = tuple(_floor_budgets(self))
             self.quiet_until = _lapses_at(policy, since, policy.lease_s)
             self.floor_quiet_until = _lapses_at(policy, since, policy.floor_s)
 
@@ -218,10 +222,11 @@
     """Lets the pool gain tokens up to `now`."""
     if limit.level_at < limit.quiet_until <= now:
         _gain(limit, limit.quiet_until)
-        limit.unclaimed = _unclaimed_floors(limit)
+        limit.unclaimed = _least(limit.unclaimed, limit.unheard_floors)
     if limit.level_at < limit.floor_quiet_until <= now:
         _gain(limit, limit.floor_quiet_until)
         limit.unclaimed = (0.0,) * len(limit.whole)
+        limit.unheard_floors = limit.unclaimed
     _gain(limit, now)
 
 
@@ -283,17 +288,6 @@
     _trim_level(limit)
 
 
-def _unclaimed_floors(limit: Limit) -> Amounts:
-    """Returns what unheard holders may still have once shares lapsed."""
-    left = []
-    budgets = _floor_budgets(limit)
-    for unclaimed, budget, floors in zip(
-        limit.unclaimed, budgets, limit.floors, strict=True
-    ):
-        left.append(min(unclaimed, max(0.0, budget - floors)))
-    return tuple(left)
-
-
 def _floor_budgets(limit: Limit) -> list[float]:
     """Returns what all floors together may take at most."""
     policy = limit.policy
@@ -357,7 +351,9 @@
         held = _least(line.held, loan.held)
         _set_loan(limit, loan, held, _least(line.floor, loan.floor))
         return
-    floor = _least(line.floor, limit.unclaimed)
+    floor = _least(line.floor, limit.unheard_floors)
+    floor = _least(floor, limit.unclaimed)
+    limit.unheard_floors = _minus(limit.unheard_floors, floor)
     limit.unclaimed = _minus(limit.unclaimed, floor)
     held = _least(line.held, limit.unclaimed)
     limit.unclaimed = _minus(limit.unclaimed, held)
@@ -371,7 +367,7 @@
 
     It does so for as long as its last answer is lent, from its receipt.
     """
-    if line.accepted != loan.number:
+    if not limit.policy.has_level or line.accepted != loan.number:
         return
     until = leases.lapses_at(loan.granted_at, limit.policy.lease_s)
     if now >= until:
@@ -470,6 +466,7 @@
     unlent = free(limit)
     for place, budget in enumerate(_floor_budgets(limit)):
         others = limit.floors[place] - loan.floor[place]
+        others += limit.unheard_floors[place]
         room = min(budget - others, loan.floor[place] + unlent[place])
         part = min(_floor_of_one(limit, place), room)
         if part <= 0 or part < limit.policy.floor_least[place]:
