--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -229,6 +229,8 @@
         script = Script(1)
         steward = world.steward_of(script.world, "clerks")
         name = "a-0" if steward[0] != "a" else "b-0"
+        # Its successor of the same name counts its asks from the start.
+        script.world.nodes[name].state.last_number += 1_000_000
         script.play(("load", name, 20, 0.0625))
         script.play(("restart", name))
         script.play(("wait", 4.0))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,7 +5,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from cuminwall import lending
+from cuminwall import lending, messages, shares
 from tests import naive_bucket, share_world
 
 NAMES = tuple(f"i{place}" for place in range(4))
@@ -173,6 +173,72 @@
         self.assertEqual(cut.held(world.now), (0.0,))
 
 
+class LenderTest(unittest.TestCase):
+    """One lender of connections, ask by ask."""
+
+    def setUp(self):
+        self.limit = self.begin(True, 0.0)
+
+    def begin(self, is_first, now):
+        policy = share_world.CONNECTIONS_POLICY._replace(floor_part=0.1)
+        return lending.Limit((10.0,), policy, is_first, now)
+
+    def ask(self, holder, number, now, wanted, held=0.0, floor=0.0):
+        line = messages.ShareLine(
+            "limit",
+            number - 1,
+            (held,),
+            (floor,),
+            (wanted,),
+            0.0,
+            0.0,
+            0.0,
+            0.0,
+            False,
+        )
+        grant = lending.asked(self.limit, holder, number, line, now)
+        return grant.target[0], grant.floor[0]
+
+    def test_late_statement_of_a_lapsed_share_lends_nothing_again(self):
+        first, _ = self.ask("a", 1, 0.0, 10.0)
+        self.assertGreaterEqual(first, 5.0)
+        self.ask("b", 1, 3.0, 10.0)
+        got, floor = self.ask("b", 2, 3.1, 10.0)
+        late, late_floor = self.ask("a", 2, 3.2, 10.0, held=first)
+        self.assertLessEqual(got + floor + late + late_floor, 10.0)
+
+    def test_claimed_share_moves_before_earlier_loans_have_lapsed(self):
+        self.limit = self.begin(False, 0.0)
+        self.ask("a", 5, 0.1, 9.0, held=9.0, floor=1.0)
+        self.assertEqual(self.ask("b", 5, 0.2, 9.0), (0.0, 0.0))
+        self.ask("a", 6, 0.3, 0.0, held=9.0, floor=1.0)
+        self.ask("a", 7, 0.4, 0.0, held=2.0, floor=1.0)
+        got, _ = self.ask("b", 6, 0.5, 9.0)
+        self.assertGreaterEqual(got, 5.0)
+
+    def test_floor_of_a_dead_holder_comes_back(self):
+        self.ask("a", 1, 0.0, 10.0)
+        self.ask("b", 1, 5.0, 10.0)
+        self.assertLess(sum(self.ask("b", 2, 5.9, 10.0)), 10.0)
+        self.assertEqual(sum(self.ask("b", 3, 7.0, 10.0)), 10.0)
+        self.assertEqual(list(self.limit.loans), ["b"])
+
+
+class LineTest(unittest.TestCase):
+    """A holder's part."""
+
+    def test_only_the_answer_to_the_latest_ask_counts(self):
+        line = shares.Line("limit", 1)
+        grant = messages.ShareGrant("limit", (5.0,), (1.0,), 0.0, 2.0, 6.0)
+        shares.note_asked(line, 1, 0.0, True)
+        shares.note_asked(line, 2, 0.2, True)
+        self.assertIsNone(shares.accept(line, 1, grant, 0.3))
+        self.assertIsNotNone(shares.accept(line, 2, grant, 0.4))
+        self.assertIsNone(shares.accept(line, 2, grant, 0.5))
+        self.assertEqual(shares.usable(line, 2.1), (6.0,))
+        self.assertEqual(shares.usable(line, 2.2), (1.0,))
+
+
 class DemandTest(unittest.TestCase):
     """A rate follows the callers."""
 
