--- a/bench/limits.py
+++ b/bench/limits.py
@@ -196,7 +196,7 @@
     return LARGE_RATE if place < LARGE_COUNT else SMALL_RATE
 
 
-def judge(tally: Tally, refused: set[int]) -> Result:
+def judge(tally: Tally, refused: set[int], failed: int) -> Result:
     """Compares what was refused with one bucket for all instances."""
     naive = naive_bucket.NaiveBucket(tally.rate, tally.burst, 0.0)
     due = 0
@@ -206,7 +206,7 @@
             continue
         due += 1
         wrongful += place in refused
-    served = len(tally.offers) - len(refused)
+    served = len(tally.offers) - len(refused) - failed
     return Result(len(tally.offers), due, served, wrongful)
 
 
@@ -281,8 +281,9 @@
                 refused.add(place)
                 continue
             other[failure.reason] = other.get(failure.reason, 0) + 1
-        lent[each.name] = judge(each.tally, refused)
-        fixed[each.name] = judge(each.tally, split(each.tally, names))
+        failed = len(each.tally.refused) - len(refused)
+        lent[each.name] = judge(each.tally, refused, failed)
+        fixed[each.name] = judge(each.tally, split(each.tally, names), 0)
     report("lent shares", lent)
     report("fixed split", fixed)
     for name, result in lent.items():
--- a/src/cuminwall/timings.py
+++ b/src/cuminwall/timings.py
@@ -66,7 +66,7 @@
     withdrawn_grace_s: float = 1.0
     members_keep_s: float = 3.0
     home_retry_s: float = 1.0
-    share_lease_s: float = 5.0
+    share_lease_s: float = 2.0
     share_floor_s: float = 180.0
     share_renew_s: float = 0.5
     share_wait_s: float = 0.25
