--- a/src/cuminwall/rates.py
+++ b/src/cuminwall/rates.py
@@ -1,50 +1,174 @@
-"""Each workspace's rate and burst at this instance, as a fixed split.
+"""Each workspace's rate and burst at this instance: a bucket of its share.
 
-Every instance takes an equal part of the whole.
+A request that finds no token waits a short time, while the instance asks the
+lender for more. All buckets of a workspace and the lender's rest together
+never admit more than one bucket with the whole rate and burst would.
 """
 
-from typing import NamedTuple
+import enum
+import math
 
-from cuminwall import membership
-from cuminwall.state import State
+from cuminwall import messages, sharelending, shares
+from cuminwall.state import Bucket, State
 
+MAX_WAITING = 200  # Requests of a workspace that wait for a token.
 
-class Bucket:
-    """A token bucket.
+DEMAND_TIME_S = 0.5  # Time constant of the smoothed demand.
+DEMAND_STEP_S = 0.2  # Shortest time over which demand is measured.
+SUDDEN_S = 1.0  # Time over which a sudden rise is spread.
+OWN_PART = 0.5  # Wanted rate per demand; the rest comes from the pool.
+STOCK_S = 0.25  # Demand for which tokens are kept ready.
+KEPT_S = 0.3  # Tokens beyond this demand are given back.
+ROOM_S = 0.2  # Demand for which the burst has room beyond that.
+LEAST_DEMAND = 20.0  # Requests a second; below, each fetches its own token.
+LOW_LEVEL_S = 0.05  # Demand below whose tokens more are asked for at once.
 
-    Attributes:
-      level: Requests that may come at once.
-      filled_at: When the level was worked out, in seconds.
-    """
 
-    __slots__ = ("level", "filled_at")
+class Taken(enum.Enum):
+    """What became of a request."""
 
-    def __init__(self, level: float, filled_at: float):
-        self.level = level
-        self.filled_at = filled_at
+    ADMITTED = enum.auto()
+    WAITS = enum.auto()
+    REFUSED = enum.auto()
 
 
-class Part(NamedTuple):
-    """This instance's part of a workspace's rate."""
+def find(state: State, workspace: str) -> Bucket | None:
+    """Returns a workspace's bucket, or None if it has no limit."""
+    bucket = state.buckets.get(workspace)
+    if bucket is not None or workspace not in state.config.workspaces:
+        return bucket
+    line = shares.Line(sharelending.rate_name(workspace), 2)
+    bucket = state.buckets[workspace] = Bucket(workspace, line, state.now)
+    return bucket
+
 
-    rate: float
-    burst: float
+def take(state: State, bucket: Bucket, number: int) -> Taken:
+    """Takes a token for a request, or lets the request wait."""
+    bucket.arrivals += 1
+    settle(bucket, state.now)
+    if not bucket.waiting and bucket.level >= 1.0:
+        bucket.level -= 1.0
+        return Taken.ADMITTED
+    if len(bucket.waiting) >= MAX_WAITING:
+        return Taken.REFUSED
+    bucket.waiting.append((number, state.now))
+    state.waiting[bucket.workspace] = bucket
+    return Taken.WAITS
 
 
-def take(state: State, workspace: str, number: int) -> bool:
-    """Takes one request off the workspace's bucket, if there is one."""
-    entry = state.config.workspaces.get(workspace)
-    if entry is None:
+def is_low(bucket: Bucket) -> bool:
+    """Returns whether the tokens will not last until the regular ask."""
+    if bucket.waiting:
         return True
-    count = max(1, len(membership.staying(state)))
-    part = Part(entry.rate / count, max(1.0, entry.burst / count))
-    bucket = state.buckets.get(workspace)
-    if bucket is None:
-        bucket = state.buckets[workspace] = Bucket(part.burst, state.now)
-    gained = (state.now - bucket.filled_at) * part.rate
-    bucket.level = min(part.burst, bucket.level + gained)
-    bucket.filled_at = state.now
-    if bucket.level < 1.0:
+    if bucket.demand < LEAST_DEMAND:
+        return False
+    return bucket.level < LOW_LEVEL_S * bucket.demand
+
+
+def settle(bucket: Bucket, now: float) -> None:
+    """Lets a bucket gain tokens up to `now`, at what was lent when."""
+    line = bucket.line
+    bounds = sorted((line.until, line.floor_from, line.floor_until))
+    for bound in bounds:
+        if bucket.level_at < bound <= now:
+            _gain(bucket, bound)
+    _gain(bucket, now)
+    shares.lapse(line, now)
+
+
+def state_line(bucket: Bucket, now: float) -> messages.ShareLine:
+    """Returns what an ask states, after giving surplus tokens back."""
+    settle(bucket, now)
+    _measure_demand(bucket, now)
+    demand = bucket.demand if bucket.demand >= LEAST_DEMAND else 0.0
+    waiting = float(len(bucket.waiting))
+    kept = waiting + KEPT_S * demand
+    surplus = max(0.0, bucket.level - kept)
+    bucket.level -= surplus
+    bucket.returned += surplus
+    wanted = (OWN_PART * demand, kept + ROOM_S * demand)
+    line = bucket.line
+    return messages.ShareLine(
+        name=line.name,
+        accepted=line.accepted,
+        held=line.held,
+        floor=line.floor,
+        wanted=wanted,
+        level=bucket.level,
+        short=max(0.0, waiting - bucket.level),
+        stock=max(
+            0.0,
+            STOCK_S * demand - max(0.0, bucket.level - waiting),
+        ),
+        returned=bucket.returned,
+        is_leaving=False,
+    )
+
+
+def give_back(bucket: Bucket, now: float) -> messages.ShareLine:
+    """Returns the last ask of a bucket, which gives all of it back."""
+    settle(bucket, now)
+    bucket.returned += bucket.level
+    bucket.level = 0.0
+    line = bucket.line
+    line.held = line.floor = (0.0, 0.0)
+    return messages.ShareLine(
+        line.name,
+        line.accepted,
+        line.held,
+        line.floor,
+        line.held,
+        0.0,
+        0.0,
+        0.0,
+        bucket.returned,
+        True,
+    )
+
+
+def granted(
+    bucket: Bucket, number: int, grant: messages.ShareGrant, now: float
+) -> shares.Accepted | None:
+    """Takes the lender's answer; None if it is not for the latest ask."""
+    settle(bucket, now)
+    accepted = shares.accept(bucket.line, number, grant, now)
+    if accepted is None:
+        return None
+    bucket.level += grant.level
+    _, burst = shares.usable(bucket.line, now)
+    over = max(0.0, bucket.level - burst)
+    bucket.level -= over
+    bucket.returned += over
+    return accepted
+
+
+def is_idle(state: State, bucket: Bucket) -> bool:
+    """Returns whether nobody here needs a share."""
+    if bucket.sessions or bucket.waiting:
         return False
-    bucket.level -= 1.0
-    return True
+    return state.draining or not bucket.arrivals
+
+
+def _gain(bucket: Bucket, now: float) -> None:
+    """Adds tokens at what was lent since, and keeps them within what is."""
+    passed_s = max(0.0, now - bucket.level_at)
+    rate, burst = shares.usable(bucket.line, bucket.level_at)
+    bucket.level = min(burst, bucket.level + passed_s * rate)
+    bucket.level_at = max(bucket.level_at, now)
+    _, burst = shares.usable(bucket.line, now)
+    bucket.level = min(burst, bucket.level)
+
+
+def _measure_demand(bucket: Bucket, now: float) -> None:
+    """Smooths the arrivals since the last measurement."""
+    passed_s = now - bucket.demand_at
+    if passed_s < DEMAND_STEP_S:
+        # A sudden rise counts at once.
+        least = bucket.arrivals / SUDDEN_S
+        bucket.demand = max(bucket.demand, least)
+        return
+    kept = math.exp(-passed_s / DEMAND_TIME_S)
+    measured = bucket.arrivals / passed_s
+    bucket.demand = bucket.demand * kept + measured * (1 - kept)
+    bucket.arrivals = 0
+    bucket.demand_at = now
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -13,8 +13,10 @@
     document,
     fairness,
     leases,
+    lending,
     messages,
     ports,
+    shares,
     timings,
     work,
 )
@@ -61,16 +63,24 @@
       home: The home that has it, or "" while it waits here.
       tried: The homes that were tried.
       arrived_at: Seconds.
+      tables: The tables read; empty if unknown.
     """
 
-    __slots__ = ("session", "order", "home", "tried", "arrived_at")
+    __slots__ = ("session", "order", "home", "tried", "arrived_at", "tables")
 
-    def __init__(self, session: int, order: work.WorkOrder, arrived_at: float):
+    def __init__(
+        self,
+        session: int,
+        order: work.WorkOrder,
+        arrived_at: float,
+        tables: tuple[str, ...] = (),
+    ):
         self.session = session
         self.order = order
         self.home = ""
         self.tried: list[str] = []
         self.arrived_at = arrived_at
+        self.tables = tables
 
 
 class Job:
@@ -120,6 +130,56 @@
         self.wrote = False
 
 
+class Bucket:
+    """This instance's share of a workspace's rate and burst.
+
+    Attributes:
+      workspace: The workspace.
+      line: The share: rate and burst.
+      level: The tokens: requests that may come at once.
+      level_at: When the level was worked out, in seconds.
+      returned: The tokens ever given back to the lender.
+      demand: Requests a second, smoothed, whether served or not.
+      arrivals: Requests since `demand` was worked out.
+      demand_at: When that was.
+      sessions: The callers of the workspace here.
+      waiting: Rounds that wait for a token: number and arrival time.
+    """
+
+    __slots__ = (
+        "workspace",
+        "line",
+        "level",
+        "level_at",
+        "returned",
+        "demand",
+        "arrivals",
+        "demand_at",
+        "sessions",
+        "waiting",
+    )
+
+    def __init__(self, workspace: str, line: shares.Line, now: float):
+        self.workspace = workspace
+        self.line = line
+        self.level = 0.0
+        self.level_at = now
+        self.returned = 0.0
+        self.demand = 0.0
+        self.arrivals = 0
+        self.demand_at = now
+        self.sessions = 0
+        self.waiting: deque[tuple[int, float]] = deque()
+
+
+class ServerShare(NamedTuple):
+    """Names a backend server whose connections are shared."""
+
+    service: str
+    server: str
+    line: shares.Line
+
+
 class Pin(NamedTuple):
     """A session's hold on a connection to a backend server.
 
@@ -153,6 +213,7 @@
       failing_since: Since when probes fail, or None.
       shows_since: It shows all that the primary had at this time.
       permits: How many connections this instance may have to it.
+      share: What the steward has lent it of the connections.
       in_use: How many are busy.
       queue: Jobs that wait for a connection.
     """
@@ -169,6 +230,7 @@
         "failing_since",
         "shows_since",
         "permits",
+        "share",
         "in_use",
         "queue",
     )
@@ -185,6 +247,7 @@
         self.failing_since: float | None = None
         self.shows_since = leases.NEVER
         self.permits = 0
+        self.share = shares.Line("", 1)
         self.in_use = 0
         self.queue: fairness.FairQueue[Job] = fairness.FairQueue()
 
@@ -379,6 +442,8 @@
       promises: Who promised in it.
       store_failing: Whether the last renewal got no answer.
       retaking: Whether the lapsed key is being set again.
+      limits: The shared limits of the shard by name.
+      active_since: When it began to lend.
     """
 
     __slots__ = (
@@ -399,6 +464,8 @@
         "promises",
         "store_failing",
         "retaking",
+        "limits",
+        "active_since",
     )
 
     def __init__(self, shard: int):
@@ -419,6 +486,8 @@
         self.promises: set[str] = set()
         self.store_failing = False
         self.retaking = False
+        self.limits: dict[str, lending.Limit] = {}
+        self.active_since = leases.NEVER
 
 
 class RelayView:
@@ -531,7 +600,12 @@
             tuple[str, int], tuple[messages.PromoteOrder, str]
         ] = {}
 
-        self.buckets: dict[str, Any] = {}
+        self.buckets: dict[str, Bucket] = {}
+        self.waiting: dict[str, Bucket] = {}
+        self.share_holders: dict[int, dict[str, Bucket | ServerShare]] = {}
+        self.share_asks: dict[int, float] = {}
+        self.permits_until = float("inf")
+        self.urgent_shares: dict[str, Bucket | ServerShare] = {}
         self.calls: dict[int, tuple[Any, ...]] = {}
         self.last_number = 0
 
