--- /dev/null
+++ b/bench/slopes_configuration.py
@@ -0,0 +1,108 @@
+"""What a change of the configuration costs a reader."""
+
+from typing import Any
+
+from cuminwall import confighead, configparts, configuration, events
+from bench import fits, fleets
+
+SERVICES = (590, 1475, 2950, 5900)
+MEMBERS = 9
+KEYS_PER_SERVICE = 3
+SERVICES_PER_WORKSPACE = 2
+WRITE_ID = "first"
+
+
+def measure() -> list[fits.Slope]:
+    """Returns every slope of this module."""
+    points: dict[str, list[tuple[float, float]]] = {}
+    for services in SERVICES:
+        for name, value in _measure_size(services).items():
+            points.setdefault(name, []).append((services, value))
+    found = []
+    for name, line in points.items():
+        unit = "bytes" if name.endswith(("bytes", "memory")) else "s"
+        found.append(fits.fit(name, unit, "services", line))
+    return found
+
+
+def make_snapshot(services: int) -> confighead.Snapshot:
+    """Returns a document of this size as a reader has it."""
+    value = fleets.make_document(
+        services,
+        services // SERVICES_PER_WORKSPACE,
+        services * KEYS_PER_SERVICE,
+    )
+    return _read(value, WRITE_ID, None)[0]
+
+
+def _read(
+    value: Any, write_id: str, previous: confighead.Snapshot | None
+) -> tuple[confighead.Snapshot, int]:
+    """Returns the snapshot and the bytes that a reader has to get."""
+    texts = configparts.split(value)
+    references = {}
+    for name, text in texts.items():
+        reference = confighead.make_reference(text, WRITE_ID)
+        if previous is None or previous.head.references[name] != reference:
+            reference = confighead.make_reference(text, write_id)
+        references[name] = reference
+    change = confighead.make_change(1, "ops", 0.0, write_id, (), ())
+    head = confighead.Head(change, references, 1)
+    known = {} if previous is None else previous.contents
+    missing = confighead.missing_parts(head, known)
+    new = {key: texts[name] for key, name in missing.items()}
+    snapshot = confighead.assemble(head, new, previous)
+    assert snapshot is not None
+    size = len(confighead.encode_head(head)) + sum(map(len, new.values()))
+    return snapshot, size
+
+
+def _with_key(snapshot: confighead.Snapshot) -> Any:
+    """Returns the document with one more key."""
+    value: Any = dict(snapshot.document)
+    entry = {"workspace": "space-00000", "verifier": fleets.VERIFIER}
+    value["keys"] = {**value["keys"], "key-new": entry}
+    return value
+
+
+def _measure_size(services: int) -> dict[str, float]:
+    """Returns each figure at one size of the document."""
+    snapshot = make_snapshot(services)
+    version = iter(range(2, 10_000))
+    config = configuration.parse(snapshot.document, 1)
+    changed, changed_b = _read(_with_key(snapshot), "second", snapshot)
+    head_b = len(confighead.encode_head(changed.head))
+    new = {}
+    for key in confighead.missing_parts(changed.head, snapshot.contents):
+        new[key] = changed.texts[key]
+    head_text = confighead.encode_head(changed.head)
+    previous = snapshot.document, config
+    home = fleets.make_home(services, MEMBERS)
+
+    def assemble() -> None:
+        head = confighead.decode_head(head_text)
+        confighead.assemble(head, new, snapshot)
+
+    def take() -> None:
+        taken = config._replace(version=next(version))
+        fleets.feed(home, events.ConfigLoaded(home.now, taken))
+
+    return {
+        "document_bytes": float(sum(map(len, snapshot.texts.values()))),
+        "head_bytes": float(head_b),
+        "one_key_bytes": float(changed_b),
+        "assemble_change": fits.cpu_s(assemble),
+        "parse_whole": fits.cpu_s(
+            lambda: configuration.parse(snapshot.document, 1)
+        ),
+        "parse_change": fits.cpu_s(
+            lambda: configuration.parse(changed.document, 2, previous)
+        ),
+        "config_taken": fits.cpu_s(take),
+        "snapshot_memory": float(
+            fits.memory_bytes(lambda: make_snapshot(services))
+        ),
+        "config_memory": float(
+            fits.memory_bytes(lambda: configuration.parse(snapshot.document, 1))
+        ),
+    }
--- /dev/null
+++ b/bench/slopes_membership.py
@@ -0,0 +1,108 @@
+"""What a change of the instance list, and a tick, cost an instance."""
+
+import json
+
+from cuminwall import events, membership, relays, state
+from bench import fits, fleets
+
+MEMBERS = (9, 100, 725, 2900)
+SERVICES = (590, 1475, 2950, 5900)
+FEW_SERVICES = 590
+FIXED_MEMBERS = 725
+TICKS = 20
+TICK_S = 0.05
+
+
+def measure() -> list[fits.Slope]:
+    """Returns every slope of this module."""
+    unchanged, joined, left, ticks, relay = [], [], [], [], []
+    for members in MEMBERS:
+        home = fleets.make_home(FEW_SERVICES, members)
+        records = fleets.make_records(members)
+        unchanged.append((members, _list_s(home, records)))
+        joined.append((members, _join_s(home, records)))
+        left.append((members, _leave_s(home, records)))
+        ticks.append((members, _tick_s(home)))
+        relay.append((members, _relay_s(home)))
+    memory = []
+    for members in MEMBERS:
+        memory.append((members, fits.memory_bytes(lambda: _knows(members))))
+    by_services = []
+    for services in SERVICES:
+        home = fleets.make_home(services, FIXED_MEMBERS)
+        records = fleets.make_records(FIXED_MEMBERS)
+        by_services.append((services, _join_s(home, records)))
+    return [
+        fits.fit("list_unchanged", "s", "members", unchanged),
+        fits.fit("member_joins", "s", "members", joined),
+        fits.fit("member_leaves", "s", "members", left),
+        fits.fit("tick_by_members", "s", "members", ticks),
+        fits.fit("relay_choice", "s", "members", relay),
+        fits.fit("member_memory", "bytes", "members", memory),
+        fits.fit("list_bytes", "bytes", "members", _list_bytes()),
+        fits.fit("member_joins_services", "s", "services", by_services),
+    ]
+
+
+def _knows(members: int) -> state.State:
+    """Returns an instance that knows an instance list alone."""
+    made = fleets.make_state()
+    records = fleets.make_records(members)
+    fleets.feed(made, events.InstancesListed(made.now, records))
+    return made
+
+
+def _list_bytes() -> list[tuple[float, float]]:
+    """Returns the size of the platform's answer, as JSON."""
+    found = []
+    for members in MEMBERS:
+        records = fleets.make_records(members)
+        text = json.dumps([record._asdict() for record in records])
+        found.append((float(members), float(len(text))))
+    return found
+
+
+def _list_s(home: state.State, records: tuple) -> float:
+    listed = events.InstancesListed(home.now, records)
+    return fits.cpu_per_call_s(lambda: fleets.feed(home, listed), 5)
+
+
+def _join_s(home: state.State, records: tuple) -> float:
+    """Returns the time of taking one more instance in."""
+    grown = fleets.make_records(len(records) + 3)
+    sizes = iter(range(len(records) + 1, len(records) + 4))
+
+    def join() -> None:
+        listed = events.InstancesListed(home.now, grown[: next(sizes)])
+        fleets.feed(home, listed)
+
+    return fits.cpu_s(join, 3)
+
+
+def _leave_s(home: state.State, records: tuple) -> float:
+    """Returns the time of learning that one instance is leaving."""
+    places = iter(range(1, 4))
+    current = list(records)
+
+    def leave() -> None:
+        place = next(places)
+        current[place] = current[place]._replace(leaving=True)
+        fleets.feed(home, events.InstancesListed(home.now, tuple(current)))
+
+    return fits.cpu_s(leave, 3)
+
+
+def _tick_s(home: state.State) -> float:
+    def tick() -> None:
+        fleets.feed(home, events.Tick(home.now + TICK_S))
+
+    return fits.cpu_per_call_s(tick, TICKS)
+
+
+def _relay_s(home: state.State) -> float:
+    def choose() -> None:
+        relays.is_relay(home)
+        relays.sources(home)
+        membership.relays(home, fleets.zone_name(1))
+
+    return fits.cpu_per_call_s(choose, 5)
