Keep homes, relays and missing instances up to date by change

Cause: each change of the instance list emptied the homes of every service, and the next reading ranked all instances anew for each; relays were ranked on each call, and each tick walked all instances.

Now an instance that comes or goes touches the ranking of its own zone only, relays are kept until an instance changes, a tick looks at missing instances alone, and a list equal to the last one is not walked. is_home asks for the own zone only; other zones are ranked when somebody needs them.

Ruled out: ranking lazily without keeping scores, since a leaving instance then has to be looked for in the ranking of every service.

--- a/bench/fits.py
+++ b/bench/fits.py
@@ -3,7 +3,7 @@
 import gc
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 CALIBRATION_LOOPS = 200_000
@@ -40,7 +40,7 @@
 
 
 def fit(
-    name: str, unit: str, per: str, points: list[tuple[float, float]]
+    name: str, unit: str, per: str, points: Sequence[tuple[float, float]]
 ) -> Slope:
     """Returns the least-squares line through the points."""
     sizes = tuple(float(size) for size, _ in points)
--- a/bench/slopes_configuration.py
+++ b/bench/slopes_configuration.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from cuminwall import confighead, configparts, configuration, events
 from bench import fits, fleets
+from cuminwall import confighead, configparts, configuration, events
 
 SERVICES = (590, 1475, 2950, 5900)
 MEMBERS = 9
--- a/bench/slopes_leases.py
+++ b/bench/slopes_leases.py
@@ -1,5 +1,8 @@
 """Write leases: a round at the home and at the steward, in time and bytes."""
 
+import functools
+
+from bench import fits, fleets
 from cuminwall import (
     effects,
     events,
@@ -9,7 +12,6 @@
     state,
     writeleases,
 )
-from bench import fits, fleets
 
 GROUPS = (2, 8, 32, 128)
 HOLDERS = (2, 8, 16, 32)
@@ -35,7 +37,9 @@
         answer_s.append((groups, _feed_s(home, heard)))
         ask_b.append((groups, len(messages.encode(ask))))
         answer_b.append((groups, len(messages.encode(answer))))
-        memory.append((groups, fits.memory_bytes(lambda: make_home(groups, 1))))
+        memory.append(
+            (groups, fits.memory_bytes(functools.partial(make_home, groups, 1)))
+        )
         idle.append((groups, _tick_s(make_home(groups, fleets.SHARDS))))
         probe.append((groups, _probe_s(home)))
     holders = []
--- a/bench/slopes_membership.py
+++ b/bench/slopes_membership.py
@@ -1,13 +1,15 @@
 """What a change of the instance list, and a tick, cost an instance."""
 
+import functools
 import json
 
-from cuminwall import events, membership, relays, state
 from bench import fits, fleets
+from cuminwall import events, membership, relays, state
 
-MEMBERS = (9, 100, 725, 2900)
+MEMBERS = (9, 725, 1450, 2900)
 SERVICES = (590, 1475, 2950, 5900)
-FEW_SERVICES = 590
+PLANNED_MEMBERS = 2900
+PLANNED_SERVICES = 5900
 FIXED_MEMBERS = 725
 TICKS = 20
 TICK_S = 0.05
@@ -17,7 +19,7 @@
     """Returns every slope of this module."""
     unchanged, joined, left, ticks, relay = [], [], [], [], []
     for members in MEMBERS:
-        home = fleets.make_home(FEW_SERVICES, members)
+        home = _fleet_of(members)
         records = fleets.make_records(members)
         unchanged.append((members, _list_s(home, records)))
         joined.append((members, _join_s(home, records)))
@@ -26,7 +28,9 @@
         relay.append((members, _relay_s(home)))
     memory = []
     for members in MEMBERS:
-        memory.append((members, fits.memory_bytes(lambda: _knows(members))))
+        memory.append(
+            (members, fits.memory_bytes(functools.partial(_knows, members)))
+        )
     by_services = []
     for services in SERVICES:
         home = fleets.make_home(services, FIXED_MEMBERS)
@@ -44,6 +48,12 @@
     ]
 
 
+def _fleet_of(members: int) -> state.State:
+    """Returns an instance of a fleet with as many services as planned."""
+    services = members * PLANNED_SERVICES // PLANNED_MEMBERS
+    return fleets.make_home(services, members)
+
+
 def _knows(members: int) -> state.State:
     """Returns an instance that knows an instance list alone."""
     made = fleets.make_state()
--- a/bench/slopes_relays.py
+++ b/bench/slopes_relays.py
@@ -1,7 +1,7 @@
 """What a relay does for those that ask it."""
 
-from cuminwall import calls, effects, events, messages, state
 from bench import fits, fleets
+from cuminwall import calls, effects, events, messages, state
 
 SUBSCRIBERS = (5, 20, 72, 362)
 SHARDS = (8, 32, 128)
--- a/bench/slopes_sessions.py
+++ b/bench/slopes_sessions.py
@@ -1,7 +1,7 @@
 """Callers at their entry instance: memory, ticks, and one forwarded round."""
 
-from cuminwall import events, state, work
 from bench import fits, fleets
+from cuminwall import events, state, work
 
 SESSIONS = (500, 2000, 8000)
 MEMBERS = 9
--- a/bench/slopes_store.py
+++ b/bench/slopes_store.py
@@ -7,10 +7,11 @@
 import collections
 from typing import Any
 
-from cuminwall import effects, messages, relays
-from bench import fits
 from tests import world
 
+from bench import fits
+from cuminwall import effects, messages, relays
+
 ZONES = 3
 SETTLE_S = 12.0
 COUNTED_S = 10.0
--- a/src/cuminwall/membership.py
+++ b/src/cuminwall/membership.py
@@ -15,6 +15,9 @@
     state: State, records: tuple[ports.InstanceRecord, ...], out: list[Effect]
 ) -> None:
     """Takes over the instance list."""
+    if records == state.listed_records:
+        return
+    state.listed_records = records
     listed = set()
     for record in records:
         listed.add(record.instance)
@@ -23,29 +26,32 @@
             state.members[record.instance] = Member(record)
             text = f"instance {record.instance} of {record.zone} joined"
             out.append(Log(PREFIX, text))
-            state.homes_cache.clear()
+            _place(state, record)
             continue
         if record.leaving and not member.record.leaving:
             text = f"instance {record.instance} is leaving"
             out.append(Log(PREFIX, text))
         if record != member.record:
+            _displace(state, member.record)
             member.record = record
-            state.homes_cache.clear()
+            _place(state, record)
         member.missing_since = None
+        state.missing.discard(record.instance)
     _note_missing(state, listed)
 
 
 def expire(state: State, out: list[Effect]) -> None:
     """Forgets instances that were missing from the list for long."""
     gone = []
-    for instance, member in state.members.items():
-        if member.missing_since is None:
-            continue
-        if state.now - member.missing_since >= state.times.members_keep_s:
+    for instance in state.missing:
+        since = state.members[instance].missing_since
+        assert since is not None
+        if state.now - since >= state.times.members_keep_s:
             gone.append(instance)
-    for instance in gone:
-        del state.members[instance]
-        state.homes_cache.clear()
+    for instance in sorted(gone):
+        member = state.members.pop(instance)
+        state.missing.discard(instance)
+        _displace(state, member.record)
         out.append(Log(PREFIX, f"instance {instance} is gone"))
 
 
@@ -61,7 +67,8 @@
 
 def is_home(state: State, service: str) -> bool:
     """Returns whether this instance is a home of `service`."""
-    return state.instance in homes(state, service)
+    zone = zone_of(state, state.instance)
+    return state.instance in _zone_homes(state, zone, service)
 
 
 def pass_over(state: State, instance: str) -> None:
@@ -79,13 +86,17 @@
 
 def staying(state: State) -> list[str]:
     """Returns the instances that are not leaving."""
-    found = []
-    for instance, member in state.members.items():
-        if not member.record.leaving:
-            found.append(instance)
+    found: list[str] = []
+    for members in state.home_table.members.values():
+        found.extend(members)
     return found
 
 
+def zones(state: State) -> set[str]:
+    """Returns the zones that have instances that are not leaving."""
+    return set(state.home_table.members)
+
+
 def zone_of(state: State, instance: str) -> str:
     """Returns the availability zone of an instance, or ""."""
     member = state.members.get(instance)
@@ -94,12 +105,22 @@
 
 def relays(state: State, zone: str) -> list[str]:
     """Returns the instances of `zone` that watch the store, best first."""
-    members = []
-    for instance in staying(state):
-        if zone_of(state, instance) == zone:
-            members.append(instance)
-    count = placement.relay_count(len(members))
-    return placement.ranked("relay", members)[:count]
+    found = state.relays_cache.get(zone)
+    if found is None:
+        members = state.home_table.members.get(zone, set())
+        count = placement.relay_count(len(members))
+        found = placement.ranked("relay", members)[:count]
+        state.relays_cache[zone] = found
+    return found
+
+
+def forget_homes(state: State) -> None:
+    """Lets go what a new configuration may have changed."""
+    counts = {}
+    for service, entry in state.config.services.items():
+        counts[service] = entry.home_count_per_zone
+    state.home_table.forget_others(counts)
+    state.homes_cache.clear()
 
 
 def _note_missing(state: State, listed: set[str]) -> None:
@@ -109,26 +130,49 @@
             continue
         if member.missing_since is None:
             member.missing_since = state.now
+            state.missing.add(instance)
+
+
+def _place(state: State, record: ports.InstanceRecord) -> None:
+    """Takes a record into account where it may be responsible."""
+    if not record.leaving:
+        state.home_table.add(record.zone, record.instance)
+    _note_change(state)
+
+
+def _displace(state: State, record: ports.InstanceRecord) -> None:
+    """Takes a former record out of account."""
+    state.home_table.remove(record.zone, record.instance)
+    _note_change(state)
+
+
+def _note_change(state: State) -> None:
+    """Lets go what was worked out from the instances before."""
+    state.members_version += 1
+    state.homes_cache.clear()
+    state.relays_cache.clear()
 
 
 def _place_homes(state: State, service: str) -> tuple[str, ...]:
     """Works out the homes of a service, those of this zone first."""
-    entry = state.config.services.get(service)
-    if entry is None:
-        return ()
-    by_zone: dict[str, list[str]] = {}
-    for instance in staying(state):
-        zone = zone_of(state, instance)
-        if not state.config.is_zone_serving(zone):
-            continue
-        by_zone.setdefault(zone, []).append(instance)
     found: list[str] = []
-    for zone in sorted(by_zone, key=lambda name: (name != state.zone, name)):
-        best = placement.ranked(service, by_zone[zone])
-        found.extend(best[: entry.home_count_per_zone])
+    for zone in sorted(
+        zones(state), key=lambda name: (name != state.zone, name)
+    ):
+        found.extend(_zone_homes(state, zone, service))
     return tuple(found)
 
 
+def _zone_homes(state: State, zone: str, service: str) -> list[str]:
+    """Returns the homes of a service in one zone, the best first."""
+    entry = state.config.services.get(service)
+    if entry is None or not state.config.is_zone_serving(zone):
+        return []
+    count = entry.home_count_per_zone
+    ranked = state.home_table.find(zone, service, count)
+    return [name for _, name in ranked]
+
+
 def shard_of(state: State, service: str) -> int:
     """Returns the shard of a service or workspace."""
     return placement.shard_of(service, state.shard_count)
--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -164,7 +164,7 @@
     state.config = event.config
     out.append(Log("config", f"version {event.config.version} is in force"))
     relays.loaded(state)
-    state.homes_cache.clear()
+    membership.forget_homes(state)
     writeleases.update_groups(state, out)
     sessions.close_unserved(state, out)
 
--- a/src/cuminwall/relays.py
+++ b/src/cuminwall/relays.py
@@ -170,9 +170,7 @@
 
 def _other_zones(state: State) -> set[str]:
     """Returns the other zones that have instances."""
-    zones = set()
-    for instance in membership.staying(state):
-        zones.add(membership.zone_of(state, instance))
+    zones = membership.zones(state)
     zones.discard(state.zone)
     return zones
 
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -12,6 +12,7 @@
     configuration,
     document,
     fairness,
+    hometable,
     leases,
     messages,
     ports,
@@ -509,7 +510,12 @@
         self.pins: dict[tuple[str, int], Pin] = {}
 
         self.members: dict[str, Member] = {}
+        self.listed_records: tuple[ports.InstanceRecord, ...] = ()
+        self.missing: set[str] = set()
+        self.home_table = hometable.HomeTable()
+        self.members_version = 0
         self.homes_cache: dict[str, tuple[str, ...]] = {}
+        self.relays_cache: dict[str, list[str]] = {}
 
         self.shards: dict[int, messages.ShardRecord] = {}
         self.lease_asks: dict[int, tuple[int, float]] = {}
