Look for new groups only when instances or the configuration changed

Cause: every reading of the instance list, twice a second, asked for each service whether this instance is one of its homes, also when nothing had changed. Now that runs once for each change of members or configuration; the groups that are held are still gone through each time.

Ruled out: a test on the list alone, because a configuration that takes a zone back gives homes too.

--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -514,6 +514,7 @@
         self.missing: set[str] = set()
         self.home_table = hometable.HomeTable()
         self.members_version = 0
+        self.homes_basis = (-1, -1)
         self.homes_cache: dict[str, tuple[str, ...]] = {}
         self.relays_cache: dict[str, list[str]] = {}
 
--- a/src/cuminwall/writeleases.py
+++ b/src/cuminwall/writeleases.py
@@ -29,11 +29,7 @@
 
 def update_groups(state: State, out: list[Effect]) -> None:
     """Takes up the groups this instance is a home of, and drops others."""
-    changed = False
-    for service in state.config.services:
-        is_home = membership.is_home(state, service)
-        if is_home and not state.draining:
-            changed |= _take_up(state, service)
+    changed = _take_up_new(state)
     for service, group in list(state.groups.items()):
         wanted = membership.is_home(state, service) and not state.draining
         if wanted or _is_busy(state, group):
@@ -155,12 +151,19 @@
         _hand_back(state, group, out)
 
 
-def _take_up(state: State, service: str) -> bool:
-    """Becomes a home of `service`; returns whether that is new."""
-    if service in state.groups:
+def _take_up_new(state: State) -> bool:
+    """Becomes a home where it is new; returns whether it did."""
+    basis = (state.members_version, state.config.version)
+    if state.draining or state.homes_basis == basis:
         return False
-    state.groups[service] = Group(service)
-    return True
+    state.homes_basis = basis
+    changed = False
+    for service in state.config.services:
+        if service in state.groups or not membership.is_home(state, service):
+            continue
+        state.groups[service] = Group(service)
+        changed = True
+    return changed
 
 
 def _equal_part(
