Look at sessions anew only when their standing can have changed

Cause: each tick, twenty times a second, checked the key of every session. What a session's standing depends on changes with the configuration and when the instance leaves; between these only those found to have none are looked at, for their transactions to end or to be cut.

Ruled out: sessions by key, which a zone taken out or a workspace that loses a service would need besides.

--- a/src/cuminwall/reducer.py
+++ b/src/cuminwall/reducer.py
@@ -166,7 +166,7 @@
     relays.loaded(state)
     membership.forget_homes(state)
     writeleases.update_groups(state, out)
-    sessions.close_unserved(state, out)
+    sessions.find_unserved(state, out)
 
 
 @handle.register
@@ -185,7 +185,7 @@
     state.draining = True
     out.append(Log("membership", "this instance leaves"))
     stewards.leave(state, out)
-    sessions.close_unserved(state, out)
+    sessions.find_unserved(state, out)
 
 
 @handle.register
--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -42,6 +42,7 @@
     session = state.sessions.pop(number, None)
     if session is None:
         return
+    state.unserved.pop(number, None)
     if session.running:
         _abandon(state, session.running, out)
     if session.home == state.instance:
@@ -167,6 +168,23 @@
     _end(state, number, pending, failure, out)
 
 
+def find_unserved(state: State, out: list[Effect]) -> None:
+    """Looks at every session anew, and closes those that end.
+
+    What a session's standing depends on changes only with the configuration
+    and when this instance leaves.
+    """
+    state.unserved.clear()
+    for session in state.sessions.values():
+        if _standing_failure(state, session) is None:
+            session.unserved_since = None
+            continue
+        if session.unserved_since is None:
+            session.unserved_since = state.now
+        state.unserved[session.number] = session
+    close_unserved(state, out)
+
+
 def close_unserved(state: State, out: list[Effect]) -> None:
     """Closes sessions whose key, zone or instance serves no more.
 
@@ -174,13 +192,9 @@
     not when the key is withdrawn: it is rolled back, and a statement that
     still runs is canceled after a short time.
     """
-    for session in list(state.sessions.values()):
+    for session in state.unserved.values():
         failure = _standing_failure(state, session)
-        if failure is None:
-            session.unserved_since = None
-            continue
-        if session.unserved_since is None:
-            session.unserved_since = state.now
+        assert failure is not None
         if failure is outcomes.KEY_WITHDRAWN:
             _close_withdrawn(state, session, out)
             continue
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -503,6 +503,7 @@
         self.fresh_until = leases.NEVER
 
         self.sessions: dict[int, Session] = {}
+        self.unserved: dict[int, Session] = {}
         self.pending: dict[int, Pending] = {}
 
         self.groups: dict[str, Group] = {}
