Rank a shard's candidates once for each change of instances

Cause: a steward ranked all instances on each tick for each shard it holds, to see whether its successors are still the right ones; and an instance that does not know the shards yet did so for every shard.

Ruled out: keeping only the best few, because an instance late in the order needs its own place in it.

--- a/src/cuminwall/membership.py
+++ b/src/cuminwall/membership.py
@@ -151,6 +151,8 @@
     state.members_version += 1
     state.homes_cache.clear()
     state.relays_cache.clear()
+    state.takers_cache.clear()
+    state.successors_cache.clear()
 
 
 def _place_homes(state: State, service: str) -> tuple[str, ...]:
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -518,6 +518,8 @@
         self.homes_basis = (-1, -1)
         self.homes_cache: dict[str, tuple[str, ...]] = {}
         self.relays_cache: dict[str, list[str]] = {}
+        self.takers_cache: dict[int, list[str]] = {}
+        self.successors_cache: dict[int, list[str]] = {}
 
         self.shards: dict[int, messages.ShardRecord] = {}
         self.lease_asks: dict[int, tuple[int, float]] = {}
--- a/src/cuminwall/stewards.py
+++ b/src/cuminwall/stewards.py
@@ -159,7 +159,6 @@
     state: State, shard: int, view: messages.ShardRecord | None
 ) -> tuple[list[str], float]:
     """Returns who may take a vacant shard in turn, and after how long."""
-    staying = membership.staying(state)
     if view is not None and view.epoch:
         eligible = [*view.successors, view.steward]
         alive = [name for name in eligible if name in state.members]
@@ -167,13 +166,18 @@
             return alive, 0.0
         # All that could promise are gone, so no promise can be running
         # beyond this delay.
-        return _ranked(shard, staying), state.times.orphan_s
-    return _ranked(shard, staying), 0.0
+        return _ranked(state, shard), state.times.orphan_s
+    return _ranked(state, shard), 0.0
 
 
-def _ranked(shard: int, members: list[str]) -> list[str]:
+def _ranked(state: State, shard: int) -> list[str]:
     """Returns who suits a shard best."""
-    return placement.ranked(f"steward:{shard}", members)
+    found = state.takers_cache.get(shard)
+    if found is None:
+        members = membership.staying(state)
+        found = placement.ranked(f"steward:{shard}", members)
+        state.takers_cache[shard] = found
+    return found
 
 
 def _begin(state: State, shard: int, out: list[Effect]) -> None:
@@ -244,8 +248,16 @@
 
 def _wanted_successors(state: State, shard: int) -> list[str]:
     """Returns one successor for each other zone, or one of this zone."""
+    found = state.successors_cache.get(shard)
+    if found is None:
+        found = state.successors_cache[shard] = _choose_successors(state, shard)
+    return found
+
+
+def _choose_successors(state: State, shard: int) -> list[str]:
+    """Works out the successors that a shard should have."""
     best: dict[str, str] = {}
-    for name in _ranked(shard, membership.staying(state)):
+    for name in _ranked(state, shard):
         zone = membership.zone_of(state, name)
         if name != state.instance and zone not in best:
             best[zone] = name
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,6 +13,7 @@
     ports,
     reducer,
     state,
+    stewards,
     timings,
 )
 from tests import world
@@ -68,6 +69,18 @@
     return placement.ranked("relay", members)[:count]
 
 
+def naive_successors(known: state.State, shard: int) -> list[str]:
+    best: dict[str, str] = {}
+    ranked = placement.ranked(f"steward:{shard}", naive_staying(known))
+    for name in ranked:
+        zone = known.members[name].record.zone
+        if name != known.instance and zone not in best:
+            best[zone] = name
+    if len(best) > 1:
+        best.pop(known.zone, None)
+    return sorted(best.values())
+
+
 def make_config(
     out: set[str], homes: int, version: int
 ) -> configuration.Configuration:
@@ -138,6 +151,11 @@
                 self.assertEqual(
                     membership.relays(known, zone), naive_relays(known, zone)
                 )
+            for shard in range(known.shard_count):
+                self.assertEqual(
+                    stewards._wanted_successors(known, shard),
+                    naive_successors(known, shard),
+                )
             self.assertEqual(
                 sorted(membership.staying(known)), sorted(naive_staying(known))
             )
