Go through a primary's reports only when one speaks against it

Cause: a steward went through all reports of all its groups on each tick. A primary can only be found failed while a report against it is fresh, so a charge remembers when the last one came; all reports are still gone through once in the time that one counts, to forget those of homes that are gone.

Ruled out: judging when a report arrives, because the verdict also depends on the age of other reports and on the zones that have homes.

--- a/bench/slopes_leases.py
+++ b/bench/slopes_leases.py
@@ -7,7 +7,6 @@
     effects,
     events,
     messages,
-    placement,
     probes,
     state,
     writeleases,
@@ -192,5 +191,9 @@
 def _steward_tick_s(homes: int) -> float:
     steward = make_steward(FIXED_GROUPS)
     _lend(steward, homes)
-    assert placement.shard_of(fleets.service_name(0), 1) == 0
+    fleets.feed(steward, events.Tick(steward.now))
+    # What is known only since a moment is looked at more closely.
+    steward.now += 2 * steward.times.report_age_s
+    _lend(steward, homes)
+    fleets.feed(steward, events.Tick(steward.now))
     return _tick_s(steward)
--- a/src/cuminwall/charges.py
+++ b/src/cuminwall/charges.py
@@ -36,6 +36,8 @@
             charge = hold.charges[report.service] = Charge(report.service)
         key = (sender, report.server)
         charge.reports[key] = Lent(report, ask.zone, state.now)
+        if not is_serving_primary(report) and _is_primary(charge, report):
+            charge.doubted_at = state.now
     grants = []
     records = []
     for service, term, confirmed in ask.terms:
@@ -53,6 +55,30 @@
     out.append(Say(sender, answer))
 
 
+def is_serving_primary(report: messages.ServerReport) -> bool:
+    """Returns whether a report shows a server that answers as a primary."""
+    return report.reachable and not report.in_recovery
+
+
+def is_doubted(state: State, charge: Charge) -> bool:
+    """Returns whether the reports have to be gone through now.
+
+    While none speaks against the primary that is needed only now and then,
+    to forget old ones.
+    """
+    if charge.judged is not charge.record:
+        # Reports from before may speak against the new primary.
+        charge.judged = charge.record
+        charge.doubted_at = state.now
+    age_s = state.times.report_age_s
+    if state.now - charge.doubted_at <= age_s:
+        return True
+    if state.now - charge.judged_at <= age_s:
+        return False
+    charge.judged_at = state.now
+    return True
+
+
 def handed_back(
     hold: Stewardship, sender: str, message: messages.HandBack
 ) -> None:
@@ -118,6 +144,13 @@
         out.append(Say(home, messages.RecordNews(record)))
 
 
+def _is_primary(charge: Charge, report: messages.ServerReport) -> bool:
+    """Returns whether a report is about the newest term's primary."""
+    if charge.record is None:
+        return False
+    return charge.record.terms[-1].primary == report.server
+
+
 def _grant(
     state: State,
     charge: Charge,
--- a/src/cuminwall/failover.py
+++ b/src/cuminwall/failover.py
@@ -20,7 +20,7 @@
     ports,
 )
 from cuminwall.effects import Effect, Log, Say
-from cuminwall.state import Change, Charge, Group, Lent, State, Stewardship
+from cuminwall.state import Change, Charge, Group, State, Stewardship
 
 PREFIX = "failover"
 
@@ -140,7 +140,8 @@
         # A former steward left the term unconfirmed.
         charge.change = Change(Phase.FENCING, state.now, False)
         return
-    if _is_failed(state, charge, primary):
+    doubted = charges.is_doubted(state, charge)
+    if doubted and _is_failed(state, charge, primary):
         text = f"{charge.service}: primary {primary} does not serve"
         out.append(Log(PREFIX, text))
         _begin(state, charge, False, out)
@@ -173,7 +174,7 @@
     ).items():
         if server != primary:
             continue
-        if _is_serving_primary(lent):
+        if charges.is_serving_primary(lent.report):
             serving.add(lent.zone)
         else:
             failing.add(lent.zone)
@@ -182,11 +183,6 @@
     return len(failing) >= needed and len(failing) > len(serving)
 
 
-def _is_serving_primary(lent: Lent) -> bool:
-    """Returns whether a report shows a server that answers as a primary."""
-    return lent.report.reachable and not lent.report.in_recovery
-
-
 def _home_zone_count(state: State, service: str) -> int:
     """Returns how many zones have homes of a service, at least 1."""
     zones = set()
@@ -304,7 +300,8 @@
 
 def _all_reported(state: State, charge: Charge, since: float) -> bool:
     """Returns whether every home that reports did so since the fence."""
-    all_homes = {home for home, _ in charge.reports}
+    reports = charges.fresh_reports(state, charge, leases.NEVER)
+    all_homes = {home for home, _ in reports}
     fresh = {home for home, _ in charges.fresh_reports(state, charge, since)}
     return bool(fresh) and fresh == all_homes
 
@@ -377,7 +374,7 @@
     reports = charges.fresh_reports(state, charge, change.fenced_at)
     positions = []
     for (_, server), lent in reports.items():
-        if server == primary and _is_serving_primary(lent):
+        if server == primary and charges.is_serving_primary(lent.report):
             positions.append(lent.report.lsn)
     return bool(positions) and lsn >= max(positions)
 
@@ -425,7 +422,9 @@
     for (_, server), lent in charges.fresh_reports(
         state, charge, leases.NEVER
     ).items():
-        if server != newest.primary or not _is_serving_primary(lent):
+        if server != newest.primary or not charges.is_serving_primary(
+            lent.report
+        ):
             continue
         if lent.report.timeline > former:
             _confirm(
@@ -476,7 +475,7 @@
     for (_, server), lent in charges.fresh_reports(
         state, charge, leases.NEVER
     ).items():
-        if not _is_serving_primary(lent):
+        if not charges.is_serving_primary(lent.report):
             continue
         rank = (lent.report.timeline, lent.report.lsn, server)
         if best is None or rank > best:
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -332,6 +332,9 @@
       reports: The newest report by home and server.
       change: The change of primary under way, or None.
       swapping: Whether an answer about the record is awaited.
+      judged: The record whose primary was last looked at.
+      judged_at: When all reports were last gone through.
+      doubted_at: When a report last spoke against the primary.
     """
 
     __slots__ = (
@@ -342,6 +345,9 @@
         "reports",
         "change",
         "swapping",
+        "judged",
+        "judged_at",
+        "doubted_at",
     )
 
     def __init__(self, service: str):
@@ -352,6 +358,9 @@
         self.reports: dict[tuple[str, str], Lent] = {}
         self.change: Change | None = None
         self.swapping = False
+        self.judged: messages.GroupRecord | None = None
+        self.judged_at = leases.NEVER
+        self.doubted_at = leases.NEVER
 
 
 class Stewardship:
