Let the instances of a zone share its relays

Cause: every instance asked the first relay in one common order, so one relay had all asks of a zone and all readers of a new configuration, and the others none. Each instance now has an order of its own over the same relays.

Ruled out: more relays, which would each watch the store and still be idle.

--- a/src/cuminwall/relays.py
+++ b/src/cuminwall/relays.py
@@ -10,7 +10,7 @@
 
 from typing import NamedTuple
 
-from cuminwall import calls, events, leases, membership, messages
+from cuminwall import calls, events, leases, membership, messages, placement
 from cuminwall.effects import Effect, FetchConfig, Log, Say
 from cuminwall.state import ShardKeys, State
 
@@ -150,14 +150,18 @@
 def sources(state: State) -> list[str]:
     """Returns whom to ask: a relay here, or others if none answers."""
     relay = state.relay
-    for name in membership.relays(state, state.zone):
+    # Each instance has its own order, so that the relays share the asks.
+    own_relays = placement.ranked(
+        f"ask:{state.instance}", membership.relays(state, state.zone)
+    )
+    for name in own_relays:
         if name == state.instance:
             continue
         asked = relay.asked.get(name)
         if asked is None or state.now - asked[1] < _patience_s(state):
             return [name]
     found = []
-    for name in membership.relays(state, state.zone):
+    for name in own_relays:
         if name != state.instance:
             found.append(name)
     return found + _other_zone_relays(state)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
     placement,
     ports,
     reducer,
+    relays,
     state,
     stewards,
     timings,
@@ -190,5 +191,27 @@
             self.assertEqual(set(known.members), members)
 
 
+class RelayShareTest(unittest.TestCase):
+    """How the instances of a zone share its relays."""
+
+    def test_each_relay_is_asked_by_its_part(self) -> None:
+        count = 300
+        records = []
+        for number in range(count):
+            records.append(
+                ports.InstanceRecord(f"i{number}", "a", "h", 1, False)
+            )
+        asked: dict[str, int] = {}
+        for number in range(0, count, 3):
+            known = state.State(f"i{number}", "a", timings.DEFAULTS, 4, 100.0)
+            reducer.reduce(known, events.InstancesListed(100.0, tuple(records)))
+            if relays.is_relay(known):
+                continue
+            name = relays.sources(known)[0]
+            asked[name] = asked.get(name, 0) + 1
+        self.assertEqual(set(asked), set(membership.relays(known, "a")))
+        self.assertLess(max(asked.values()), 2 * sum(asked.values()) / 5)
+
+
 if __name__ == "__main__":
     unittest.main()
