Parse only what a new configuration changed

Cause: a daemon parsed the whole document after each change, although the parser takes over what is the same object in the document before.

--- a/src/cuminwall/upkeep.py
+++ b/src/cuminwall/upkeep.py
@@ -23,6 +23,7 @@
     storecalls,
 )
 from cuminwall.confighead import Snapshot
+from cuminwall.document import Document
 from cuminwall.store import EtcdStore
 
 PREFIX = "upkeep"
@@ -44,6 +45,7 @@
       record: This instance's line in the list.
       peer_config: Reads configurations of peers, and answers them.
       snapshot: The configuration as it was read, or None.
+      parsed: Its document and what was made of it, or None.
       wanted: The version to be loaded.
       is_wanted: Set when a newer version is to be loaded.
     """
@@ -63,6 +65,7 @@
         self.instances = instances
         self.record = record
         self.snapshot: Snapshot | None = None
+        self.parsed: tuple[Document, configuration.Configuration] | None = None
         self.wanted = 0
         self.is_wanted = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
@@ -214,5 +217,8 @@
     def _take(self, snapshot: Snapshot) -> None:
         """Feeds a configuration to the reducer."""
         self.snapshot = snapshot
-        config = configuration.parse(snapshot.document, snapshot.head.version)
+        config = configuration.parse(
+            snapshot.document, snapshot.head.version, self.parsed
+        )
+        self.parsed = snapshot.document, config
         self.engine.feed(events.ConfigLoaded(time.monotonic(), config))
