Let sets of services within a shard share their homes

Cause: each service had homes of its own, so at the planned size a home dealt with the stewards of 29 shards and a steward with 652 homes, each asking for one or two groups every 0.4 s. Homes are now ranked for a set of services of one shard, eight sets a shard; the homes of a new list are ranked for 1,024 sets and no longer for 5,900 services.

Ways weighed, by placing 5,900 services on 2,900 instances of 8 zones with 128 shards (homes per shard on average, shards per home on average, groups at the busiest home; 32.6 is the average): each service alone 652 28.8 52 16 sets a shard 232 10.3 75 8 sets a shard 125 5.5 99 (chosen) 4 sets a shard 63 2.8 127, 170 instances without groups 2 sets a shard 32 1.4 189, 719 instances without groups

Conclusion: a fifth of the messages for lease rounds, and the busiest home has three times the average.

--- a/src/cuminwall/hometable.py
+++ b/src/cuminwall/hometable.py
@@ -1,7 +1,7 @@
-"""The best instances of each zone for each service, kept up to date.
+"""The best instances of each zone for each home set, kept up to date.
 
 An instance that comes or goes changes the ranking of its own zone alone, and
-only for the services that it ranks high for; everything else stays.
+only for the home sets that it ranks high for; everything else stays.
 """
 
 from cuminwall import placement
@@ -14,7 +14,7 @@
 
     Attributes:
       members: The staying instances by zone; no zone is empty.
-      best: By zone, then by service and count: the best instances with their
+      best: By zone, then by home set and count: the best instances with their
         scores, the best first.
     """
 
@@ -29,8 +29,8 @@
         self.members.setdefault(zone, set()).add(instance)
         best = self.best.get(zone, {})
         for key, ranked in best.items():
-            service, count = key
-            entry = (placement.score(service, instance), instance)
+            home_set, count = key
+            entry = (placement.score(home_set, instance), instance)
             if len(ranked) >= count and entry <= ranked[-1]:
                 continue
             merged = sorted({*ranked, entry}, reverse=True)
@@ -51,26 +51,25 @@
             if any(name == instance for _, name in ranked):
                 del best[key]
 
-    def find(self, zone: str, service: str, count: int) -> Ranked:
+    def find(self, zone: str, home_set: str, count: int) -> Ranked:
         """Returns the best `count` instances of a zone with their scores."""
         members = self.members.get(zone)
         if members is None:
             return ()
         best = self.best.setdefault(zone, {})
-        key = (service, count)
+        key = (home_set, count)
         ranked = best.get(key)
         if ranked is None:
             scored = [
-                (placement.score(service, name), name) for name in members
+                (placement.score(home_set, name), name) for name in members
             ]
             scored.sort(reverse=True)
             ranked = best[key] = tuple(scored[:count])
         return ranked
 
-    def forget_others(self, counts: dict[str, int]) -> None:
-        """Forgets what is not in `counts`, the count of each service."""
+    def forget_others(self, wanted: set[tuple[str, int]]) -> None:
+        """Forgets what is not in `wanted`, pairs of home set and count."""
         for best in self.best.values():
             for key in list(best):
-                service, count = key
-                if counts.get(service) != count:
+                if key not in wanted:
                     del best[key]
--- a/src/cuminwall/membership.py
+++ b/src/cuminwall/membership.py
@@ -71,6 +71,21 @@
     return state.instance in _zone_homes(state, zone, service)
 
 
+def own_services(state: State) -> list[str]:
+    """Returns the services that this instance is a home of."""
+    found = []
+    decided: dict[tuple[str, int], bool] = {}
+    for service, entry in state.config.services.items():
+        home_set = placement.home_set(service, state.shard_count)
+        key = (home_set, entry.home_count_per_zone)
+        is_own = decided.get(key)
+        if is_own is None:
+            is_own = decided[key] = is_home(state, service)
+        if is_own:
+            found.append(service)
+    return found
+
+
 def pass_over(state: State, instance: str) -> None:
     """Notes that an instance did not answer."""
     member = state.members.get(instance)
@@ -116,10 +131,11 @@
 
 def forget_homes(state: State) -> None:
     """Lets go what a new configuration may have changed."""
-    counts = {}
+    wanted = set()
     for service, entry in state.config.services.items():
-        counts[service] = entry.home_count_per_zone
-    state.home_table.forget_others(counts)
+        home_set = placement.home_set(service, state.shard_count)
+        wanted.add((home_set, entry.home_count_per_zone))
+    state.home_table.forget_others(wanted)
     state.homes_cache.clear()
 
 
@@ -171,7 +187,8 @@
     if entry is None or not state.config.is_zone_serving(zone):
         return []
     count = entry.home_count_per_zone
-    ranked = state.home_table.find(zone, service, count)
+    home_set = placement.home_set(service, state.shard_count)
+    ranked = state.home_table.find(zone, home_set, count)
     return [name for _, name in ranked]
 
 
--- a/src/cuminwall/placement.py
+++ b/src/cuminwall/placement.py
@@ -10,6 +10,7 @@
 
 RELAYS_PER_ZONE = 2
 MEMBERS_PER_RELAY = 100
+HOME_SETS_PER_SHARD = 8
 
 
 @functools.lru_cache(maxsize=65536)
@@ -40,6 +41,17 @@
     return _key_hash(name) % shard_count
 
 
+@functools.lru_cache(maxsize=65536)
+def home_set(service: str, shard_count: int) -> str:
+    """Returns the name of the set of services that share their homes.
+
+    A set lies within one shard, so that a home deals with few stewards.
+    """
+    shard = shard_of(service, shard_count)
+    place = _key_hash(f"homes:{service}") % HOME_SETS_PER_SHARD
+    return f"{shard}/{place}"
+
+
 def relay_count(members_in_zone: int) -> int:
     """Returns how many relays a zone of this size has."""
     return RELAYS_PER_ZONE + members_in_zone // MEMBERS_PER_RELAY
--- a/src/cuminwall/writeleases.py
+++ b/src/cuminwall/writeleases.py
@@ -158,8 +158,8 @@
         return False
     state.homes_basis = basis
     changed = False
-    for service in state.config.services:
-        if service in state.groups or not membership.is_home(state, service):
+    for service in membership.own_services(state):
+        if service in state.groups:
             continue
         state.groups[service] = Group(service)
         changed = True
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -56,7 +56,8 @@
             by_zone.setdefault(zone, []).append(instance)
     found: list[str] = []
     for zone in sorted(by_zone, key=lambda name: (name != known.zone, name)):
-        best = placement.ranked(service, by_zone[zone])
+        home_set = placement.home_set(service, known.shard_count)
+        best = placement.ranked(home_set, by_zone[zone])
         found.extend(best[: entry.home_count_per_zone])
     return tuple(found)
 
