--- a/bench/slopes_configuration.py
+++ b/bench/slopes_configuration.py
@@ -6,7 +6,7 @@
 from cuminwall import confighead, configparts, configuration, events
 
 SERVICES = (590, 1475, 2950, 5900)
-MEMBERS = 9
+SERVICES_PER_MEMBER = 2
 KEYS_PER_SERVICE = 3
 SERVICES_PER_WORKSPACE = 2
 WRITE_ID = "first"
@@ -77,7 +77,7 @@
         new[key] = changed.texts[key]
     head_text = confighead.encode_head(changed.head)
     previous = snapshot.document, config
-    home = fleets.make_home(services, MEMBERS)
+    home = fleets.make_home(services, services // SERVICES_PER_MEMBER)
 
     def assemble() -> None:
         head = confighead.decode_head(head_text)
--- a/bench/slopes_membership.py
+++ b/bench/slopes_membership.py
@@ -4,7 +4,7 @@
 import json
 
 from bench import fits, fleets
-from cuminwall import events, membership, relays, state
+from cuminwall import events, membership, ports, relays, state
 
 MEMBERS = (9, 725, 1450, 2900)
 SERVICES = (590, 1475, 2950, 5900)
@@ -12,6 +12,7 @@
 PLANNED_SERVICES = 5900
 FIXED_MEMBERS = 725
 TICKS = 20
+CALLS = 5
 TICK_S = 0.05
 
 
@@ -44,6 +45,7 @@
         fits.fit("relay_choice", "s", "members", relay),
         fits.fit("member_memory", "bytes", "members", memory),
         fits.fit("list_bytes", "bytes", "members", _list_bytes()),
+        fits.fit("list_parsed", "s", "members", _list_parsed()),
         fits.fit("member_joins_services", "s", "services", by_services),
     ]
 
@@ -66,12 +68,28 @@
     """Returns the size of the platform's answer, as JSON."""
     found = []
     for members in MEMBERS:
-        records = fleets.make_records(members)
-        text = json.dumps([record._asdict() for record in records])
-        found.append((float(members), float(len(text))))
+        found.append((float(members), float(len(_list_text(members)))))
+    return found
+
+
+def _list_parsed() -> list[tuple[float, float]]:
+    """Returns the time of making records of the platform's answer."""
+    found = []
+    for members in MEMBERS:
+        parse = functools.partial(_parse_list, _list_text(members))
+        found.append((float(members), fits.cpu_per_call_s(parse, CALLS)))
     return found
 
 
+def _list_text(members: int) -> str:
+    records = fleets.make_records(members)
+    return json.dumps([record._asdict() for record in records])
+
+
+def _parse_list(text: str) -> list[ports.InstanceRecord]:
+    return [ports.InstanceRecord(**item) for item in json.loads(text)]
+
+
 def _list_s(home: state.State, records: tuple) -> float:
     listed = events.InstancesListed(home.now, records)
     return fits.cpu_per_call_s(lambda: fleets.feed(home, listed), 5)
--- a/bench/slopes_sessions.py
+++ b/bench/slopes_sessions.py
@@ -4,7 +4,7 @@
 from cuminwall import events, state, work
 
 SESSIONS = (500, 2000, 8000)
-MEMBERS = 9
+MEMBERS = 900
 SERVICES = 64
 ROUNDS = 200
 TICKS = 5
@@ -32,6 +32,7 @@
     entry.fresh_until = entry.now + 1000.0
     listed = events.InstancesListed(entry.now, fleets.make_records(MEMBERS))
     fleets.feed(entry, listed)
+    fleets.know_shards(entry, MEMBERS)
     return entry
 
 
--- a/bench/slopes_stewards.py
+++ b/bench/slopes_stewards.py
@@ -10,12 +10,14 @@
 
 def measure() -> list[fits.Slope]:
     """Returns every slope of this module."""
-    steward, newcomer = [], []
+    steward, newcomer, first = [], [], []
     for members in MEMBERS:
+        first.append((members, _first_s(members)))
         steward.append((members, _steward_s(members)))
         newcomer.append((members, _newcomer_s(members)))
     return [
         fits.fit("steward_tick_members", "s", "members", steward),
+        fits.fit("newcomer_first_tick", "s", "members", first),
         fits.fit("newcomer_tick", "s", "members", newcomer),
     ]
 
@@ -45,13 +47,24 @@
     return _tick_s(made, LENT_TICKS)
 
 
-def _newcomer_s(members: int) -> float:
-    """Returns the time of a tick before the first word of a relay."""
+def _newcomer(members: int) -> state.State:
+    """Returns an instance before the first word of a relay."""
     made = _make(members, fleets.SHARDS)
-    made.draining = False
     # Its turn to take a vacant shard does not come while this is measured.
     for shard in range(fleets.SHARDS):
         made.vacant_since[shard] = made.now + 1000.0
+    return made
+
+
+def _first_s(members: int) -> float:
+    """Returns the time of its first tick, which ranks for every shard."""
+    fresh = iter([_newcomer(members) for _ in range(fits.REPEATS)])
+    return fits.cpu_s(lambda: _tick(next(fresh)))
+
+
+def _newcomer_s(members: int) -> float:
+    """Returns the time of a later tick."""
+    made = _newcomer(members)
     return _tick_s(made, TICKS)
 
 
