Report backend servers only when something else than positions changed

Cause: each ask for write leases, every 0.4 s, carried all reports on all backend servers of its groups. Now a group's reports are left out while the steward has answered the last ones, every server is as agreed and the lease is valid; they go whole every 5 s in any case. A steward counts a report as standing since it last heard of the home, and its position only since it came. Positions count when a new primary is chosen, after the fence; then no lease is valid, so each home reports whole at its next tick.

Ruled out: counting a standing report as new, because a replica could be chosen by an old position; leaving reports out without an answer, because a lost one would then stand (seen red in a test).

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -148,9 +148,9 @@
     rounds = plan.LEASE_ROUNDS_PER_S
     asks = plan.SHARDS_PER_DAEMON
     groups = plan.GROUPS_PER_DAEMON
-    ask_s = _per_messages(slopes["lease_ask_home"], asks, groups)
+    ask_s = _asks(slopes, "home", asks, groups)
     answer_s = _per_messages(slopes["lease_answer_home"], asks, groups)
-    ask_b = _per_messages(slopes["lease_ask_bytes"], asks, groups)
+    ask_b = _asks(slopes, "bytes", asks, groups)
     answer_b = _per_messages(slopes["lease_answer_bytes"], asks, groups)
     probe_s = slopes["probe_taken"].slope / PROBED_SERVERS
     return [
@@ -158,8 +158,7 @@
             "home",
             "lease rounds",
             "writeleases, groups",
-            "lease_ask_home, lease_answer_home, lease_ask_bytes, "
-            "lease_answer_bytes",
+            "lease_ask_*, lease_stands_*, lease_answer_*",
             rounds * (ask_s + answer_s),
             2 * rounds * asks,
             rounds * (ask_b + answer_b),
@@ -227,8 +226,8 @@
     rounds = plan.LEASE_ROUNDS_PER_S
     asks = plan.HOMES_PER_SHARD
     lines = plan.GROUPS_PER_SHARD * plan.HOMES
-    ask_s = _per_messages(slopes["lease_ask_steward"], asks, lines)
-    ask_b = _per_messages(slopes["lease_ask_bytes"], asks, lines)
+    ask_s = _asks(slopes, "steward", asks, lines)
+    ask_b = _asks(slopes, "bytes", asks, lines)
     answer_b = _per_messages(slopes["lease_answer_bytes"], asks, lines)
     tick_s = slopes["steward_tick"].at(plan.HOMES)
     return [
@@ -236,7 +235,7 @@
             "steward",
             "answer lease rounds",
             "charges",
-            "lease_ask_steward, lease_ask_bytes, lease_answer_bytes",
+            "lease_ask_*, lease_stands_*, lease_answer_bytes",
             rounds * ask_s,
             2 * rounds * asks,
             rounds * (ask_b + answer_b),
@@ -267,6 +266,13 @@
     return max(0.0, slope.intercept) * messages + slope.slope * lines
 
 
+def _asks(slopes: Slopes, name: str, messages: float, lines: float) -> float:
+    """Returns a round of asks, of which a few carry all reports."""
+    whole = _per_messages(slopes[f"lease_ask_{name}"], messages, lines)
+    short = _per_messages(slopes[f"lease_stands_{name}"], messages, lines)
+    return short + plan.FULL_REPORTS * (whole - short)
+
+
 def _config_change_s(slopes: Slopes) -> float:
     total = 0.0
     for name in ("assemble_change", "parse_change", "config_taken"):
--- a/bench/plan.py
+++ b/bench/plan.py
@@ -1,6 +1,6 @@
 """The size that the users plan for, and what follows from it alone."""
 
-from cuminwall import placement, timings
+from cuminwall import placement, timings, writeleases
 
 DAEMONS = 2900
 SERVICES = 5900
@@ -45,6 +45,7 @@
 LISTS_PER_S = 1 / TIMES.list_interval_s
 TICKS_PER_S = 1 / TIMES.tick_s
 LEASE_ROUNDS_PER_S = 1 / TIMES.lease_renew_s
+FULL_REPORTS = TIMES.lease_renew_s / writeleases.FULL_REPORT_S
 PROBES_PER_S = GROUPS_PER_DAEMON * SERVERS_PER_SERVICE / TIMES.probe_interval_s
 RELAY_ASKS_PER_S = 1 / TIMES.relay_ask_s
 RENEWALS_PER_S = 1 / TIMES.steward_renew_s
--- a/bench/slopes_leases.py
+++ b/bench/slopes_leases.py
@@ -7,6 +7,7 @@
     effects,
     events,
     messages,
+    placement,
     probes,
     state,
     writeleases,
@@ -24,6 +25,7 @@
     """Returns every slope of this module."""
     home_s, steward_s, answer_s, ask_b, answer_b = [], [], [], [], []
     memory, idle, probe = [], [], []
+    stands_home, stands_steward, stands_b = [], [], []
     for groups in GROUPS:
         home = make_home(groups, 1)
         steward = make_steward(groups)
@@ -35,6 +37,12 @@
         steward_s.append((groups, _feed_s(steward, said)))
         answer_s.append((groups, _feed_s(home, heard)))
         ask_b.append((groups, len(messages.encode(ask))))
+        let_stand(home)
+        short = _ask_of(home)
+        said = events.PeerSaid(steward.now, "entry-00001", short)
+        stands_home.append((groups, _ask_s(home)))
+        stands_steward.append((groups, _feed_s(steward, said)))
+        stands_b.append((groups, len(messages.encode(short))))
         answer_b.append((groups, len(messages.encode(answer))))
         memory.append(
             (groups, fits.memory_bytes(functools.partial(make_home, groups, 1)))
@@ -51,6 +59,9 @@
         fits.fit("lease_ask_steward", "s", "groups", steward_s),
         fits.fit("lease_answer_home", "s", "groups", answer_s),
         fits.fit("lease_ask_bytes", "bytes", "groups", ask_b),
+        fits.fit("lease_stands_home", "s", "groups", stands_home),
+        fits.fit("lease_stands_steward", "s", "groups", stands_steward),
+        fits.fit("lease_stands_bytes", "bytes", "groups", stands_b),
         fits.fit("lease_answer_bytes", "bytes", "groups", answer_b),
         fits.fit("group_memory", "bytes", "groups", memory),
         fits.fit("tick_by_groups", "s", "groups", idle),
@@ -77,6 +88,14 @@
     return home
 
 
+def let_stand(home: state.State) -> None:
+    """Lets the steward have answered the last reports of every group."""
+    for group in home.groups.values():
+        shard = placement.shard_of(group.service, home.shard_count)
+        group.reported_to = home.shards[shard].steward
+        group.reported_at = home.now
+
+
 def record_of(service: str) -> messages.GroupRecord:
     """Returns the record of a group whose first primary still serves."""
     return messages.GroupRecord(
--- a/src/cuminwall/charges.py
+++ b/src/cuminwall/charges.py
@@ -36,14 +36,16 @@
             charge = hold.charges[report.service] = Charge(report.service)
         key = (sender, report.server)
         charge.reports[key] = Lent(report, ask.zone, state.now)
-        if not is_serving_primary(report) and _is_primary(charge, report):
-            charge.doubted_at = state.now
     grants = []
     records = []
     for service, term, confirmed in ask.terms:
         charge = hold.charges.get(service)
-        if charge is None or charge.record is None:
+        if charge is None:
+            continue
+        charge.heard[sender] = state.now
+        if charge.record is None:
             continue
+        _doubt_if_standing(state, charge, sender)
         record = charge.record
         newest = record.terms[-1].term
         if (newest, record.active) > (term, confirmed):
@@ -103,10 +105,14 @@
 def fresh_reports(
     state: State, charge: Charge, since: float
 ) -> dict[tuple[str, str], Lent]:
-    """Returns the reports that came at or after `since`, by home and server."""
+    """Returns the reports that came at or after `since`, by home and server.
+
+    One that came before may stand, but its log position is old.
+    """
     found = {}
     for key, lent in list(charge.reports.items()):
-        if state.now - lent.received_at > state.times.report_age_s:
+        heard_at = charge.heard.get(key[0], lent.received_at)
+        if state.now - heard_at > state.times.report_age_s:
             del charge.reports[key]
             continue
         if lent.received_at >= since:
@@ -144,11 +150,13 @@
         out.append(Say(home, messages.RecordNews(record)))
 
 
-def _is_primary(charge: Charge, report: messages.ServerReport) -> bool:
-    """Returns whether a report is about the newest term's primary."""
-    if charge.record is None:
-        return False
-    return charge.record.terms[-1].primary == report.server
+def _doubt_if_standing(state: State, charge: Charge, sender: str) -> None:
+    """Notes a report against the primary, new or said to stand."""
+    assert charge.record is not None
+    primary = charge.record.terms[-1].primary
+    lent = charge.reports.get((sender, primary))
+    if lent is not None and not is_serving_primary(lent.report):
+        charge.doubted_at = state.now
 
 
 def _grant(
--- a/src/cuminwall/messages.py
+++ b/src/cuminwall/messages.py
@@ -39,7 +39,8 @@
       zone: The asker's availability zone.
       terms: Service, highest term known and whether it is confirmed there,
         for each service asked for.
-      reports: What the asker knows of the backend servers.
+      reports: What the asker knows of the backend servers; those of a service
+        without any still stand.
     """
 
     number: int
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -205,6 +205,9 @@
       recalled: Who wants the lease back, and its message, or None.
       recall_until: Until when open transactions may hold that up.
       ignored_asks: Answers to asks up to this number grant nothing.
+      reported_in: The number of the last ask that carried its reports.
+      reported_to: The steward that answered that ask, or "".
+      reported_at: When that answer came.
     """
 
     __slots__ = (
@@ -221,6 +224,9 @@
         "recalled",
         "recall_until",
         "ignored_asks",
+        "reported_in",
+        "reported_to",
+        "reported_at",
     )
 
     def __init__(self, service: str):
@@ -237,6 +243,9 @@
         self.recalled: tuple[str, messages.Recall] | None = None
         self.recall_until = 0.0
         self.ignored_asks = 0
+        self.reported_in = 0
+        self.reported_to = ""
+        self.reported_at = leases.NEVER
 
     @property
     def term(self) -> int:
@@ -274,7 +283,7 @@
     Attributes:
       report: What the home said.
       zone: The home's availability zone.
-      received_at: Steward's clock.
+      received_at: When it came; a home may say later that it stands.
     """
 
     report: messages.ServerReport
@@ -330,6 +339,7 @@
       revision: Its store revision; 0 if there is none.
       loans: When each holder's write lease lapses.
       reports: The newest report by home and server.
+      heard: When each home last said that its reports stand.
       change: The change of primary under way, or None.
       swapping: Whether an answer about the record is awaited.
       judged: The record whose primary was last looked at.
@@ -343,6 +353,7 @@
         "revision",
         "loans",
         "reports",
+        "heard",
         "change",
         "swapping",
         "judged",
@@ -356,6 +367,7 @@
         self.revision = 0
         self.loans: dict[str, float] = {}
         self.reports: dict[tuple[str, str], Lent] = {}
+        self.heard: dict[str, float] = {}
         self.change: Change | None = None
         self.swapping = False
         self.judged: messages.GroupRecord | None = None
--- a/src/cuminwall/writeleases.py
+++ b/src/cuminwall/writeleases.py
@@ -26,6 +26,8 @@
 
 PREFIX = "leases"
 
+FULL_REPORT_S = 5.0
+
 
 def update_groups(state: State, out: list[Effect]) -> None:
     """Takes up the groups this instance is a home of, and drops others."""
@@ -85,7 +87,12 @@
     asked_at = last[1]
     for grant in answer.grants:
         group = state.groups.get(grant.service)
-        if group is None or not grant.duration_s:
+        if group is None:
+            continue
+        if group.reported_in == answer.number:
+            group.reported_to = sender
+            group.reported_at = state.now
+        if not grant.duration_s:
             continue
         if answer.number <= group.ignored_asks:
             continue
@@ -233,9 +240,14 @@
     terms = []
     reports = []
     for group in members:
+        stands = _do_reports_stand(state, group, steward)
         group.reports_changed = False
         confirmed = group.record is not None and group.record.active
         terms.append((group.service, group.term, confirmed))
+        if stands:
+            continue
+        group.reported_in = number
+        group.reported_to = ""
         for server in group.servers.values():
             reports.append(_report(state, group, server))
     ask = messages.LeaseAsk(
@@ -244,6 +256,27 @@
     out.append(Say(steward, ask))
 
 
+def _do_reports_stand(state: State, group: Group, steward: str) -> bool:
+    """Returns whether the steward knows all but the newest positions.
+
+    Positions count only when a new primary is chosen, and then no lease is
+    valid any more.
+    """
+    if group.reports_changed or group.reported_to != steward:
+        return False
+    if state.now - group.reported_at >= FULL_REPORT_S:
+        return False
+    if not groups.is_lease_valid(state, group, group.term):
+        return False
+    primary = group.primary
+    for server in group.servers.values():
+        if server.failing_since is not None or not server.timeline:
+            return False
+        if server.in_recovery == (server is primary):
+            return False
+    return primary is not None
+
+
 def _report(
     state: State, group: Group, server: Server
 ) -> messages.ServerReport:
