Parse the instance list only when it reads otherwise than before

Cause: each reading, twice a second, parsed the whole list. Ruled out: an If-None-Match header, which the platform's list is not known to answer.

Trial, processor time of parsing 2,900 instances: 13 ms; twice a second that is 2.6% of a core. The list changes about once in 8 s at the planned size.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -90,7 +90,7 @@
     joins_per_s = plan.LIST_CHANGES_PER_DAY / plan.DAY_S
     configs_per_s = plan.CONFIG_CHANGES_PER_DAY / plan.DAY_S
     list_s = slopes["list_unchanged"].at(plan.DAEMONS)
-    list_s += slopes["list_parsed"].at(plan.DAEMONS)
+    parsed_s = slopes["list_parsed"].at(plan.DAEMONS)
     list_b = slopes["list_bytes"].at(plan.DAEMONS)
     change_s = _config_change_s(slopes)
     ask_b = slopes["relay_ask_bytes"].slope + slopes["relay_answer_bytes"].slope
@@ -101,7 +101,7 @@
             LIST_WORK,
             "upkeep, instancelist, membership",
             "list_unchanged, list_parsed, list_bytes",
-            plan.LISTS_PER_S * list_s,
+            plan.LISTS_PER_S * list_s + joins_per_s * parsed_s,
             2 * plan.LISTS_PER_S,
             plan.LISTS_PER_S * list_b,
         ),
--- a/src/cuminwall/instancelist.py
+++ b/src/cuminwall/instancelist.py
@@ -13,7 +13,13 @@
 
 
 class HttpInstanceList:
-    """Implements `ports.InstanceListPort`."""
+    """Implements `ports.InstanceListPort`.
+
+    Attributes:
+      channel: The connections to the platform.
+      body: The last well-formed answer, or None.
+      records: The instances in it.
+    """
 
     def __init__(self, endpoint: str, zone: str, timeout_s: float):
         """Opens nothing yet.
@@ -26,6 +32,8 @@
         self.channel = storehttp.HttpChannel(
             LOG_PREFIX, endpoint, zone, timeout_s
         )
+        self.body: bytes | None = None
+        self.records: list[ports.InstanceRecord] = []
 
     async def close(self) -> None:
         """Closes the idle connections."""
@@ -34,10 +42,15 @@
     async def list_instances(self) -> list[ports.InstanceRecord]:
         """Returns the list."""
         answer = await self._call("GET", LIST_PATH)
+        if answer.body == self.body:
+            return list(self.records)
         try:
-            return [_parse_record(item) for item in json.loads(answer.body)]
+            found = [_parse_record(item) for item in json.loads(answer.body)]
         except _MALFORMED as error:
             raise self.channel.unexpected(LIST_PATH, answer) from error
+        self.body = answer.body
+        self.records = found
+        return list(found)
 
     async def announce(self, record: ports.InstanceRecord) -> None:
         """Registers or renews this instance, or marks it as leaving."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import unittest
 
 from aiohttp import web
@@ -343,6 +344,23 @@
             with self.subTest(body):
                 self.answer = (200, body)
                 await self.assert_unavailable(listed.list_instances())
+        record = ports.InstanceRecord("i", "a", "h", 1, False)
+        good = json.dumps([record._asdict()]).encode()
+        # An answer like the last one is as good as parsed again, and no
+        # caller's changes to it or malformed answers stay.
+        for body, wanted in (
+            (good, [record]),
+            (good, [record]),
+            (b"[]", []),
+            (b"[]", []),
+            (good, [record]),
+        ):
+            self.answer = (200, body)
+            found = await listed.list_instances()
+            self.assertEqual(found, wanted)
+            found.clear()
+            self.answer = (200, b"")
+            await self.assert_unavailable(listed.list_instances())
         self.answer = (503, b"[]")
         await self.assert_unavailable(listed.list_instances())
         await self.assert_unavailable(listed.withdraw("a"))
