--- a/bench/fits.py
+++ b/bench/fits.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 CALIBRATION_LOOPS = 200_000
-REPEATS = 3
+REPEATS = 6
 CONSTANT = 1e-12
 
 
