--- a/bench/capacity_loads.py
+++ b/bench/capacity_loads.py
@@ -232,6 +232,7 @@
 
 
 def config_change_s(slopes: Slopes) -> float:
+    """Returns the processor time of taking one changed key over."""
     total = 0.0
     for name in ("assemble_change", "parse_change", "config_taken"):
         total += slopes[name].at(plan.SERVICES)
