--- a/src/cuminwall/charges.py
+++ b/src/cuminwall/charges.py
@@ -40,8 +40,12 @@
     records = []
     for service, term, confirmed in ask.terms:
         charge = hold.charges.get(service)
-        if charge is None or charge.record is None:
+        if charge is None:
+            continue
+        charge.heard[sender] = state.now
+        if charge.record is None:
             continue
+        _doubt_if_standing(state, charge, sender)
         record = charge.record
         newest = record.terms[-1].term
         if (newest, record.active) > (term, confirmed):
@@ -53,6 +57,30 @@
     out.append(Say(sender, answer))
 
 
+def is_serving_primary(report: messages.ServerReport) -> bool:
+    """Returns whether a report shows a server that answers as a primary."""
+    return report.reachable and not report.in_recovery
+
+
+def is_doubted(state: State, charge: Charge) -> bool:
+    """Returns whether the reports have to be gone through now.
+
+    While none speaks against the primary that is needed only now and then,
+    to forget old ones.
+    """
+    if charge.judged is not charge.record:
+        # Reports from before may speak against the new primary.
+        charge.judged = charge.record
+        charge.doubted_at = state.now
+    age_s = state.times.report_age_s
+    if state.now - charge.doubted_at <= age_s:
+        return True
+    if state.now - charge.judged_at <= age_s:
+        return False
+    charge.judged_at = state.now
+    return True
+
+
 def handed_back(
     hold: Stewardship, sender: str, message: messages.HandBack
 ) -> None:
@@ -79,11 +107,13 @@
 ) -> dict[tuple[str, str], Lent]:
     """Returns the reports by home and server that show `since` or later.
 
-    A report shows the time when its probe was sent.
+    A report shows the time when its probe was sent. One that came before may
+    stand, but its log position is old.
     """
     found = {}
     for key, lent in list(charge.reports.items()):
-        if state.now - lent.received_at > state.times.report_age_s:
+        heard_at = charge.heard.get(key[0], lent.received_at)
+        if state.now - heard_at > state.times.report_age_s:
             del charge.reports[key]
             continue
         shown_at = lent.received_at - max(0.0, lent.report.age_s)
@@ -122,6 +152,15 @@
         out.append(Say(home, messages.RecordNews(record)))
 
 
+def _doubt_if_standing(state: State, charge: Charge, sender: str) -> None:
+    """Notes a report against the primary, new or said to stand."""
+    assert charge.record is not None
+    primary = charge.record.terms[-1].primary
+    lent = charge.reports.get((sender, primary))
+    if lent is not None and not is_serving_primary(lent.report):
+        charge.doubted_at = state.now
+
+
 def _grant(
     state: State,
     charge: Charge,
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -12,6 +12,7 @@
     configuration,
     document,
     fairness,
+    hometable,
     leases,
     lending,
     messages,
@@ -269,6 +270,9 @@
       recalled: Who wants the lease back, and its message, or None.
       recall_until: Until when open transactions may hold that up.
       ignored_asks: Answers to asks up to this number grant nothing.
+      reported_in: The number of the last ask that carried its reports.
+      reported_to: The steward that answered that ask, or "".
+      reported_at: When that answer came.
     """
 
     __slots__ = (
@@ -285,6 +289,9 @@
         "recalled",
         "recall_until",
         "ignored_asks",
+        "reported_in",
+        "reported_to",
+        "reported_at",
     )
 
     def __init__(self, service: str):
@@ -301,6 +308,9 @@
         self.recalled: tuple[str, messages.Recall] | None = None
         self.recall_until = 0.0
         self.ignored_asks = 0
+        self.reported_in = 0
+        self.reported_to = ""
+        self.reported_at = leases.NEVER
 
     @property
     def term(self) -> int:
@@ -338,7 +348,7 @@
     Attributes:
       report: What the home said.
       zone: The home's availability zone.
-      received_at: Steward's clock.
+      received_at: When it came; a home may say later that it stands.
     """
 
     report: messages.ServerReport
@@ -394,9 +404,13 @@
       revision: Its store revision; 0 if there is none.
       loans: When each holder's write lease lapses.
       reports: The newest report by home and server.
+      heard: When each home last said that its reports stand.
       change: The change of primary under way, or None.
       swapping: Whether an answer about the record is awaited.
       confirmed_at: When the newest term was confirmed here.
+      judged: The record whose primary was last looked at.
+      judged_at: When all reports were last gone through.
+      doubted_at: When a report last spoke against the primary.
     """
 
     __slots__ = (
@@ -405,9 +419,13 @@
         "revision",
         "loans",
         "reports",
+        "heard",
         "change",
         "swapping",
         "confirmed_at",
+        "judged",
+        "judged_at",
+        "doubted_at",
     )
 
     def __init__(self, service: str):
@@ -416,9 +434,13 @@
         self.revision = 0
         self.loans: dict[str, float] = {}
         self.reports: dict[tuple[str, str], Lent] = {}
+        self.heard: dict[str, float] = {}
         self.change: Change | None = None
         self.swapping = False
         self.confirmed_at = leases.NEVER
+        self.judged: messages.GroupRecord | None = None
+        self.judged_at = leases.NEVER
+        self.doubted_at = leases.NEVER
 
 
 class Stewardship:
@@ -576,6 +598,7 @@
         self.fresh_until = leases.NEVER
 
         self.sessions: dict[int, Session] = {}
+        self.unserved: dict[int, Session] = {}
         self.pending: dict[int, Pending] = {}
 
         self.groups: dict[str, Group] = {}
@@ -583,7 +606,15 @@
         self.pins: dict[tuple[str, int], Pin] = {}
 
         self.members: dict[str, Member] = {}
+        self.listed_records: tuple[ports.InstanceRecord, ...] = ()
+        self.missing: set[str] = set()
+        self.home_table = hometable.HomeTable()
+        self.members_version = 0
+        self.homes_basis = (-1, -1)
         self.homes_cache: dict[str, tuple[str, ...]] = {}
+        self.relays_cache: dict[str, list[str]] = {}
+        self.takers_cache: dict[int, list[str]] = {}
+        self.successors_cache: dict[int, list[str]] = {}
 
         self.shards: dict[int, messages.ShardRecord] = {}
         self.lease_asks: dict[int, tuple[int, float]] = {}
--- a/src/cuminwall/writeleases.py
+++ b/src/cuminwall/writeleases.py
@@ -25,14 +25,12 @@
 
 PREFIX = "leases"
 
+FULL_REPORT_S = 5.0
+
 
 def update_groups(state: State, out: list[Effect]) -> None:
     """Takes up the groups this instance is a home of, and drops others."""
-    changed = False
-    for service in state.config.services:
-        is_home = membership.is_home(state, service)
-        if is_home and not state.draining:
-            changed |= _take_up(state, service)
+    changed = _take_up_new(state)
     for service, group in list(state.groups.items()):
         wanted = membership.is_home(state, service) and not state.draining
         if wanted or _is_busy(state, group):
@@ -89,7 +87,12 @@
     asked_at = last[1]
     for grant in answer.grants:
         group = state.groups.get(grant.service)
-        if group is None or not grant.duration_s:
+        if group is None:
+            continue
+        if group.reported_in == answer.number:
+            group.reported_to = sender
+            group.reported_at = state.now
+        if not grant.duration_s:
             continue
         if answer.number <= group.ignored_asks:
             continue
@@ -154,14 +157,21 @@
         _hand_back(state, group, out)
 
 
-def _take_up(state: State, service: str) -> bool:
-    """Becomes a home of `service`; returns whether that is new."""
-    if service in state.groups:
+def _take_up_new(state: State) -> bool:
+    """Becomes a home where it is new; returns whether it did."""
+    basis = (state.members_version, state.config.version)
+    if state.draining or state.homes_basis == basis:
         return False
-    group = state.groups[service] = Group(service)
-    # An answer under way may be to a lease that was handed back since.
-    _ignore_asks(state, group)
-    return True
+    state.homes_basis = basis
+    changed = False
+    for service in membership.own_services(state):
+        if service in state.groups:
+            continue
+        group = state.groups[service] = Group(service)
+        # An answer under way may be to a lease that was handed back since.
+        _ignore_asks(state, group)
+        changed = True
+    return changed
 
 
 def _ignore_asks(state: State, group: Group) -> None:
@@ -226,9 +236,14 @@
     terms = []
     reports = []
     for group in members:
+        stands = _do_reports_stand(state, group, steward)
         group.reports_changed = False
         confirmed = group.record is not None and group.record.active
         terms.append((group.service, group.term, confirmed))
+        if stands:
+            continue
+        group.reported_in = number
+        group.reported_to = ""
         for server in group.servers.values():
             reports.append(_report(state, group, server))
     ask = messages.LeaseAsk(
@@ -237,6 +252,27 @@
     out.append(Say(steward, ask))
 
 
+def _do_reports_stand(state: State, group: Group, steward: str) -> bool:
+    """Returns whether the steward knows all but the newest positions.
+
+    Positions count only when a new primary is chosen, and then no lease is
+    valid any more.
+    """
+    if group.reports_changed or group.reported_to != steward:
+        return False
+    if state.now - group.reported_at >= FULL_REPORT_S:
+        return False
+    if not groups.is_lease_valid(state, group, group.term):
+        return False
+    primary = group.primary
+    for server in group.servers.values():
+        if server.failing_since is not None or not server.timeline:
+            return False
+        if server.in_recovery == (server is primary):
+            return False
+    return primary is not None
+
+
 def _report(
     state: State, group: Group, server: Server
 ) -> messages.ServerReport:
