--- a/src/cuminwall_standins/site.py
+++ b/src/cuminwall_standins/site.py
@@ -105,6 +105,7 @@
       folder: Where settings and logs lie.
       platform: The platform's process.
       servers: The backend servers' processes, by service and server id.
+      server_arguments: What each of them was started with.
       daemons: The daemons' processes, by instance.
       plans: The database groups, by service.
       document: The configuration last applied.
@@ -115,6 +116,7 @@
         self.folder = folder
         self.platform: Process | None = None
         self.servers: dict[tuple[str, str], Process] = {}
+        self.server_arguments: dict[tuple[str, str], tuple[str, ...]] = {}
         self.daemons: dict[str, Process] = {}
         self.plans: dict[str, GroupPlan] = {}
         self.document: dict[str, Any] = {}
@@ -156,12 +158,19 @@
                 f"--connect_delay_s={plan.connect_delay_s}",
                 f"--replication_delay_s={plan.replication_delay_s}",
             )
-            name = f"{plan.service}-{server.name}"
-            process = await self._start(
-                name, "cuminwall_standins.database", arguments, reads=True
-            )
-            process.ports["control_port"] = control_port
-            self.servers[(plan.service, server.name)] = process
+            key = (plan.service, server.name)
+            self.server_arguments[key] = arguments
+            await self._start_server(key)
+
+    async def restart_server(self, service: str, server: str) -> None:
+        """Starts a server that ended anew, without data, as a replica."""
+        key = (service, server)
+        await self.servers[key].end()
+        self.server_arguments[key] = (
+            *self.server_arguments[key],
+            "--primary=False",
+        )
+        await self._start_server(key)
 
     async def start_daemon(
         self, instance: str, zone: str, **timings: float
@@ -265,6 +274,15 @@
         for process in everything:
             await process.process.wait()
 
+    async def _start_server(self, key: tuple[str, str]) -> None:
+        """Starts the process of a server."""
+        self.servers[key] = await self._start(
+            "-".join(key),
+            "cuminwall_standins.database",
+            self.server_arguments[key],
+            reads=True,
+        )
+
     async def _is_ready(self, instance: str) -> bool:
         """Returns whether a daemon serves what it is a home for."""
         try:
