--- a/bench/callers.py
+++ b/bench/callers.py
@@ -79,13 +79,25 @@
     """Returns what an error tells, and its reason."""
     message = error.diag.message_primary
     if message is None:
-        return Told.UNTYPED, "connection ended"
+        return _classify_text(str(error))
     failure = _BY_MESSAGE.get(message)
     if failure is None:
         return Told.FAILED, f"{error.sqlstate}: {message}"
     return _BY_KIND[failure.kind], failure.reason
 
 
+def _classify_text(text: str) -> tuple[Told, str]:
+    """Returns what an error without fields tells.
+
+    A typed answer that comes between two requests reaches the caller as text
+    of the next one's error.
+    """
+    for message, failure in _BY_MESSAGE.items():
+        if message in text:
+            return _BY_KIND[failure.kind], failure.reason
+    return Told.UNTYPED, "connection ended"
+
+
 async def connect(
     site_: site.Site, instance: str, account: Account
 ) -> psycopg.AsyncConnection:
--- a/bench/daemonlogs.py
+++ b/bench/daemonlogs.py
@@ -43,15 +43,22 @@
     """Returns the lines of every log of a folder with a prefix, by time."""
     lines = []
     for path in folder.glob("*.log"):
-        for text in path.read_text(encoding="utf-8").splitlines():
-            if f" {prefix}: " not in text:
-                continue
-            line = _parse(text)
-            if line is not None and line.at >= since:
-                lines.append(line)
+        lines.extend(read_file(path, since, prefix))
     return sorted(lines)
 
 
+def read_file(path: pathlib.Path, since: float, prefix: str) -> list[Line]:
+    """Returns the lines of one log with a prefix."""
+    lines = []
+    for text in path.read_text(encoding="utf-8").splitlines():
+        if f" {prefix}: " not in text:
+            continue
+        line = _parse(text)
+        if line is not None and line.at >= since:
+            lines.append(line)
+    return lines
+
+
 def measure_parts(lines: list[Line], fault_at: float, done_at: float) -> Parts:
     """Returns the parts of a change; a step that is repeated counts last."""
     times: list[float | None] = [fault_at]
--- /dev/null
+++ b/bench/writers.py
@@ -0,0 +1,114 @@
+"""Writers through every daemon of a site, while its primary fails."""
+
+import asyncio
+import itertools
+
+import psycopg
+
+from bench import callers, sites
+from cuminwall_standins import site
+
+WRITE_PAUSE_S = 0.02
+NEWCOMER_PAUSE_S = 0.1
+
+
+class Load:
+    """Writers through every daemon until they are stopped.
+
+    One writer stays on each daemon; beside them newcomers connect to one
+    daemon after the other and write once.
+
+    Attributes:
+      site: The site.
+      table: Where they write.
+      requests: The writes that are over.
+      newcomers: Of these, the ones by newcomers.
+      stopping: Whether no further write is begun.
+    """
+
+    def __init__(self, site_: site.Site, table: str):
+        self.site = site_
+        self.table = table
+        self.requests: list[callers.Request] = []
+        self.newcomers: list[callers.Request] = []
+        self.stopping = False
+        self.numbers = itertools.count(1)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Starts a writer for each daemon."""
+        for instance in list(self.site.daemons):
+            self.add(instance)
+        self.tasks.append(asyncio.create_task(self._send_newcomers()))
+
+    def add(self, instance: str) -> None:
+        """Starts a writer through a daemon."""
+        self.tasks.append(asyncio.create_task(self._write_all(instance)))
+
+    async def stop(self) -> None:
+        """Waits until the writes in hand are over."""
+        self.stopping = True
+        async with asyncio.timeout(sites.GUARD_S):
+            while self.tasks:
+                await self.tasks.pop()
+
+    def has_success_of_all(self, since: float) -> bool:
+        """Returns whether each daemon did a newcomer's write since then."""
+        done = set()
+        for request in self.newcomers:
+            if request.told is callers.Told.DONE and request.began_at > since:
+                done.add(request.instance)
+        return set(self.site.daemons) <= done
+
+    async def _write_all(self, instance: str) -> None:
+        """Writes through a daemon as long as it is there."""
+        while not self.stopping and instance in self.site.daemons:
+            try:
+                connection = await callers.connect(
+                    self.site, instance, sites.ACCOUNT
+                )
+            except (psycopg.Error, KeyError):
+                await asyncio.sleep(callers.RECONNECT_PAUSE_S)
+                continue
+            async with connection:
+                await self._write_on(connection, instance)
+
+    async def _send_newcomers(self) -> None:
+        """Lets newcomers in at an even pace."""
+        while not self.stopping:
+            for instance in list(self.site.daemons):
+                task = asyncio.create_task(self._write_once(instance))
+                self.tasks.append(task)
+                await asyncio.sleep(NEWCOMER_PAUSE_S)
+
+    async def _write_once(self, instance: str) -> None:
+        """Connects, writes once and leaves."""
+        try:
+            connection = await callers.connect(
+                self.site, instance, sites.ACCOUNT
+            )
+        except (psycopg.Error, KeyError):
+            return
+        async with connection:
+            request = await self._write(connection, instance)
+        self.newcomers.append(request)
+
+    async def _write_on(
+        self, connection: psycopg.AsyncConnection, instance: str
+    ) -> None:
+        """Writes on a connection until it ends."""
+        while not self.stopping and not connection.closed:
+            await self._write(connection, instance)
+            await asyncio.sleep(WRITE_PAUSE_S)
+
+    async def _write(
+        self, connection: psycopg.AsyncConnection, instance: str
+    ) -> callers.Request:
+        """Writes a number of its own."""
+        number = next(self.numbers)
+        statement = f"INSERT INTO {self.table} VALUES (%s)"
+        request = await callers.run_one(
+            connection, instance, number, statement, (number,)
+        )
+        self.requests.append(request)
+        return request
--- a/src/cuminwall_standins/control.py
+++ b/src/cuminwall_standins/control.py
@@ -62,6 +62,7 @@
             "timeline": data.timeline,
             "lsn": functions.format_lsn(data.lsn),
             "connections": len(self.host.sessions),
+            "table_statements": data.table_statements,
         }
         return web.json_response(state)
 
--- a/src/cuminwall_standins/engine.py
+++ b/src/cuminwall_standins/engine.py
@@ -70,6 +70,7 @@
 
     Attributes:
       write_lock: Held by the transaction that uses `writer`.
+      table_statements: How many statements named a table of the callers.
       generation: Grows with each demotion, which ends all transactions.
       committed_event: Set, and replaced, when the log or the role changes.
     """
@@ -83,6 +84,7 @@
         self.is_streaming = False
         self.highest_timeline = timelines.FIRST.timeline
         self.generation = 0
+        self.table_statements = 0
         self.now_s = time.time()
         self.caller: functions.Caller | None = None
         self.function_error: errors.SqlError | None = None
--- a/src/cuminwall_standins/executor.py
+++ b/src/cuminwall_standins/executor.py
@@ -113,6 +113,7 @@
             return Outcome([], (), self.control(statement.node))
         if statement.kind is sql.Kind.SESSION:
             return self.run_session(statement.node)
+        self.data.table_statements += statement.names_table
         transaction = self.open_transaction()
         if statement.kind is not sql.Kind.READ:
             transaction.check_writable(statement)
--- a/src/cuminwall_standins/site.py
+++ b/src/cuminwall_standins/site.py
@@ -142,6 +142,7 @@
             f"{HOST}:{ports[3 * place + 1]}"
             for place in range(len(plan.servers))
         )
+        starting = []
         for place, server in enumerate(plan.servers):
             port, replication_port, control_port = ports[
                 3 * place : 3 * place + 3
@@ -160,7 +161,8 @@
             )
             key = (plan.service, server.name)
             self.server_arguments[key] = arguments
-            await self._start_server(key)
+            starting.append(self._start_server(key))
+        await asyncio.gather(*starting)
 
     async def restart_server(self, service: str, server: str) -> None:
         """Starts a server that ended anew, without data, as a replica."""
--- a/src/cuminwall_standins/sql.py
+++ b/src/cuminwall_standins/sql.py
@@ -13,6 +13,7 @@
 
 from cuminwall_standins import errors, rewriting
 
+CATALOG_PREFIX = "pg_"
 CACHED_TEXTS = 4096
 
 _READS = (ast.SelectStmt,)
@@ -74,6 +75,7 @@
       tag: Its CommandComplete without the number of rows.
       counted: Whether the number of rows belongs to the tag.
       parameter_count: How many parameters it takes.
+      names_table: Whether it names a table, other than of the catalog.
     """
 
     kind: Kind
@@ -83,6 +85,7 @@
     tag: str
     counted: bool
     parameter_count: int
+    names_table: bool
 
 
 def walk(node: Any) -> Iterator[Any]:
@@ -119,16 +122,22 @@
 
 def _translate(node: Any, text: str) -> Statement:
     numbers = [0]
+    names_table = False
     for inner in walk(node):
         if isinstance(inner, ast.ParamRef):
             numbers.append(inner.number or 0)
+        if isinstance(inner, ast.RangeVar):
+            name = inner.relname or ""
+            names_table |= not name.startswith(CATALOG_PREFIX)
     kind = _classify(node)
     if kind is Kind.TRANSACTION or kind is Kind.SESSION:
-        return Statement(kind, text, node, (), "", False, 0)
+        return Statement(kind, text, node, (), "", False, 0, False)
     _refuse_unsupported(node, kind)
     texts, tag = _render(node, text)
     counted = kind is not Kind.WRITE or isinstance(node, _CHANGES)
-    return Statement(kind, text, node, texts, tag, counted, max(numbers))
+    return Statement(
+        kind, text, node, texts, tag, counted, max(numbers), names_table
+    )
 
 
 def _classify(node: Any) -> Kind:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -85,14 +85,16 @@
 
 async def start(site_: site.Site) -> None:
     """Starts every process of the site and waits until it serves."""
-    await site_.start_platform("--list_lag_s=0.5")
+    servers = (
+        site.ServerPlan("a", ZONES[0]),
+        site.ServerPlan("b", ZONES[1]),
+        site.ServerPlan("c", ZONES[1]),
+    )
+    starting = [site_.start_platform("--list_lag_s=0.5")]
     for service in SERVICES:
-        servers = (
-            site.ServerPlan("a", ZONES[0]),
-            site.ServerPlan("b", ZONES[1]),
-            site.ServerPlan("c", ZONES[1]),
-        )
-        await site_.start_group(site.GroupPlan(service, servers))
+        plan = site.GroupPlan(service, servers)
+        starting.append(site_.start_group(plan))
+    await asyncio.gather(*starting)
     await site_.apply(make_document(site_))
     for instance, zone in DAEMONS:
         await site_.start_daemon(instance, zone)
