--- a/bench/callers.py
+++ b/bench/callers.py
@@ -95,7 +95,7 @@
     for message, failure in _BY_MESSAGE.items():
         if message in text:
             return _BY_KIND[failure.kind], failure.reason
-    return Told.UNTYPED, "connection ended"
+    return Told.UNTYPED, " ".join(text.split()) or "connection ended"
 
 
 async def connect(
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -364,7 +364,8 @@
         request = outcome.request
         counts[request.reason or "done"] += 1
         if is_cut(outcome):
-            cuts[request.reason] += 1
+            place = "in a transaction" if outcome.in_transaction else "alone"
+            cuts[f"{request.reason} ({place})"] += 1
         is_done = request.told is callers.Told.DONE
         zones.setdefault(outcome.zone, []).append(is_done)
         longest_s = max(longest_s, request.ended_at - request.began_at)
