--- a/src/cuminwall_standins/engine.py
+++ b/src/cuminwall_standins/engine.py
@@ -70,6 +70,7 @@
 
     Attributes:
       write_lock: Held by the transaction that uses `writer`.
+      recovery_end_lsn: Where recovery ended at the last promotion, or None.
       table_statements: How many statements named a table of the callers.
       generation: Grows with each demotion, which ends all transactions.
       committed_event: Set, and replaced, when the log or the role changes.
@@ -80,6 +81,7 @@
         self.history = [timelines.FIRST]
         self.records: list[timelines.Record] = []
         self.lsn = timelines.FIRST.start_lsn
+        self.recovery_end_lsn: int | None = None
         self.received_lsn = timelines.FIRST.start_lsn
         self.is_streaming = False
         self.highest_timeline = timelines.FIRST.timeline
@@ -227,6 +229,7 @@
         self.highest_timeline = timeline
         self.is_streaming = False
         self.received_lsn = self.lsn
+        self.recovery_end_lsn = self.lsn
         self.reset_writer()
         self.is_primary = True
         self.notify()
--- a/src/cuminwall_standins/functions.py
+++ b/src/cuminwall_standins/functions.py
@@ -42,6 +42,7 @@
 
     is_primary: bool
     lsn: int
+    recovery_end_lsn: int | None
     received_lsn: int
     now_s: float
     caller: Caller | None
@@ -121,7 +122,11 @@
         return format_lsn(self.host.lsn)
 
     def replayed_lsn(self) -> str | None:
-        return None if self.host.is_primary else format_lsn(self.host.lsn)
+        if not self.host.is_primary:
+            return format_lsn(self.host.lsn)
+        # It stays where recovery ended; a first primary never recovered.
+        ended = self.host.recovery_end_lsn
+        return None if ended is None else format_lsn(ended)
 
     def received_lsn(self) -> str | None:
         if self.host.is_primary:
--- a/src/cuminwall_standins/session.py
+++ b/src/cuminwall_standins/session.py
@@ -159,7 +159,9 @@
             self.executor.fail()
             self.output += _error(error)
             self.is_skipping = message.tag not in (b"Q", b"S")
-            if not self.is_skipping:
+            if self.is_skipping:
+                await self.flush()
+            else:
                 await self.ready()
 
     async def handle(self, message: wire.Message) -> None:
--- a/tests/test_standin_database.py
+++ b/tests/test_standin_database.py
@@ -27,6 +27,7 @@
     errors,
     executor,
     extended,
+    functions,
     members,
     rewriting,
     sql,
@@ -420,6 +421,9 @@
             await self.run_sql("SELECT pg_promote()", 1), [(True,)]
         )
         await self.run_sql("INSERT INTO t VALUES (3)", 1)
+        replayed = await self.run_sql("SELECT pg_last_wal_replay_lsn()", 1)
+        at_fork = functions.format_lsn(new.data.history[-1].start_lsn)
+        self.assertEqual(replayed, [(at_fork,)])
         await self.caught_up(2, leader=1)
         ((_, _, walfile),) = await self.run_sql(PROBE, 1)
         self.assertEqual(walfile[:8], "00000002")
@@ -436,6 +440,29 @@
         with self.assertRaises(psycopg.errors.ReadOnlySqlTransaction):
             await self.run_sql("INSERT INTO t VALUES (4)")
 
+    async def test_an_error_is_sent_before_the_sync(self):
+        await self.start()
+        connection = await asyncpg.connect(
+            host="127.0.0.1",
+            port=self.servers[0].port,
+            user="cuminwall",
+            password="cuminwall",
+            database="test",
+        )
+        self.addAsyncCleanup(connection.close)
+        with self.assertRaises(asyncpg.UndefinedTableError):
+            await connection.prepare("SELECT * FROM nowhere")
+
+    async def test_statements_that_name_a_table_are_counted(self):
+        await self.start()
+        await self.run_sql("CREATE TABLE t (id int)")
+        await self.run_sql("SELECT id FROM t")
+        data = self.servers[0].data
+        self.assertEqual(data.table_statements, 2)
+        await self.run_sql(PROBE)
+        await self.run_sql("SELECT received_tli FROM pg_stat_wal_receiver")
+        self.assertEqual(data.table_statements, 2)
+
     async def test_two_promotions_and_a_restart(self):
         await self.start(3)
         await self.run_sql("CREATE TABLE t (id int)")
