--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,258 @@
+"""Drives statements through given ports and measures them.
+
+Each connection runs one statement, or one transaction, at a time. In a closed
+loop the next one starts when the last has ended. At a set rate each start is
+planned, and the latency counts from the planned start, so that a stalled
+server is not measured less often for being slow.
+"""
+
+import os
+
+# libuv opens an io_uring ring at start unless told otherwise.
+os.environ["UV_USE_IO_URING"] = "0"
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import asyncpg
+import uvloop
+from absl import app, flags
+
+from bench import latencies
+
+HOST = "127.0.0.1"
+CONNECTS_AT_ONCE = 8
+KEYS = 1000
+
+READ_SQL = "SELECT amount FROM payment WHERE id = $1"
+WRITE_SQL = "INSERT INTO payment VALUES ($1, $2) ON CONFLICT DO NOTHING"
+
+_PORTS = flags.DEFINE_list("ports", [], "The ports, used in turn.")
+_CONNECTIONS = flags.DEFINE_integer("connections", 16, "How many in all.")
+_DURATION_S = flags.DEFINE_float("duration_s", 5.0, "Measured time, seconds.")
+_RATE = flags.DEFINE_float(
+    "rate", 0.0, "Starts a second over all connections; 0 is a closed loop."
+)
+_MIX = flags.DEFINE_list(
+    "mix", ["read=1"], "Weights of read, write and transaction."
+)
+_USER = flags.DEFINE_string("user", "cuminwall", "The user, or the key's id.")
+_PASSWORD = flags.DEFINE_string("password", "cuminwall", "Its password.")
+_DATABASE = flags.DEFINE_string("database", "billing", "The database.")
+_SEED = flags.DEFINE_integer("seed", 1, "Chooses the statements.")
+
+Operation = Callable[["Client"], Awaitable[None]]
+
+
+class Plan(NamedTuple):
+    """When operations start and which.
+
+    Attributes:
+      started_at: When measuring begins, on the monotonic clock.
+      ends_at: When it ends.
+      interval_s: Between two starts of one connection; 0 is a closed loop.
+      names: The operations to choose from.
+      weights: How often each is chosen.
+    """
+
+    started_at: float
+    ends_at: float
+    interval_s: float
+    names: tuple[str, ...]
+    weights: tuple[float, ...]
+
+
+class Tally:
+    """What the connections saw.
+
+    Attributes:
+      latencies_us: Of each operation that ended well.
+      errors: Failures by SQLSTATE or type.
+    """
+
+    def __init__(self) -> None:
+        self.latencies_us: list[int] = []
+        self.errors: dict[str, int] = {}
+
+    def fail(self, error: Exception) -> None:
+        """Counts a failure."""
+        name = getattr(error, "sqlstate", None) or type(error).__name__
+        self.errors[name] = self.errors.get(name, 0) + 1
+
+
+class Client:
+    """One connection and its prepared statements.
+
+    Attributes:
+      connection: The connection.
+      read: Reads one row.
+      write: Writes one row.
+      random: Chooses rows and operations.
+    """
+
+    def __init__(self, connection: asyncpg.Connection, seed: int):
+        self.connection = connection
+        self.random = random.Random(seed)
+        self.read: Any = None
+        self.write: Any = None
+
+    async def prepare(self, names: Iterable[str]) -> None:
+        """Prepares the statements that the operations need."""
+        self.read = await self.connection.prepare(READ_SQL)
+        if set(names) != {"read"}:
+            self.write = await self.connection.prepare(WRITE_SQL)
+
+
+async def read(client: Client) -> None:
+    """Reads one row."""
+    await client.read.fetchval(client.random.randrange(KEYS))
+
+
+async def write(client: Client) -> None:
+    """Writes one row."""
+    await client.write.fetch(client.random.randrange(KEYS), 1)
+
+
+async def run_transaction(client: Client) -> None:
+    """Reads and writes one row in a transaction."""
+    key = client.random.randrange(KEYS)
+    async with client.connection.transaction():
+        await client.read.fetchval(key)
+        await client.write.fetch(key, 1)
+
+
+OPERATIONS: Mapping[str, Operation] = {
+    "read": read,
+    "write": write,
+    "transaction": run_transaction,
+}
+
+
+def parse_mix(texts: Iterable[str]) -> dict[str, float]:
+    """Returns the weight of each operation of a mix such as "read=3".
+
+    Raises:
+      ValueError: An operation is unknown or a weight is no number above 0.
+    """
+    mix = {}
+    for text in texts:
+        name, _, weight = text.partition("=")
+        if name not in OPERATIONS:
+            raise ValueError(f"unknown operation {name!r}")
+        mix[name] = float(weight)
+        if not mix[name] > 0:
+            raise ValueError(f"weight {weight} of {name}")
+    if not mix:
+        raise ValueError("an empty mix")
+    return mix
+
+
+def planned_start(
+    plan: Plan, place: int, connections: int, number: int
+) -> float:
+    """Returns when a connection's operation is due, at a set rate.
+
+    Args:
+      plan: The plan.
+      place: The connection's place among all.
+      connections: How many there are.
+      number: The operation's number on this connection, from 0.
+    """
+    shift_s = plan.interval_s * place / connections
+    return plan.started_at + shift_s + number * plan.interval_s
+
+
+async def connect(count: int, names: Sequence[str]) -> list[Client]:
+    """Opens every connection, a few at a time."""
+    room = asyncio.Semaphore(CONNECTS_AT_ONCE)
+
+    async def open_one(place: int) -> Client:
+        port = int(_PORTS.value[place % len(_PORTS.value)])
+        async with room:
+            connection = await asyncpg.connect(
+                host=HOST,
+                port=port,
+                user=_USER.value,
+                password=_PASSWORD.value,
+                database=_DATABASE.value,
+                ssl=False,
+            )
+            client = Client(connection, _SEED.value * 100_003 + place)
+            await client.prepare(names)
+            return client
+
+    return await asyncio.gather(*(open_one(place) for place in range(count)))
+
+
+async def drive(
+    client: Client, place: int, connections: int, plan: Plan, tally: Tally
+) -> None:
+    """Runs operations on one connection until the plan ends."""
+    number = 0
+    operations = [OPERATIONS[name] for name in plan.names]
+    while True:
+        began = time.monotonic()
+        if plan.interval_s:
+            began = planned_start(plan, place, connections, number)
+            number += 1
+            if began >= plan.ends_at:
+                return
+            await asyncio.sleep(max(0.0, began - time.monotonic()))
+        if began >= plan.ends_at:
+            return
+        operation = operations[0]
+        if len(operations) > 1:
+            operation = client.random.choices(operations, plan.weights)[0]
+        try:
+            await operation(client)
+        except (
+            asyncpg.PostgresError,
+            asyncpg.InterfaceError,
+            OSError,
+        ) as error:
+            tally.fail(error)
+            if client.connection.is_closed():
+                return
+            continue
+        ended = time.monotonic()
+        if began >= plan.started_at and ended <= plan.ends_at:
+            tally.latencies_us.append(round(1e6 * (ended - began)))
+
+
+async def run() -> latencies.Summary:
+    """Runs the load that the flags describe."""
+    mix = parse_mix(_MIX.value)
+    count = _CONNECTIONS.value
+    clients = await connect(count, list(mix))
+    started_at = time.monotonic() + latencies.RAMP_S
+    plan = Plan(
+        started_at,
+        started_at + _DURATION_S.value,
+        count / _RATE.value if _RATE.value else 0.0,
+        tuple(mix),
+        tuple(mix.values()),
+    )
+    tally = Tally()
+    drives = []
+    for place, client in enumerate(clients):
+        drives.append(drive(client, place, count, plan, tally))
+    await asyncio.gather(*drives)
+    for client in clients:
+        client.connection.terminate()
+    made = latencies.make_histogram(tally.latencies_us)
+    return latencies.summarize(made, tally.errors, _DURATION_S.value)
+
+
+def main(argv: Sequence[str]) -> None:
+    """Runs a load and prints its summary as one line of JSON."""
+    del argv
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        print(json.dumps(runner.run(run())), flush=True)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/bench/throughput.py
@@ -0,0 +1,197 @@
+"""One daemon against a relay that only copies bytes, and against nothing.
+
+Runs the same load direct, through the relay and through a daemon, in turn and
+several times, and prints ratios: statements a second in a closed loop, and
+the latency added at a moderate rate. With --forwards a second daemon that is
+no home takes part too.
+"""
+
+import asyncio
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+
+from absl import app, flags
+
+from bench import latencies, scripted_site
+from cuminwall_standins import site
+
+CONNECTIONS_PER_SERVER = 65
+
+_ROUNDS = flags.DEFINE_integer("rounds", 3, "How often each way is run.")
+_DURATION_S = flags.DEFINE_float("duration_s", 4.0, "Of each run, seconds.")
+_CONNECTIONS = flags.DEFINE_integer("connections", 64, "In a closed loop.")
+_RATE = flags.DEFINE_float("rate", 800.0, "The moderate rate, per second.")
+_MIX = flags.DEFINE_string("mix", "read=1", "The operations of the load.")
+_LOADERS = flags.DEFINE_integer("loaders", 2, "Processes that make the load.")
+_REPLICAS = flags.DEFINE_integer("replicas", 2, "Replicas of the group.")
+_LOG_LEVEL = flags.DEFINE_string("log_level", "info", "The daemons' log level.")
+_FORWARDS = flags.DEFINE_boolean("forwards", False, "Add a daemon, no home.")
+_MODERATE = flags.DEFINE_boolean("moderate", True, "Run the moderate load.")
+
+Results = dict[str, list[latencies.Summary]]
+
+
+async def start(site_: scripted_site.ScriptedSite) -> dict[str, list[int]]:
+    """Starts the site and returns the ports of each way."""
+    await site_.start_platform("--list_lag_s=0.2")
+    await site_.start_scripted_group(_REPLICAS.value, CONNECTIONS_PER_SERVER)
+    await site_.apply(site_.make_document(home_count_per_zone=1))
+    names = ["daemon"]
+    if _FORWARDS.value:
+        names.append("forwarder")
+    for name in names:
+        await site_.start_daemon(name, scripted_site.ZONE)
+    await site_.wait_until_ready()
+    await _wait_for_replicas(site_)
+    ways = {}
+    for name in names:
+        way = "daemon"
+        if not (await site_.status(name))["groups"]:
+            way = "forwarded"
+        ways[way] = [site_.daemons[name].ports["port"]]
+    direct = site_.server_ports(_read_targets())
+    relay = await site_.start_relay(direct)
+    site_.servers[("", "relay")] = relay
+    return {"direct": direct, "relay": [relay.ports["port"]], **ways}
+
+
+def _read_targets() -> list[str]:
+    """Returns the servers that serve the load when it goes direct."""
+    if _MIX.value != "read=1" or not _REPLICAS.value:
+        return ["a"]
+    return [chr(ord("b") + place) for place in range(_REPLICAS.value)]
+
+
+async def _wait_for_replicas(site_: scripted_site.ScriptedSite) -> None:
+    """Waits until each write lease is held and has been for a moment."""
+    await asyncio.sleep(1.0)
+    await site_.wait_until_ready()
+
+
+async def run_in_turn(
+    site_: scripted_site.ScriptedSite,
+    ways: Mapping[str, Sequence[int]],
+    load_: scripted_site.Load,
+) -> Results:
+    """Runs a load each way, one after the other, several times."""
+    results: Results = {way: [] for way in ways}
+    for number in range(_ROUNDS.value):
+        for way, ports in ways.items():
+            meters = _meters(site_)
+            summary = await load_.run(ports)
+            results[way].append(summary)
+            busy = _busy(meters, load_.duration_s)
+            print(
+                f"{number + 1} {way:10} {summary['per_second']:8.0f}/s "
+                f"p50 {summary['percentiles_us']['50.0']} us "
+                f"p99 {summary['percentiles_us']['99.0']} us "
+                f"errors {summary['errors']} busy {busy}",
+                flush=True,
+            )
+    return results
+
+
+def _meters(
+    site_: scripted_site.ScriptedSite,
+) -> dict[str, scripted_site.CpuMeter]:
+    """Returns a meter for each process but the load's."""
+    processes: dict[str, site.Process] = {**site_.daemons}
+    for (_, name), process in site_.servers.items():
+        processes[name] = process
+    return {
+        name: scripted_site.CpuMeter(process)
+        for name, process in processes.items()
+    }
+
+
+def _busy(
+    meters: Mapping[str, scripted_site.CpuMeter], duration_s: float
+) -> str:
+    """Returns how busy each process was, 1.0 being one whole processor.
+
+    The logins before a run are counted too, so that it is a little too high.
+    """
+    busy = []
+    for name, meter in meters.items():
+        share = meter.used_s() / (duration_s + latencies.RAMP_S)
+        busy.append(f"{name}={share:.2f}")
+    return " ".join(busy)
+
+
+def _median(summaries: Sequence[latencies.Summary], percentile: str) -> float:
+    """Returns the median over the runs of a percentile, in milliseconds."""
+    values = [run["percentiles_us"][percentile] for run in summaries]
+    return statistics.median(values) / 1000
+
+
+def report_closed(results: Results) -> dict[str, float]:
+    """Returns statements a second and their ratios to the relay."""
+    report = {}
+    rates = {}
+    for way, summaries in results.items():
+        rates[way] = statistics.median(run["per_second"] for run in summaries)
+        report[f"{way}_per_second"] = round(rates[way], 1)
+    for way, rate in rates.items():
+        if way != "relay":
+            report[f"{way}_to_relay"] = round(rate / rates["relay"], 3)
+    if "forwarded" in rates:
+        ratio = rates["forwarded"] / rates["daemon"]
+        report["forwarded_to_daemon"] = round(ratio, 3)
+    return report
+
+
+def report_moderate(results: Results) -> dict[str, float]:
+    """Returns percentiles, and what each way adds to direct, in ms."""
+    report = {}
+    for percentile in ("50.0", "99.0"):
+        direct = _median(results["direct"], percentile)
+        report[f"direct_p{percentile}_ms"] = round(direct, 3)
+        for way, summaries in results.items():
+            if way == "direct":
+                continue
+            added = _median(summaries, percentile) - direct
+            report[f"{way}_adds_p{percentile}_ms"] = round(added, 3)
+    return report
+
+
+async def run() -> int:
+    """Runs the comparison and returns the exit code."""
+    with tempfile.TemporaryDirectory(prefix="cuminwall-bench-") as folder:
+        site_ = scripted_site.ScriptedSite(pathlib.Path(folder))
+        site_.log_level = _LOG_LEVEL.value
+        try:
+            ways = await start(site_)
+            closed = scripted_site.Load(
+                _LOADERS.value,
+                _CONNECTIONS.value,
+                _DURATION_S.value,
+                mix=_MIX.value,
+            )
+            print(f"closed loop, {_CONNECTIONS.value} connections")
+            results = await run_in_turn(site_, ways, closed)
+            report = report_closed(results)
+            if _MODERATE.value:
+                moderate = scripted_site.Load(
+                    1, 16, _DURATION_S.value, _RATE.value, _MIX.value
+                )
+                print(f"{_RATE.value} a second, 16 connections")
+                slow = await run_in_turn(site_, ways, moderate)
+                report.update(report_moderate(slow))
+        finally:
+            await site_.stop()
+    print(json.dumps(report, indent=1))
+    return 0
+
+
+def main(argv: Sequence[str]) -> None:
+    """Runs the comparison."""
+    del argv
+    sys.exit(asyncio.run(run()))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/src/cuminwall_standins/site.py
+++ b/src/cuminwall_standins/site.py
@@ -109,10 +109,12 @@
       plans: The database groups, by service.
       document: The configuration last applied.
       version: Its version.
+      log_level: The least level that daemons log.
     """
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
+        self.log_level = "info"
         self.platform: Process | None = None
         self.servers: dict[tuple[str, str], Process] = {}
         self.daemons: dict[str, Process] = {}
@@ -176,6 +178,7 @@
             "http": {"host": HOST, "port": http_port},
             "platform": {"endpoint": self.endpoint},
             "timings": timings,
+            "log": {"level": self.log_level},
         }
         path = self.folder / f"{instance}.json"
         path.write_text(json.dumps(own), encoding="utf-8")
