--- a/bench/scripted_site.py
+++ b/bench/scripted_site.py
@@ -39,11 +39,19 @@
                 reads=True,
             )
 
+    async def start_program(
+        self, name: str, module: str, *arguments: str
+    ) -> site.Process:
+        """Starts a program that prints its ports, and ends it with the site."""
+        started = await self._start(name, module, arguments, reads=True)
+        self.servers[("", name)] = started
+        return started
+
     async def start_relay(self, ports: Sequence[int]) -> site.Process:
         """Starts a relay before some servers."""
         targets = ",".join(map(str, ports))
-        return await self._start(
-            "relay", "bench.relay", (f"--targets={targets}",), reads=True
+        return await self.start_program(
+            "relay", "bench.relay", f"--targets={targets}"
         )
 
     def server_ports(self, names: Sequence[str]) -> list[int]:
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -55,7 +55,6 @@
         ways[way] = [site_.daemons[name].ports["port"]]
     direct = site_.server_ports(_read_targets())
     relay = await site_.start_relay(direct)
-    site_.servers[("", "relay")] = relay
     return {"direct": direct, "relay": [relay.ports["port"]], **ways}
 
 
