--- a/bench/memory.py
+++ b/bench/memory.py
@@ -203,6 +203,7 @@
     report: dict[str, float] = {}
     with tempfile.TemporaryDirectory(prefix="cuminwall-bench-") as folder:
         site_ = scripted_site.ScriptedSite(pathlib.Path(folder))
+        site_.daemon_settings["limits"] = {"max_sessions": 2 * count}
         try:
             report["transport"] = await measure_transport(site_, count)
             login, read = await measure_daemon(site_, count)
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -161,7 +161,7 @@
     """Runs the comparison and returns the exit code."""
     with tempfile.TemporaryDirectory(prefix="cuminwall-bench-") as folder:
         site_ = scripted_site.ScriptedSite(pathlib.Path(folder))
-        site_.log_level = _LOG_LEVEL.value
+        site_.daemon_settings["log"] = {"level": _LOG_LEVEL.value}
         try:
             ways = await start(site_)
             closed = scripted_site.Load(
--- a/src/cuminwall_standins/site.py
+++ b/src/cuminwall_standins/site.py
@@ -109,12 +109,12 @@
       plans: The database groups, by service.
       document: The configuration last applied.
       version: Its version.
-      log_level: The least level that daemons log.
+      daemon_settings: Further settings of daemons that are started.
     """
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
-        self.log_level = "info"
+        self.daemon_settings: dict[str, Any] = {}
         self.platform: Process | None = None
         self.servers: dict[tuple[str, str], Process] = {}
         self.daemons: dict[str, Process] = {}
@@ -178,7 +178,7 @@
             "http": {"host": HOST, "port": http_port},
             "platform": {"endpoint": self.endpoint},
             "timings": timings,
-            "log": {"level": self.log_level},
+            **self.daemon_settings,
         }
         path = self.folder / f"{instance}.json"
         path.write_text(json.dumps(own), encoding="utf-8")
