--- a/src/cuminwall_standins/site.py
+++ b/src/cuminwall_standins/site.py
@@ -110,10 +110,12 @@
       plans: The database groups, by service.
       document: The configuration last applied.
       version: Its version.
+      daemon_settings: Further settings of daemons that are started.
     """
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
+        self.daemon_settings: dict[str, Any] = {}
         self.platform: Process | None = None
         self.servers: dict[tuple[str, str], Process] = {}
         self.server_arguments: dict[tuple[str, str], tuple[str, ...]] = {}
@@ -187,6 +189,7 @@
             "http": {"host": HOST, "port": http_port},
             "platform": {"endpoint": self.endpoint},
             "timings": timings,
+            **self.daemon_settings,
         }
         path = self.folder / f"{instance}.json"
         path.write_text(json.dumps(own), encoding="utf-8")
