Let a steward go that most zones cannot reach

Cause: a steward in a zone that was cut off from the other zones but not from the store kept its hold for as long as the cut lasted, so no home elsewhere got a lease and no zone could write. Ruled out: having homes complain to the store; it costs writes with each cut.

--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -370,6 +370,7 @@
       record_pending: Whether an answer about the record is awaited.
       former_successors: Those of a change of the record not yet certain.
       quiet_until: Until when leases of an earlier steward may be held.
+      active_since: Since when it lends.
       charges: The groups of the shard by service.
       promise_number: The number of the newest round of promises.
       promise_asked_at: When it was sent.
@@ -390,6 +391,7 @@
         "record_pending",
         "former_successors",
         "quiet_until",
+        "active_since",
         "charges",
         "promise_number",
         "promise_asked_at",
@@ -410,6 +412,7 @@
         self.record_pending = False
         self.former_successors: tuple[str, ...] = ()
         self.quiet_until = leases.NEVER
+        self.active_since = float("inf")
         self.charges: dict[str, Charge] = {}
         self.promise_number = 0
         self.promise_asked_at = leases.NEVER
--- a/src/cuminwall/stewards.py
+++ b/src/cuminwall/stewards.py
@@ -87,6 +87,9 @@
         if state.now >= hold.valid_until and not _is_acquiring(state, hold):
             _let_go(state, hold, "its lease lapsed", out)
             continue
+        if hold.active and _is_cut_off(state, hold):
+            _let_go(state, hold, "homes of most zones are silent", out)
+            continue
         if hold.active:
             _renew(state, hold, out)
             _update_record(state, hold, out)
@@ -200,6 +203,24 @@
     return state.now - hold.renewed_at < state.times.steward_lease_s
 
 
+def _is_cut_off(state: State, hold: Stewardship) -> bool:
+    """Returns whether the homes of most zones have been silent for long.
+
+    Another steward may reach them, and the store while this one holds it.
+    """
+    if state.now < hold.active_since + 2 * state.times.report_age_s:
+        return False
+    wanted = set()
+    heard = set()
+    for charge in hold.charges.values():
+        for home in membership.homes(state, charge.service):
+            wanted.add(membership.zone_of(state, home))
+        for lent in charge.reports.values():
+            if state.now - lent.received_at <= state.times.report_age_s:
+                heard.add(lent.zone)
+    return 2 * len(heard & wanted) < len(wanted)
+
+
 def _let_go(
     state: State, hold: Stewardship, reason: str, out: list[Effect]
 ) -> None:
@@ -418,6 +439,7 @@
     for found in event.answer:
         charges.load(hold, found)
     hold.active = True
+    hold.active_since = state.now
     longest_s = max(state.times.write_lease_s, state.times.permit_s)
     hold.quiet_until = leases.lapses_at(state.now, longest_s)
     text = f"shard {then.shard} is held, epoch {hold.epoch}"
--- a/tests/test_stewards.py
+++ b/tests/test_stewards.py
@@ -309,3 +309,28 @@
         self.call = late
         self.answer(ports.Swapped(10))
         self.assertIsNone(self.hold)
+
+
+class CutOffTest(unittest.TestCase):
+    """A steward that the homes of most zones don't reach lets go."""
+
+    def setUp(self):
+        self.steward = lone.make_steward()
+        self.steward.state.stewardships[0].active_since = lone.NOW - 60.0
+
+    def tick_after(self, *homes):
+        for home in homes:
+            lone.tell(self.steward, home, lone.report("sa", primary=True))
+        self.steward.tick(0.1)
+        return 0 in self.steward.state.stewardships
+
+    def test_it_lets_go_when_only_its_own_zone_is_heard(self):
+        self.assertFalse(self.tick_after("b-0"))
+
+    def test_it_stays_while_most_zones_are_heard(self):
+        self.assertTrue(self.tick_after("b-0", "c-0"))
+
+    def test_it_waits_for_homes_that_learn_of_it(self):
+        hold = self.steward.state.stewardships[0]
+        hold.active_since = self.steward.now
+        self.assertTrue(self.tick_after())
--- a/tests/world.py
+++ b/tests/world.py
@@ -32,6 +32,9 @@
 TIMELINE_START = 1
 BASE_LSN = 1000
 PROBE_DEAD_S = 0.3
+CALM_S = 4.0
+WITHDRAWN_S = 5.0
+ZONE_OUT_S = 3.0
 
 
 class FakeServer:
@@ -46,6 +49,8 @@
         self.timeline = TIMELINE_START
         self.is_alive = True
         self.frozen_until = 0.0
+        # Since when it has been in reach without a break.
+        self.calm_since = 0.0
 
     @property
     def lsn(self) -> int:
@@ -226,6 +231,7 @@
         self.is_leaving = False
         self.watched: set[tuple[str, str]] = set()
         self.seen_changes = 0
+        self.seen_version = 0
         self.admitted: dict[int, Any] = {}
         self.closed: dict[int, outcomes.Failure] = {}
 
@@ -293,6 +299,14 @@
         self.lose_answers = 0
         self.violations: list[str] = []
         self.executions: list[tuple[float, str, str, str, str]] = []
+        self.executed_writes: set[str] = set()
+        self.withdrawn: dict[str, float] = {}
+        self.zones_out: dict[str, float] = {}
+        # Since when no fault has been in force.
+        self.calm_since = self.now
+        self.cut_free_since = self.now
+        self.holders: dict[str, set[str]] = {}
+        self.lost_writes: set[str] = set()
         self.requests: dict[tuple[str, int], Request] = {}
         self.shown: dict[tuple[str, int], list[str]] = {}
         self.refused_writes: list[str] = []
@@ -306,6 +320,16 @@
     def put_config(self, version: int, config: document.Document) -> None:
         """Puts a configuration in force in the store."""
         self.documents[version] = config
+        for key in self.documents[1]["keys"]:
+            if key in config["keys"]:
+                self.withdrawn.pop(key, None)
+            else:
+                self.withdrawn.setdefault(key, self.now)
+        for zone, entry in config["zones"].items():
+            if entry.get("state") == document.OUT:
+                self.zones_out.setdefault(zone, self.now)
+            else:
+                self.zones_out.pop(zone, None)
         head = {"change": {"version": version}}
         self.store.put(calls.CONFIG_HEAD_KEY, head, 0)
 
@@ -376,7 +400,12 @@
         session.token = token
         return session
 
-    def send(self, session: Session, write_id: str = "") -> int:
+    def send(
+        self,
+        session: Session,
+        write_id: str = "",
+        tables: tuple[str, ...] = (),
+    ) -> int:
         """Sends a write, or a read if there is no id."""
         node = session.node
         number = node.state.next_number()
@@ -387,7 +416,7 @@
         self.feed(
             node,
             lambda now: events.RoundArrived(
-                now, session.number, number, access, False, False, None, ()
+                now, session.number, number, access, False, False, None, tables
             ),
         )
         return number
@@ -415,8 +444,72 @@
             group.replicate(self.now)
         for node in self.nodes.values():
             self._show_changes(node)
+            self._check_version(node)
+        self._note_calm()
         self.at(0.01, self._housekeep)
 
+    def _check_version(self, node: Node) -> None:
+        """Checks that the configuration in force only moves up."""
+        version = node.state.config.version
+        if version < node.seen_version:
+            self.violations.append(f"{node.name} went back to {version}")
+        node.seen_version = version
+
+    def _note_calm(self) -> None:
+        """Notes since when no fault has been in force."""
+        faults = bool(self.zone_cuts or self.store_cuts or self.is_store_down)
+        if self.zone_cuts:
+            self.cut_free_since = self.now
+        for node in self.nodes.values():
+            if self.now < node.paused_until or not node.is_alive:
+                faults = True
+        for group in self.groups.values():
+            for server in group.servers.values():
+                is_up = server.is_alive and self.now >= server.frozen_until
+                if not is_up:
+                    server.calm_since = self.now
+                is_stale = group.latest_promoted != server.name
+                faults |= not is_up or (is_stale and not server.in_recovery)
+        if faults or self.lose_answers:
+            self.calm_since = self.now
+
+    def _is_calm_since(self, since: float) -> bool:
+        """Returns whether no fault has been in force since `since`."""
+        return self.calm_since <= since - CALM_S
+
+    def _check_start(self, effect: effects.Execute, key: str) -> None:
+        """Checks that a key and a zone may still get new work."""
+        withdrawn_at = self.withdrawn.get(key)
+        bound_s = WITHDRAWN_S + self.times.withdrawn_grace_s
+        if withdrawn_at is not None and self._is_calm_since(withdrawn_at):
+            if self.now > withdrawn_at + bound_s:
+                text = f"withdrawn {key} runs on {effect.server}"
+                self.violations.append(text)
+        group = self.groups[effect.service]
+        out_at = self.zones_out.get(group.servers[effect.server].zone)
+        if out_at is not None and self._is_calm_since(out_at):
+            if self.now > out_at + ZONE_OUT_S:
+                text = f"{effect.server} of a zone taken out gets work"
+                self.violations.append(text)
+
+    def _check_copies(self, group: FakeGroup, chosen: FakeServer) -> None:
+        """Checks that a promotion leaves out no write that it need not.
+
+        An acknowledged write may be lost only if every replica that had it
+        was out of reach when the new primary was chosen.
+        """
+        for write_id, names in self.holders.items():
+            if write_id in chosen.log or write_id in self.lost_writes:
+                continue
+            for name in names:
+                holder = group.servers[name]
+                is_there = holder.calm_since <= self.now - CALM_S
+                is_joined = self.cut_free_since <= self.now - CALM_S
+                if holder.in_recovery and is_there and is_joined:
+                    text = f"{chosen.name} lacks {write_id} of {name}"
+                    self.violations.append(text)
+            self.lost_writes.add(write_id)
+
     def _show_changes(self, node: Node) -> None:
         """Plays the store's watch."""
         if not node.is_alive or self._is_store_away(node):
@@ -504,6 +597,7 @@
             lost = work.ServerResult(b"I", loss, False, False, False, 0)
             self.at(0.002, lambda: self.finish(node, effect, lost))
             return
+        self._check_start(effect, request.session.key)
         wait_s = max(0.0, server.frozen_until - self.now)
         self.at(
             self.network_s() + wait_s,
@@ -528,6 +622,10 @@
             self.at(0.002, lambda: self.finish(node, effect, lost))
             return
         errored = False
+        if request.write_id in self.executed_writes:
+            self.violations.append(f"{request.write_id} was sent twice")
+        if request.write_id:
+            self.executed_writes.add(request.write_id)
         if request.write_id and server.in_recovery:
             errored = True
         elif request.write_id:
@@ -607,12 +705,21 @@
             group = self.groups[session.service]
             if request.write_id in group.servers[end.server].log:
                 session.acknowledged.append(request.write_id)
+                self._note_copies(group, request.write_id)
             return
         shown = self.shown.get(place, [])
         missing = [w for w in request.expected if w not in shown]
         if missing:
             self.violations.append(f"a read misses {missing} of its session")
 
+    def _note_copies(self, group: FakeGroup, write_id: str) -> None:
+        """Notes which replicas had a write when it was acknowledged."""
+        names = set()
+        for server in group.servers.values():
+            if write_id in server.log and server.in_recovery:
+                names.add(server.name)
+        self.holders[write_id] = names
+
     def dispatch(self, node: Node, effect: effects.Dispatch) -> None:
         """Sends a round to its home."""
         home = self.nodes.get(effect.home)
@@ -710,6 +817,8 @@
         answer = None
         fork = 0
         if is_there and self.now < effect.not_after:
+            if server.in_recovery:
+                self._check_copies(group, server)
             fork = group.promote(self.now, server)
             answer = probes.ProbeAnswer(False, server.lsn, server.timeline)
         self.at(
@@ -727,6 +836,32 @@
             ),
         )
 
+    def cancel(self, node: Node, session: int) -> None:
+        """Cancels what waits at a home for a session."""
+        found = node.state.sessions.get(session)
+        pending = node.state.pending.get(found.running) if found else None
+        if pending is None or pending.home not in self.nodes:
+            return
+        self._tell_home(node, pending.home, session, events.CancelAsked)
+
+    def release(self, node: Node, home: str, session: int) -> None:
+        """Tells a home that a session is gone."""
+        if home in self.nodes:
+            self._tell_home(node, home, session, events.PinReleased)
+
+    def _tell_home(
+        self, node: Node, home: str, session: int, make: Any
+    ) -> None:
+        """Carries a notice over the data link."""
+        other = self.nodes[home]
+        pin = (node.name, session)
+        if other is not node and not self.can_talk(node, other):
+            return
+        self.at(
+            self.network_s(),
+            lambda: self.feed(other, lambda now: make(now, pin)),
+        )
+
     def fetch(self, node: Node) -> None:
         """Loads the configuration from the store, or from a peer."""
         found = self.store.find(calls.CONFIG_HEAD_KEY)
@@ -817,6 +952,16 @@
     world.say(node, effect)
 
 
+@perform.register
+def _(effect: effects.CancelRound, world: World, node: Node) -> None:
+    world.cancel(node, effect.session)
+
+
+@perform.register
+def _(effect: effects.ReleasePin, world: World, node: Node) -> None:
+    world.release(node, effect.home, effect.session)
+
+
 @perform.register
 def _(effect: effects.Promote, world: World, node: Node) -> None:
     world.promote(node, effect)
@@ -853,14 +998,21 @@
             "connections_per_server": 20,
             "acknowledge": extra.get("acknowledge", "replica"),
         }
+    out = extra.get("out", ())
+    described_zones: dict[str, dict] = {}
+    for zone in zones:
+        described_zones[zone] = {"state": document.OUT} if zone in out else {}
+    keys = {"key": {"workspace": "clerks", "verifier": "v"}}
     return document.normalize(
         {
-            "zones": {zone: {} for zone in zones},
+            "zones": described_zones,
             "workspaces": {
                 "clerks": {"rate": 100000, "burst": 100000},
             },
             "services": described,
-            "keys": {"key": {"workspace": "clerks", "verifier": "v"}},
+            "keys": extra.get("keys", keys),
+            "rules": extra.get("rules", []),
+            "open_routes": extra.get("open_routes", []),
         }
     )
 
@@ -869,11 +1021,14 @@
     seed: int = 0,
     acknowledge: str = "replica",
     lags_s: tuple[float, ...] = (0.05, 0.05, 0.05),
+    **extra: Any,
 ) -> World:
     """Returns three zones with two instances each, and one group."""
     zones = ["a", "b", "c"]
     servers = [(f"s{zone}", zone) for zone in zones]
-    config = make_document(zones, {"ledger": servers}, acknowledge=acknowledge)
+    config = make_document(
+        zones, {"ledger": servers}, acknowledge=acknowledge, **extra
+    )
     fakes = []
     for (name, zone), lag_s in zip(servers, lags_s, strict=True):
         fakes.append(FakeServer(name, zone, lag_s))
