--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -16,7 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LIST = ROOT / "tools" / "mutations.json"
-PARALLEL = 4
+PARALLEL = 3
 TIMEOUT_S = 400
 
 
