--- a/tests/test_charges.py
+++ b/tests/test_charges.py
@@ -22,9 +22,7 @@
 
     def has_loans(self):
         self.steward.state.now = self.steward.now
-        return charges.has_loans(
-            self.steward.state, self.hold, self.charge
-        )
+        return charges.has_loans(self.steward.state, self.hold, self.charge)
 
     def change(self, planned=False):
         self.charge.change = state.Change(
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -30,8 +30,12 @@
     | st.text(max_size=5)
     | st.binary(max_size=5)
     | st.sampled_from(sorted(outcomes.BY_REASON)),
-    lambda inner: st.lists(inner, max_size=6)
-    | st.dictionaries(st.integers() | st.text(max_size=3), inner, max_size=3),
+    lambda inner: (
+        st.lists(inner, max_size=6)
+        | st.dictionaries(
+            st.integers() | st.text(max_size=3), inner, max_size=3
+        )
+    ),
     max_leaves=20,
 )
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -392,9 +392,7 @@
         self.tell_all(DOWN[0], promoted, DOWN[2])
         self.assertEqual(lone.find(self.tick(), effects.SwapValue), [])
         self.tell_all(DOWN[0], promoted, DOWN[2])
-        found = lone.only(
-            self.tick(lone.TIMES.promote_s), effects.SwapValue
-        )
+        found = lone.only(self.tick(lone.TIMES.promote_s), effects.SwapValue)
         self.assertEqual(found.value["terms"][-1], [2, "sb", 2, 990])
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -62,9 +62,7 @@
         self.taken += data
 
     def dispatch(self, number=1):
-        self.forwarder.dispatch(
-            number, "b-0", lone.order(), ROUND, self.sink
-        )
+        self.forwarder.dispatch(number, "b-0", lone.order(), ROUND, self.sink)
 
     async def settle(self):
         """Waits until every round has come to its end."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -410,5 +410,3 @@
         self.home.arrive(1, access=READ, floor=floor(1, 900))
         found = self.home.ran(1, lsn=0)
         self.assertIsNone(self.failure(found))
-
-
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -35,9 +35,7 @@
     def lose_store(self):
         """Lets the store be silent until the other zones are asked."""
         call = self.read_head()
-        self.relay.reduce(
-            events.StoreAnswered, call.call, self.relay.now, None
-        )
+        self.relay.reduce(events.StoreAnswered, call.call, self.relay.now, None)
 
     def ask_zones(self):
         """Returns the numbers of the asks by instance, in a new round."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -147,9 +147,7 @@
         self.assertIs(self.completed(found).failure, outcomes.KEYS_NOT_CURRENT)
 
     def test_a_workspace_may_be_given_a_grace(self):
-        workspaces = {
-            "clerks": {"rate": 10, "burst": 10, "keys_grace_s": 30}
-        }
+        workspaces = {"clerks": {"rate": 10, "burst": 10, "keys_grace_s": 30}}
         self.entry.load(2, workspaces=workspaces)
         self.entry.state.fresh_until = self.entry.now
         self.assertEqual(len(self.dispatched(self.entry.send(1))), 1)
@@ -250,9 +248,7 @@
         self.entry.send(1, access=WRITE)
         found = self.answered(1, floor=work.Position(2, 500))
         token = self.completed(found).token
-        self.assertEqual(
-            tokens.decode("ledger", token), work.Position(2, 500)
-        )
+        self.assertEqual(tokens.decode("ledger", token), work.Position(2, 500))
         dispatch = lone.only(self.entry.send(2), effects.Dispatch)
         self.assertEqual(dispatch.order.floor, work.Position(2, 500))
 
@@ -295,5 +291,3 @@
         found = self.entry.reduce(events.SessionClosed, 7)
         self.assertEqual(len(lone.find(found, effects.ReleasePin)), 1)
         self.assertEqual(self.entry.state.pending, {})
-
-
--- a/tests/test_stewards.py
+++ b/tests/test_stewards.py
@@ -131,9 +131,7 @@
         self.steward.state.calls[77] = then
         value = {**self.hold.record, "epoch": 2, "steward": "c-0"}
         found = calls.Found("", 9, value)
-        self.steward.reduce(
-            events.StoreAnswered, 77, self.steward.now, found
-        )
+        self.steward.reduce(events.StoreAnswered, 77, self.steward.now, found)
         self.assertNotIn(0, self.steward.state.stewardships)
 
 
