--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -371,10 +371,6 @@
     if held is None:
         _finish(state, job, outcomes.TRANSACTION_LOST, out)
         return
-    if held.as_primary and held.term < group.term:
-        release(state, pin, out)
-        _finish(state, job, outcomes.TRANSACTION_LOST, out)
-        return
     job.server = held.server
     job.term = held.term
     job.wrote = held.wrote
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -472,7 +472,6 @@
       store_failing: Whether the last renewal got no answer.
       retaking: Whether the lapsed key is being set again.
       limits: The shared limits of the shard by name.
-      active_since: When it began to lend.
     """
 
     __slots__ = (
@@ -495,7 +494,6 @@
         "store_failing",
         "retaking",
         "limits",
-        "active_since",
     )
 
     def __init__(self, shard: int):
@@ -518,7 +516,6 @@
         self.store_failing = False
         self.retaking = False
         self.limits: dict[str, lending.Limit] = {}
-        self.active_since = leases.NEVER
 
 
 class RelayView:
--- a/src/cuminwall/stewards.py
+++ b/src/cuminwall/stewards.py
@@ -219,8 +219,9 @@
     for charge in hold.charges.values():
         for home in membership.homes(state, charge.service):
             wanted.add(membership.zone_of(state, home))
-        for lent in charge.reports.values():
-            if state.now - lent.received_at <= state.times.report_age_s:
+        for (home, _), lent in charge.reports.items():
+            heard_at = charge.heard.get(home, lent.received_at)
+            if state.now - heard_at <= state.times.report_age_s:
                 heard.add(lent.zone)
     return 2 * len(heard & wanted) < len(wanted)
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -12,7 +12,7 @@
     probes,
     state,
 )
-from cuminwall.failover import Phase
+from cuminwall.failover import READ_BACK_PAUSE_S, Phase
 from tests import lone
 
 AGREED = lone.record((1, "sa", 1, 0), (2, "sb", 0, 990), active=False)
@@ -315,6 +315,8 @@
         swap = self.agree()
         read = lone.only(self.answer(swap, None), effects.ReadValue)
         found = self.answer(read, None)
+        self.assertEqual(lone.find(found, effects.ReadValue), [])
+        found = self.steward.tick(READ_BACK_PAUSE_S)
         self.assertEqual(len(lone.find(found, effects.ReadValue)), 1)
         self.assertTrue(self.charge.swapping)
 
