--- a/bench/load.py
+++ b/bench/load.py
@@ -16,13 +16,13 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 import asyncpg
 import uvloop
 from absl import app, flags
 
-from bench import latencies
+from bench import latencies, loadplan
 
 HOST = "127.0.0.1"
 CONNECTS_AT_ONCE = 8
@@ -48,24 +48,6 @@
 Operation = Callable[["Client"], Awaitable[None]]
 
 
-class Plan(NamedTuple):
-    """When operations start and which.
-
-    Attributes:
-      started_at: When measuring begins, on the monotonic clock.
-      ends_at: When it ends.
-      interval_s: Between two starts of one connection; 0 is a closed loop.
-      names: The operations to choose from.
-      weights: How often each is chosen.
-    """
-
-    started_at: float
-    ends_at: float
-    interval_s: float
-    names: tuple[str, ...]
-    weights: tuple[float, ...]
-
-
 class Tally:
     """What the connections saw.
 
@@ -132,40 +114,6 @@
 }
 
 
-def parse_mix(texts: Iterable[str]) -> dict[str, float]:
-    """Returns the weight of each operation of a mix such as "read=3".
-
-    Raises:
-      ValueError: An operation is unknown or a weight is no number above 0.
-    """
-    mix = {}
-    for text in texts:
-        name, _, weight = text.partition("=")
-        if name not in OPERATIONS:
-            raise ValueError(f"unknown operation {name!r}")
-        mix[name] = float(weight)
-        if not mix[name] > 0:
-            raise ValueError(f"weight {weight} of {name}")
-    if not mix:
-        raise ValueError("an empty mix")
-    return mix
-
-
-def planned_start(
-    plan: Plan, place: int, connections: int, number: int
-) -> float:
-    """Returns when a connection's operation is due, at a set rate.
-
-    Args:
-      plan: The plan.
-      place: The connection's place among all.
-      connections: How many there are.
-      number: The operation's number on this connection, from 0.
-    """
-    shift_s = plan.interval_s * place / connections
-    return plan.started_at + shift_s + number * plan.interval_s
-
-
 async def connect(count: int, names: Sequence[str]) -> list[Client]:
     """Opens every connection, a few at a time."""
     room = asyncio.Semaphore(CONNECTS_AT_ONCE)
@@ -189,7 +137,11 @@
 
 
 async def drive(
-    client: Client, place: int, connections: int, plan: Plan, tally: Tally
+    client: Client,
+    place: int,
+    connections: int,
+    plan: loadplan.Plan,
+    tally: Tally,
 ) -> None:
     """Runs operations on one connection until the plan ends."""
     number = 0
@@ -197,7 +149,7 @@
     while True:
         began = time.monotonic()
         if plan.interval_s:
-            began = planned_start(plan, place, connections, number)
+            began = loadplan.planned_start(plan, place, connections, number)
             number += 1
             if began >= plan.ends_at:
                 return
@@ -225,11 +177,11 @@
 
 async def run() -> latencies.Summary:
     """Runs the load that the flags describe."""
-    mix = parse_mix(_MIX.value)
+    mix = loadplan.parse_mix(_MIX.value, OPERATIONS)
     count = _CONNECTIONS.value
     clients = await connect(count, list(mix))
     started_at = time.monotonic() + latencies.RAMP_S
-    plan = Plan(
+    plan = loadplan.Plan(
         started_at,
         started_at + _DURATION_S.value,
         count / _RATE.value if _RATE.value else 0.0,
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -3,11 +3,13 @@
 Runs the same load direct, through the relay and through a daemon, in turn and
 several times, and prints ratios: statements a second in a closed loop, and
 the latency added at a moderate rate. With --forwards a second daemon that is
-no home takes part too.
+no home takes part too, with --other_source a daemon of another state of the
+source, so that both meet the same disturbances of the machine.
 """
 
 import asyncio
 import json
+import os
 import pathlib
 import statistics
 import sys
@@ -30,6 +32,9 @@
 _REPLICAS = flags.DEFINE_integer("replicas", 2, "Replicas of the group.")
 _LOG_LEVEL = flags.DEFINE_string("log_level", "info", "The daemons' log level.")
 _FORWARDS = flags.DEFINE_boolean("forwards", False, "Add a daemon, no home.")
+_OTHER_SOURCE = flags.DEFINE_string(
+    "other_source", "", "Add a daemon that runs from this source folder."
+)
 _MODERATE = flags.DEFINE_boolean("moderate", True, "Run the moderate load.")
 
 Results = dict[str, list[latencies.Summary]]
@@ -39,17 +44,20 @@
     """Starts the site and returns the ports of each way."""
     await site_.start_platform("--list_lag_s=0.2")
     await site_.start_scripted_group(_REPLICAS.value, CONNECTIONS_PER_SERVER)
-    await site_.apply(site_.make_document(home_count_per_zone=1))
     names = ["daemon"]
     if _FORWARDS.value:
         names.append("forwarder")
+    if _OTHER_SOURCE.value:
+        names.append("other")
+    homes = len(names) - _FORWARDS.value
+    await site_.apply(site_.make_document(home_count_per_zone=homes))
     for name in names:
-        await site_.start_daemon(name, scripted_site.ZONE)
+        await _start_daemon(site_, name)
     await site_.wait_until_ready()
     await _wait_for_replicas(site_)
     ways = {}
     for name in names:
-        way = "daemon"
+        way = "other" if name == "other" else "daemon"
         if not (await site_.status(name))["groups"]:
             way = "forwarded"
         ways[way] = [site_.daemons[name].ports["port"]]
@@ -58,6 +66,17 @@
     return {"direct": direct, "relay": [relay.ports["port"]], **ways}
 
 
+async def _start_daemon(site_: scripted_site.ScriptedSite, name: str) -> None:
+    """Starts a daemon, the other one from its own source folder."""
+    path = os.environ.get("PYTHONPATH", "")
+    try:
+        if name == "other":
+            os.environ["PYTHONPATH"] = f"{_OTHER_SOURCE.value}:{path}"
+        await site_.start_daemon(name, scripted_site.ZONE)
+    finally:
+        os.environ["PYTHONPATH"] = path
+
+
 def _read_targets() -> list[str]:
     """Returns the servers that serve the load when it goes direct."""
     if _MIX.value != "read=1" or not _REPLICAS.value:
@@ -137,9 +156,10 @@
     for way, rate in rates.items():
         if way != "relay":
             report[f"{way}_to_relay"] = round(rate / rates["relay"], 3)
-    if "forwarded" in rates:
-        ratio = rates["forwarded"] / rates["daemon"]
-        report["forwarded_to_daemon"] = round(ratio, 3)
+    for way in ("forwarded", "other"):
+        if way in rates:
+            ratio = rates[way] / rates["daemon"]
+            report[f"{way}_to_daemon"] = round(ratio, 3)
     return report
 
 
