Write the lines of routing decisions in batches

Cause: the logger took about a third of a statement's time (0.75 of 2.5 s in a profile of 4105 point reads), most of it in building its record. The text of the line itself is cheap, so building it lazily would have saved little. JSON lines are still written one at a time.

--- a/src/cuminwall/daemon.py
+++ b/src/cuminwall/daemon.py
@@ -20,6 +20,7 @@
 
 from cuminwall import (
     caller_limits,
+    decisionlog,
     engine,
     events,
     frontdoor,
@@ -88,6 +89,7 @@
             self.state, storecalls.StoreCalls(self.store), self.servers
         )
         self.servers.feed = self.engine.feed
+        self.engine.decision_log = _decision_log(settings_.log)
         self.health = health.HealthServer(self.state)
         self.frontdoor: frontdoor.Frontdoor | None = None
         self.upkeep: upkeep.Upkeep | None = None
@@ -164,6 +166,7 @@
         await self.health.close()
         await self.store.close()
         await self.instances.close()
+        self.engine.decision_log.flush()
 
     async def _finish_work(self) -> None:
         """Waits until no other instance has work here."""
@@ -188,6 +191,15 @@
     )
 
 
+def _decision_log(own: settings.Log) -> decisionlog.DecisionLog:
+    """Returns what writes the decisions; JSON lines come one at a time."""
+    is_enabled = own.level in decisionlog.LEVELS_WITH_DECISIONS
+    call_later = None
+    if own.format != "json":
+        call_later = asyncio.get_running_loop().call_later
+    return decisionlog.DecisionLog(is_enabled, call_later)
+
+
 def _tls(listen: settings.Listen) -> ssl.SSLContext | None:
     """Returns the TLS certificate and key for callers, if set."""
     if not listen.tls_cert:
--- a/src/cuminwall/engine.py
+++ b/src/cuminwall/engine.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from cuminwall import (
+    decisionlog,
     effects,
     events,
     execution,
@@ -73,6 +74,7 @@
       fetching: Called to load a newer configuration.
       peer_config: Reads configurations of peers, and answers them.
       counters: Counts by metric name and label.
+      decision_log: Writes a line for each decision.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         self.counters: collections.Counter[tuple[str, str]]
         self.counters = collections.Counter()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.decision_log = decisionlog.DecisionLog()
 
     def attach(self, peers_: peers.Peers) -> None:
         """Connects the engine with the links to other instances."""
@@ -428,7 +431,7 @@
 
 @perform.register
 def _(effect: effects.Log, engine: Engine) -> None:
-    logger.info("{}: {}", effect.part, effect.text)
+    engine.decision_log.add(effect.part, effect.text)
 
 
 @perform.register
