Run a local round in its caller's own task

Cause: a task for each statement, and two turns of the loop to begin it and to come back. A round that is placed later, or again after a loss, still gets a task of its own.

--- a/src/cuminwall/engine.py
+++ b/src/cuminwall/engine.py
@@ -42,9 +42,11 @@
       round_: The caller's messages.
       sink: Takes the answer.
       done: Set to how it ended.
+      is_arriving: Whether the reducer is still taking it in.
+      execute: How to run it here in the caller's own task, or None.
     """
 
-    __slots__ = ("round_", "sink", "done")
+    __slots__ = ("round_", "sink", "done", "is_arriving", "execute")
 
     def __init__(
         self,
@@ -55,6 +57,8 @@
         self.round_ = round_
         self.sink = sink
         self.done = done
+        self.is_arriving = True
+        self.execute: effects.Execute | None = None
 
 
 class Engine:
@@ -172,7 +176,7 @@
         """Runs a caller's round."""
         number = self.state.next_number()
         done = asyncio.get_running_loop().create_future()
-        self.rounds[number] = Round(round_, sink, done)
+        entry = self.rounds[number] = Round(round_, sink, done)
         self.feed(
             events.RoundArrived(
                 time.monotonic(),
@@ -185,7 +189,11 @@
                 round_.tables,
             )
         )
+        entry.is_arriving = False
         try:
+            if entry.execute is not None:
+                # A task of its own would only make the caller's wait longer.
+                await self.executor.run(entry.execute)
             return await done
         finally:
             self.rounds.pop(number, None)
@@ -345,12 +353,14 @@
 @perform.register
 def _(effect: effects.Execute, engine: Engine) -> None:
     key = effect.key
-    if key.origin == engine.state.instance and (
-        key not in engine.executor.running
-    ):
+    found = None
+    if key.origin == engine.state.instance:
         found = engine.rounds.get(key.number)
-        if found is not None:
-            engine.executor.take(key, found.round_, found.sink)
+    if found is not None and key not in engine.executor.running:
+        engine.executor.take(key, found.round_, found.sink)
+    if found is not None and found.is_arriving:
+        found.execute = effect
+        return
     engine.executor.execute(effect)
 
 
--- a/src/cuminwall/execution.py
+++ b/src/cuminwall/execution.py
@@ -95,7 +95,7 @@
 
     def execute(self, effect: effects.Execute) -> None:
         """Starts a round on the backend server that was chosen."""
-        task = asyncio.get_running_loop().create_task(self._execute(effect))
+        task = asyncio.get_running_loop().create_task(self.run(effect))
         self.tasks.add(task)
         task.add_done_callback(self._task_ended)
 
@@ -134,7 +134,7 @@
         if not task.cancelled() and task.exception() is not None:
             logger.error("{}: a task failed: {!r}", PREFIX, task.exception())
 
-    async def _execute(self, effect: effects.Execute) -> None:
+    async def run(self, effect: effects.Execute) -> None:
         """Runs a round and gives its answer once that is decided."""
         running = self.running.get(effect.key)
         if running is None:
