--- a/tests/test_stewards.py
+++ b/tests/test_stewards.py
@@ -112,7 +112,10 @@
 
     def test_successors_of_an_unclear_change_are_all_asked(self):
         self.steward.list_instances("a-1", "b-0", "c-0")
-        self.steward.tick(lone.TIMES.members_keep_s)
+        self.steward.now += lone.TIMES.members_keep_s
+        for home in ("a-1", "c-0"):
+            lone.tell(self.steward, home, lone.report("sa", primary=True))
+        self.steward.tick()
         self.steward.tick(0.1)
         self.assertTrue(self.hold.record_pending)
         self.assertEqual(
