--- a/tests/lone.py
+++ b/tests/lone.py
@@ -81,6 +81,22 @@
     return isinstance(effect, effects.Log | effects.SetPermits)
 
 
+def lend_shares(known: state.State) -> None:
+    """Lends ample shares of what is new."""
+    for group in known.groups.values():
+        for server in group.servers.values():
+            if server.share.floor_until < FOREVER:
+                server.share.floor = (CONNECTIONS,)
+                server.share.floor_until = FOREVER
+                connectionshares.apply(known, group, server, [])
+    for workspace in known.config.workspaces:
+        bucket = rates.find(known, workspace)
+        if bucket is not None and bucket.line.until < FOREVER:
+            bucket.line.held = (REQUESTS, REQUESTS)
+            bucket.line.until = FOREVER
+            bucket.level = REQUESTS
+
+
 class Lone:
     """A reducer that knows three instances and the service "ledger".
 
@@ -107,24 +123,9 @@
         tests of the shares look at: here all shares are ample.
         """
         found = reducer.reduce(self.state, make(self.now, *fields))
-        self.lend_shares()
+        lend_shares(self.state)
         return [item for item in found if not _is_left_out(item)]
 
-    def lend_shares(self) -> None:
-        """Lends ample shares of what is new."""
-        for group in self.state.groups.values():
-            for server in group.servers.values():
-                if server.share.floor_until < FOREVER:
-                    server.share.floor = (CONNECTIONS,)
-                    server.share.floor_until = FOREVER
-                    connectionshares.apply(self.state, group, server, [])
-        for workspace in self.state.config.workspaces:
-            bucket = rates.find(self.state, workspace)
-            if bucket is not None and bucket.line.until < FOREVER:
-                bucket.line.held = (REQUESTS, REQUESTS)
-                bucket.line.until = FOREVER
-                bucket.level = REQUESTS
-
     def hear(self, sender: str, message: Any) -> list[Any]:
         """Feeds a peer's message."""
         return self.reduce(events.PeerSaid, sender, message)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -15,6 +15,7 @@
     outcomes,
     ports,
     probes,
+    reducer,
     serving,
     state,
     timings,
@@ -22,6 +23,7 @@
     work,
     writeleases,
 )
+from tests import lone
 
 SERVICE = "billing"
 KEY = "clerk-1"
@@ -76,15 +78,16 @@
     }
     now = time.monotonic()
     made = state.State("sediu-1", "sediu", timings.DEFAULTS, 1, now)
-    made.config = configuration.parse(value, 1)
+    config = configuration.parse(value, 1)
+    reducer.reduce(made, events.ConfigLoaded(now, config))
     made.fresh_until = now + 1000
     record = ports.InstanceRecord("sediu-1", "sediu", "127.0.0.1", 1, False)
-    made.members["sediu-1"] = state.Member(record)
-    writeleases.update_groups(made, [])
+    reducer.reduce(made, events.InstancesListed(now, (record,)))
     entry = messages.TermEntry(1, "a", 1, 0)
     writeleases.learn(made, messages.GroupRecord(SERVICE, True, (entry,)), [])
     made.groups[SERVICE].lease_term = 1
     made.groups[SERVICE].lease_until = now + 1000
+    lone.lend_shares(made)
     return made
 
 
