Never promote a server that is not in recovery

Ruled out: fences and leases, which were handed back in time.

The generated test takes over what a session's token stands for when it is opened; with overlapping writes it expected what other sessions were told.

--- a/src/cuminwall/failover.py
+++ b/src/cuminwall/failover.py
@@ -375,6 +375,9 @@
         return True
     if report.timeline > history.record.terms[-1].timeline:
         return True
+    if not report.in_recovery:
+        # A replaced primary that came back; it cannot be promoted.
+        return False
     return groups.is_on_history(history, report.timeline, report.lsn)
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -69,7 +69,8 @@
         if not isinstance(session, world.Session):
             return None
         if self.sessions:
-            session.acknowledged = self.sessions[-1].acknowledged
+            # What the token brought along stands for, and no more.
+            session.acknowledged = list(self.sessions[-1].acknowledged)
         self.sessions.append(session)
         return session
 
