Write the steward's key, and go on after a record, in one place each

The continuations of an agreed and of a confirmed record were the same, and the key was set by the same lines when a shard is taken and taken again.

--- a/src/cuminwall/failover.py
+++ b/src/cuminwall/failover.py
@@ -590,21 +590,10 @@
     return None
 
 
-@calls.resume.register
-def _agreed(
-    then: RecordAgreed,
-    state: State,
-    event: events.StoreAnswered,
-    out: list[Effect],
-) -> None:
-    written = _written(then, state, event, out)
-    if written is not None:
-        _go_on_after(state, written[0], written[1], then, out)
-
-
-@calls.resume.register
-def _confirmed(
-    then: RecordConfirmed,
+@calls.resume.register(RecordAgreed)
+@calls.resume.register(RecordConfirmed)
+def _record_written(
+    then: RecordAgreed | RecordConfirmed,
     state: State,
     event: events.StoreAnswered,
     out: list[Effect],
--- a/src/cuminwall/stewards.py
+++ b/src/cuminwall/stewards.py
@@ -338,6 +338,16 @@
     return hold
 
 
+def _take_key(
+    state: State, hold: Stewardship, asked_at: float, out: list[Effect]
+) -> None:
+    """Sets the steward's key, bound to the lease asked for at `asked_at`."""
+    value = {"instance": state.instance, "shard": hold.shard}
+    key = f"{calls.STEWARDS_PREFIX}{hold.shard}"
+    taken = KeyTaken(hold.shard, hold.lease_id, asked_at)
+    calls.swap(state, key, 0, value, taken, out, hold.lease_id)
+
+
 @calls.resume.register
 def _lease_granted(
     then: LeaseGranted,
@@ -352,10 +362,7 @@
         _let_go(state, hold, "the store gave no lease", out)
         return
     hold.lease_id = event.answer
-    value = {"instance": state.instance, "shard": then.shard}
-    key = f"{calls.STEWARDS_PREFIX}{then.shard}"
-    taken = KeyTaken(then.shard, hold.lease_id, event.asked_at)
-    calls.swap(state, key, 0, value, taken, out, hold.lease_id)
+    _take_key(state, hold, event.asked_at, out)
 
 
 @calls.resume.register
@@ -499,7 +506,4 @@
     if hold is None or not isinstance(event.answer, int):
         return
     hold.lease_id = event.answer
-    value = {"instance": state.instance, "shard": then.shard}
-    key = f"{calls.STEWARDS_PREFIX}{then.shard}"
-    taken = KeyTaken(then.shard, hold.lease_id, event.asked_at)
-    calls.swap(state, key, 0, value, taken, out, hold.lease_id)
+    _take_key(state, hold, event.asked_at, out)
