--- a/src/cuminwall/admission.py
+++ b/src/cuminwall/admission.py
@@ -1,8 +1,8 @@
 """Rounds that wait at their entry instance for a token of their workspace."""
 
-from cuminwall import outcomes, rates, sessions, shareasks, shares
+from cuminwall import buckets, outcomes, sessions, shareasks, shares
 from cuminwall.effects import Effect
-from cuminwall.state import Bucket, State
+from cuminwall.state import State
 
 
 def tick(state: State, out: list[Effect]) -> None:
@@ -28,16 +28,18 @@
         del state.waiting[bucket.workspace]
 
 
-def release(state: State, bucket: Bucket, out: list[Effect]) -> None:
+def release(state: State, bucket: buckets.Bucket, out: list[Effect]) -> None:
     """Sends the rounds that wait, in their order, while there are tokens."""
-    rates.settle(bucket, state.now)
+    buckets.settle(bucket, state.now)
     while bucket.waiting and bucket.level >= 1.0:
         number, _ = bucket.waiting.popleft()
         if sessions.resume(state, number, out):
             bucket.level -= 1.0
 
 
-def _refuse_late(state: State, bucket: Bucket, out: list[Effect]) -> None:
+def _refuse_late(
+    state: State, bucket: buckets.Bucket, out: list[Effect]
+) -> None:
     """Refuses the rounds that have waited long enough."""
     wait_s = state.times.share_wait_s
     while bucket.waiting and state.now - bucket.waiting[0][1] >= wait_s:
--- /dev/null
+++ b/src/cuminwall/direct/callers.py
@@ -0,0 +1,172 @@
+"""The connections of callers: sockets, their messages and their ends."""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from loguru import logger
+
+from cuminwall import exceptions, plainhttp
+from cuminwall.direct import events, ports
+from cuminwall.direct.answers import Answer, Failure
+
+PART = "callers"
+
+LOGIN_S = 10.0  # How long a caller may take to say who it is.
+FLUSH_S = 2.0  # How long a last answer may take to leave.
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+
+
+class Callers:
+    """All callers of this instance.
+
+    Attributes:
+      make_codec: Makes the codec of one connection.
+      happen: Takes an event.
+      clock: Tells the time of events.
+      open: The connections by session.
+    """
+
+    def __init__(
+        self,
+        make_codec: Callable[[], ports.CallerCodec],
+        happen: Callable[[events.Event], None],
+        clock: Callable[[], float],
+    ):
+        self.make_codec = make_codec
+        self.happen = happen
+        self.clock = clock
+        self.open: dict[int, CallerSocket] = {}
+        self.count = 0
+
+    async def listen(self, host: str, port: int) -> asyncio.Server:
+        """Takes callers from now on."""
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: CallerSocket(self), host, port, backlog=1024
+        )
+
+    def welcome(self, session: int) -> None:
+        """Tells a caller that its session is open."""
+        caller = self.open.get(session)
+        if caller is not None:
+            caller.write(caller.codec.welcome())
+
+    def turn_away(self, session: int, failure: Failure) -> None:
+        """Refuses a session."""
+        caller = self.open.get(session)
+        if caller is not None:
+            caller.write(caller.codec.refusal(failure))
+            caller.close()
+
+    def reply(self, session: int, answer: Answer) -> None:
+        """Answers a statement."""
+        caller = self.open.get(session)
+        if caller is not None:
+            caller.write(caller.codec.answer(answer))
+
+    def close(self, session: int) -> None:
+        """Closes a connection once what was said has left."""
+        caller = self.open.get(session)
+        if caller is not None:
+            caller.close()
+
+
+class CallerSocket(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, callers: Callers):
+        self.callers = callers
+        self.codec = callers.make_codec()
+        self.transport: asyncio.Transport | None = None
+        self.session = 0
+        self.is_known = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes in a new connection."""
+        self.transport = cast(asyncio.Transport, transport)
+        plainhttp.keep_alive(transport)
+        self.callers.count += 1
+        self.session = self.callers.count
+        self.callers.open[self.session] = self
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(LOGIN_S, transport.abort)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes in bytes."""
+        if self.session not in self.callers.open:
+            return
+        try:
+            messages = self.codec.feed(data)
+        except exceptions.ProtocolError as error:
+            logger.warning("{}: {}: {}", PART, self.session, error)
+            self.close()
+            return
+        for message in messages:
+            self._take(message)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Takes in the end of the connection."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.callers.open.pop(self.session, None) is None:
+            return
+        self._leave()
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes; a caller that does not take them is cut off."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        transport.write(data)
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            logger.warning("{}: {}: takes no answers", PART, self.session)
+            transport.abort()
+
+    def close(self) -> None:
+        """Closes the connection once what was written has left."""
+        if self.callers.open.pop(self.session, None) is None:
+            return
+        self._leave()
+        assert self.transport is not None
+        self.transport.close()
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(FLUSH_S, self.transport.abort)
+
+    def _take(self, message: ports.CallerMessage) -> None:
+        """Turns a message into an event."""
+        now = self.callers.clock()
+        if isinstance(message, ports.Goodbye):
+            self.close()
+            return
+        if isinstance(message, ports.Login):
+            self._login(message, now)
+            return
+        if not self.is_known:
+            self.close()
+            return
+        event = events.StatementArrived(now, self.session, message)
+        self.callers.happen(event)
+
+    def _login(self, message: ports.Login, now: float) -> None:
+        """Takes in who the caller is."""
+        if self.is_known:
+            self.close()
+            return
+        self.is_known = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.callers.happen(
+            events.CallerArrived(
+                now, self.session, message.database, message.key
+            )
+        )
+
+    def _leave(self) -> None:
+        """Tells that the caller has left."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.is_known:
+            now = self.callers.clock()
+            self.callers.happen(events.CallerLeft(now, self.session))
--- /dev/null
+++ b/src/cuminwall/direct/connections.py
@@ -0,0 +1,247 @@
+"""Connections to backend servers: which to use, open or close.
+
+A connection is opened for one workspace, since the server is told its name.
+The servers count the connections of all instances together, so each instance
+keeps to its part; an unused connection of one workspace makes room for one
+of another.
+"""
+
+from cuminwall.direct import groups
+from cuminwall.direct.commands import (
+    AssignValue,
+    Command,
+    EndTransaction,
+    PrepareShape,
+    ResetConnection,
+)
+from cuminwall.direct.effects import (
+    CloseConnection,
+    Effect,
+    OpenConnection,
+    SendCommands,
+)
+from cuminwall.direct.state import (
+    Connection,
+    Expected,
+    Server,
+    Session,
+    State,
+    Subject,
+    Use,
+    Work,
+)
+from cuminwall.direct.statements import Shape
+
+MAX_PREPARED = 200  # Prepared statements that one connection keeps.
+
+
+def allowed(state: State, server: Server) -> int:
+    """Returns how many connections this instance may have to a server."""
+    service = state.catalog.services.get(server.entry.service)
+    if service is None:
+        return 1
+    return max(1, service.connections // max(1, len(state.instances)))
+
+
+def acquire(
+    state: State, server: Server, work: Work, out: list[Effect]
+) -> Connection | None:
+    """Returns a free connection; opens one or lets the work wait if none is.
+
+    A connection that is being opened is for whoever waits first when it is
+    open, so work waits at the server in either case.
+    """
+    workspace = work.session.workspace
+    found = _find_idle(server, workspace, work.session)
+    if found is not None:
+        return found
+    target_at = work.came_at + work.route.target_s
+    server.waiting.push(work.route.priority, target_at, work)
+    open_for(state, server, workspace, out)
+    return None
+
+
+def open_for(
+    state: State, server: Server, workspace: str, out: list[Effect]
+) -> None:
+    """Opens a connection for a workspace, if there is room for one more."""
+    if len(server.connections) >= allowed(state, server):
+        if not _close_least_used(state, server, out):
+            return
+    number = state.next_number()
+    connection = Connection(number, server, workspace)
+    connection.asked_at = connection.used_at = state.now
+    server.connections.append(connection)
+    state.connections[number] = connection
+    entry = server.entry
+    out.append(
+        OpenConnection(
+            number,
+            entry.service,
+            entry.server,
+            entry.host,
+            entry.port,
+            workspace,
+        )
+    )
+    due_at = state.now + state.limits.connect_s
+    state.remind(due_at, Subject.CONNECTION, number)
+
+
+def drop(state: State, connection: Connection, out: list[Effect]) -> None:
+    """Closes a connection whose state is in doubt, or is not needed."""
+    if state.connections.pop(connection.number, None) is None:
+        return
+    connection.server.connections.remove(connection)
+    out.append(CloseConnection(connection.number))
+
+
+def forget(state: State, connection: Connection) -> None:
+    """Takes in that a connection is over."""
+    if state.connections.pop(connection.number, None) is not None:
+        connection.server.connections.remove(connection)
+
+
+def set_idle(state: State, connection: Connection) -> None:
+    """Notes that a connection is free."""
+    connection.use = Use.IDLE
+    connection.work = None
+    connection.holder = None
+    connection.used_at = state.now
+    due_at = state.now + state.limits.idle_connection_s
+    state.remind(due_at, Subject.CONNECTION, connection.number)
+
+
+def roll_back(state: State, connection: Connection, out: list[Effect]) -> None:
+    """Ends a connection's transaction; it is free once that is answered."""
+    connection.use = Use.ENDING
+    connection.work = None
+    connection.holder = None
+    send(state, connection, [(EndTransaction(), Expected.END)], out)
+    due_at = state.now + state.limits.connect_s
+    state.remind(due_at, Subject.CONNECTION, connection.number)
+
+
+def send(
+    state: State,
+    connection: Connection,
+    flight: list[tuple[Command, Expected]],
+    out: list[Effect],
+) -> None:
+    """Sends commands in one flight."""
+    connection.asked_at = state.now
+    commands = []
+    for command, expected in flight:
+        commands.append(command)
+        connection.expected.append(expected)
+    out.append(SendCommands(connection.number, tuple(commands)))
+
+
+def preparation(
+    connection: Connection, session: Session, shape: Shape | None
+) -> list[tuple[Command, Expected]]:
+    """Returns what makes a connection fit for a session's next statement.
+
+    Notes it as done: the commands go out ahead of the statement, and a
+    connection on which one fails is closed.
+    """
+    flight: list[tuple[Command, Expected]] = []
+    if connection.holder is None and _must_reset(connection, session):
+        connection.values = {}
+        connection.prepared = set()
+        flight.append((ResetConnection(), Expected.PREPARATION))
+    for name, value in session.values.items():
+        if connection.values.get(name) == value:
+            continue
+        connection.values[name] = value
+        flight.append((AssignValue(name, value), Expected.PREPARATION))
+    if shape is not None:
+        name = shape_name(shape)
+        if name not in connection.prepared:
+            connection.prepared.add(name)
+            flight.append((PrepareShape(name, shape), Expected.PREPARATION))
+    return flight
+
+
+def shape_name(shape: Shape) -> str:
+    """Returns the name of a prepared statement, derived from its content.
+
+    Sessions that prepare the same thing share it on a connection. The
+    content itself makes the name, so that two never meet.
+    """
+    kind = "w" if shape.writes else "r"
+    return kind + shape.text.encode().hex()
+
+
+def close_unused(
+    state: State, connection: Connection, out: list[Effect]
+) -> None:
+    """Closes a connection that has been free for long."""
+    unused_s = state.now - connection.used_at
+    is_idle = connection.use is Use.IDLE
+    if is_idle and unused_s >= state.limits.idle_connection_s:
+        drop(state, connection, out)
+
+
+def next_waiting(
+    state: State, server: Server, out: list[Effect]
+) -> tuple[Connection, Work] | None:
+    """Returns who gets a free connection of a server, and which.
+
+    When only connections of other workspaces are free, one of them is closed
+    and another is opened in its place.
+    """
+    if not len(server.waiting):
+        return None
+    if not groups.is_usable(state, server):
+        state.unplaced.extend(server.waiting.drain())
+        return None
+    has_idle = any(each.use is Use.IDLE for each in server.connections)
+    if not has_idle:
+        return None
+    work = server.waiting.pop(state.now)
+    workspace = work.session.workspace
+    found = _find_idle(server, workspace, work.session)
+    if found is not None:
+        return found, work
+    # It goes first again when its connection is open.
+    server.waiting.push(-1, work.came_at + work.route.target_s, work)
+    open_for(state, server, workspace, out)
+    return None
+
+
+def _find_idle(
+    server: Server, workspace: str, session: Session
+) -> Connection | None:
+    """Returns a free connection, the one that needs least preparation."""
+    best = None
+    for connection in server.connections:
+        if connection.use is not Use.IDLE:
+            continue
+        if connection.workspace != workspace:
+            continue
+        if connection.values == session.values:
+            return connection
+        best = connection
+    return best
+
+
+def _close_least_used(state: State, server: Server, out: list[Effect]) -> bool:
+    """Closes the free connection that was not used for longest."""
+    oldest = None
+    for connection in server.connections:
+        if connection.use is not Use.IDLE:
+            continue
+        if oldest is None or connection.used_at < oldest.used_at:
+            oldest = connection
+    if oldest is None:
+        return False
+    drop(state, oldest, out)
+    return True
+
+
+def _must_reset(connection: Connection, session: Session) -> bool:
+    """Returns whether a connection holds what the session must not see."""
+    if len(connection.prepared) >= MAX_PREPARED:
+        return True
+    return any(name not in session.values for name in connection.values)
--- /dev/null
+++ b/src/cuminwall/direct/engine.py
@@ -0,0 +1,290 @@
+"""The engine: turns what happens into events and carries effects out.
+
+Events go through one queue, so that an effect that causes an event never
+re-enters the reducer. Nothing is decided here.
+"""
+
+import asyncio
+import collections
+import functools
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from loguru import logger
+
+from cuminwall import exceptions
+from cuminwall.direct import (
+    callers,
+    effects,
+    events,
+    journal,
+    meters,
+    ports,
+    reducer,
+    servers,
+    state,
+)
+
+PART = "engine"
+
+
+def boot_clock() -> float:
+    """Returns the seconds since the machine started, suspended or not."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Engine:
+    """Runs one instance's decisions.
+
+    Attributes:
+      state: What the reducer knows.
+      store: The platform's store.
+      provider: Where a change of primary is ordered.
+      journal: Where log lines go.
+      meters: The metrics, or None.
+      callers: The callers' connections.
+      servers: The connections to backend servers.
+      say: Sends a message to another instance.
+      ended: Set when nothing is left to do.
+    """
+
+    def __init__(
+        self,
+        state_: state.State,
+        store: ports.StorePort,
+        provider: ports.PromotionPort,
+        caller_codec: Callable[[], ports.CallerCodec],
+        server_codec: Callable[[], ports.ServerCodec],
+        journal_: journal.Journal,
+        meters_: meters.Meters | None,
+    ):
+        self.state = state_
+        self.store = store
+        self.provider = provider
+        self.journal = journal_
+        self.meters = meters_
+        self.callers = callers.Callers(caller_codec, self.happen, boot_clock)
+        self.servers = servers.Servers(server_codec, self.happen, boot_clock)
+        self.say: Callable[[str, Any], None] = _drop_message
+        self.ended = asyncio.Event()
+        self.queue: collections.deque[events.Event] = collections.deque()
+        self.is_running = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def happen(self, event: events.Event) -> None:
+        """Takes in an event and carries out what follows from it."""
+        self.queue.append(event)
+        if self.is_running:
+            return
+        self.is_running = True
+        try:
+            while self.queue:
+                next_event = self.queue.popleft()
+                for effect in reducer.reduce(self.state, next_event):
+                    carry(effect, self)
+        finally:
+            self.is_running = False
+        self._set_timer()
+
+    def start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs something beside the events."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        """Takes in the end of what ran beside the events."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("{}: a task failed: {!r}", PART, task.exception())
+
+    def _set_timer(self) -> None:
+        """Has the reducer told when its next timer is due."""
+        timers = self.state.timers
+        if not timers:
+            return
+        due_at = timers[0].due_at
+        if self.timer is not None and self.timer_at <= due_at:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        delay_s = max(0.0, due_at - boot_clock())
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(delay_s, self._time_passed)
+        self.timer_at = due_at
+
+    def _time_passed(self) -> None:
+        """Tells the reducer that a timer is due."""
+        self.timer = None
+        self.happen(events.TimePassed(boot_clock()))
+
+    async def swap(self, effect: effects.SwapValues) -> None:
+        """Writes shared values under a condition."""
+        sent_at = boot_clock()
+        revision: int | None
+        try:
+            revision = await self.store.swap(
+                effect.expected, effect.values, effect.leased, effect.lease
+            )
+        except exceptions.StoreUnavailableError as error:
+            self._note_failed_call("swap", error)
+            revision = None
+        self.happen(
+            events.SwapRan(boot_clock(), effect.number, sent_at, revision)
+        )
+
+    async def grant_lease(self, effect: effects.GrantLease) -> None:
+        """Asks the store for a lease."""
+        sent_at = boot_clock()
+        lease = 0
+        ttl_s: float | None
+        try:
+            lease, ttl_s = await self.store.grant_lease(effect.ttl_s)
+        except exceptions.StoreUnavailableError as error:
+            self._note_failed_call("grant_lease", error)
+            ttl_s = None
+        self.happen(events.LeaseRan(boot_clock(), lease, sent_at, ttl_s))
+
+    async def keep_lease(self, effect: effects.KeepLease) -> None:
+        """Renews this instance's lease."""
+        sent_at = boot_clock()
+        ttl_s: float | None
+        try:
+            ttl_s = await self.store.keep_lease(effect.lease)
+        except exceptions.StoreUnavailableError as error:
+            self._note_failed_call("keep_lease", error)
+            ttl_s = None
+        self.happen(events.LeaseRan(boot_clock(), effect.lease, sent_at, ttl_s))
+
+    async def end_lease(self, effect: effects.EndLease) -> None:
+        """Ends this instance's lease."""
+        try:
+            await self.store.end_lease(effect.lease)
+        except exceptions.StoreUnavailableError as error:
+            self._note_failed_call("end_lease", error)
+
+    async def promote(self, effect: effects.Promote) -> None:
+        """Orders a change of primary."""
+        try:
+            outcome = await self.provider.promote(
+                self.state.instance,
+                effect.service,
+                effect.server,
+                effect.fence,
+            )
+        except exceptions.StoreUnavailableError as error:
+            self._note_failed_call("promote", error)
+            outcome = events.PromotionOutcome(False, False)
+        self.happen(
+            events.PromotionRan(
+                boot_clock(),
+                effect.service,
+                effect.server,
+                effect.fence,
+                outcome,
+            )
+        )
+
+    def _note_failed_call(self, call: str, error: Exception) -> None:
+        """Writes a line about a call of the platform without an answer."""
+        fields = {"call": call, "cause": str(error)}
+        self.journal.add(PART, "call_failed", fields)
+
+
+def _drop_message(instance: str, message: Any) -> None:
+    """Stands in until the links to other instances are there."""
+    logger.debug("{}: {} not told {}", PART, instance, message)
+
+
+@functools.singledispatch
+def carry(effect: Any, engine: Engine) -> None:
+    """Carries out one effect."""
+    raise TypeError(type(effect))
+
+
+@carry.register
+def _(effect: effects.Welcome, engine: Engine) -> None:
+    engine.callers.welcome(effect.session)
+
+
+@carry.register
+def _(effect: effects.TurnAway, engine: Engine) -> None:
+    engine.callers.turn_away(effect.session, effect.failure)
+
+
+@carry.register
+def _(effect: effects.Reply, engine: Engine) -> None:
+    engine.callers.reply(effect.session, effect.answer)
+
+
+@carry.register
+def _(effect: effects.CloseCaller, engine: Engine) -> None:
+    engine.callers.close(effect.session)
+
+
+@carry.register
+def _(effect: effects.OpenConnection, engine: Engine) -> None:
+    engine.servers.connect(effect)
+
+
+@carry.register
+def _(effect: effects.SendCommands, engine: Engine) -> None:
+    engine.servers.send(effect)
+
+
+@carry.register
+def _(effect: effects.CloseConnection, engine: Engine) -> None:
+    engine.servers.close(effect.connection)
+
+
+@carry.register
+def _(effect: effects.SwapValues, engine: Engine) -> None:
+    engine.start(engine.swap(effect))
+
+
+@carry.register
+def _(effect: effects.GrantLease, engine: Engine) -> None:
+    engine.start(engine.grant_lease(effect))
+
+
+@carry.register
+def _(effect: effects.KeepLease, engine: Engine) -> None:
+    engine.start(engine.keep_lease(effect))
+
+
+@carry.register
+def _(effect: effects.EndLease, engine: Engine) -> None:
+    engine.start(engine.end_lease(effect))
+
+
+@carry.register
+def _(effect: effects.Promote, engine: Engine) -> None:
+    engine.start(engine.promote(effect))
+
+
+@carry.register
+def _(effect: effects.Say, engine: Engine) -> None:
+    engine.say(effect.instance, effect.message)
+
+
+@carry.register
+def _(effect: effects.EndProcess, engine: Engine) -> None:
+    engine.ended.set()
+
+
+@carry.register
+def _(effect: effects.Note, engine: Engine) -> None:
+    engine.journal.add(effect.part, effect.event, effect.fields)
+    if engine.meters is not None:
+        engine.meters.count_decision(effect.part, effect.event)
+
+
+@carry.register
+def _(effect: effects.Measure, engine: Engine) -> None:
+    if engine.meters is not None:
+        engine.meters.count_statement(
+            effect.kind, effect.outcome, effect.seconds
+        )
--- /dev/null
+++ b/src/cuminwall/direct/follower.py
@@ -0,0 +1,131 @@
+"""Follows the store: reads all of it once, then every change.
+
+When changes were missed, all is read again. While the store does not answer,
+what is known stays in force.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cuminwall import exceptions
+from cuminwall.direct import events, ports
+
+WAIT_S = 25.0  # How long a call waits for a change; the store allows 30 s.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+class Follower:
+    """Tells the reducer what stands in the store.
+
+    Attributes:
+      store: The store.
+      happen: Takes an event.
+      clock: Tells the time of events.
+      revision: Up to which all changes were told; None to read all.
+      pause_s: How long to wait after the next failure.
+    """
+
+    def __init__(
+        self,
+        store: ports.StorePort,
+        happen: Callable[[events.Event], None],
+        clock: Callable[[], float],
+    ):
+        self.store = store
+        self.happen = happen
+        self.clock = clock
+        self.revision: int | None = None
+        self.pause_s = FIRST_PAUSE_S
+
+    async def follow(self) -> None:
+        """Follows the store until cancelled."""
+        while True:
+            try:
+                if self.revision is None:
+                    await self._read_all()
+                else:
+                    await self._read_changes()
+            except ports.HistoryLostError:
+                self.revision = None
+                continue
+            except exceptions.StoreUnavailableError as error:
+                self._heard(False, str(error))
+                await asyncio.sleep(self.pause_s * random.uniform(0.5, 1.0))
+                self.pause_s = min(2 * self.pause_s, LONGEST_PAUSE_S)
+                continue
+            self._heard(True, "")
+
+    async def _read_all(self) -> None:
+        """Reads the whole store."""
+        found = await self.store.read_all()
+        self._tell(found.facts)
+        names: dict[ports.FactKind, set[str]] = {}
+        for kind in ports.FactKind:
+            names[kind] = set()
+        for fact in found.facts:
+            if fact.value is not None:
+                names[fact.kind].add(fact.name)
+        self.happen(
+            events.SnapshotRead(
+                self.clock(),
+                frozenset(names[ports.FactKind.SERVER]),
+                frozenset(names[ports.FactKind.ZONE_OUT]),
+                frozenset(names[ports.FactKind.SHARED]),
+            )
+        )
+        self.revision = found.revision
+
+    async def _read_changes(self) -> None:
+        """Waits for changes and tells them."""
+        assert self.revision is not None
+        found = await self.store.changes(self.revision, WAIT_S)
+        self._tell(found.facts)
+        self.revision = max(self.revision, found.revision)
+
+    def _tell(self, facts: Iterable[ports.Fact]) -> None:
+        """Turns facts into events, in the order in which they came."""
+        for fact in facts:
+            self.happen(_to_event(fact.value, fact, self.clock()))
+
+    def _heard(self, is_up: bool, cause: str) -> None:
+        """Tells whether the store answers."""
+        if is_up:
+            self.pause_s = FIRST_PAUSE_S
+        self.happen(events.StoreHeard(self.clock(), is_up, cause))
+
+
+def _to_event(value: Any, fact: ports.Fact, now: float) -> events.Event:
+    """Returns the event that tells a fact."""
+    return _MAKERS[fact.kind](now, fact.name, value, fact.revision)
+
+
+def _catalog(now: float, name: str, value: Any, revision: int) -> Any:
+    del name, revision
+    return events.CatalogSeen(now, value)
+
+
+def _server(now: float, name: str, value: Any, revision: int) -> Any:
+    del revision
+    if value is None:
+        return events.ServerGone(now, name)
+    return events.ServerSeen(now, value)
+
+
+def _zone(now: float, name: str, value: Any, revision: int) -> Any:
+    del revision
+    return events.EvacuationSeen(now, name, value is not None)
+
+
+def _shared(now: float, name: str, value: Any, revision: int) -> Any:
+    return events.SharedValueSeen(now, name, value, revision)
+
+
+_MAKERS = {
+    ports.FactKind.CATALOG: _catalog,
+    ports.FactKind.SERVER: _server,
+    ports.FactKind.ZONE_OUT: _zone,
+    ports.FactKind.SHARED: _shared,
+}
--- /dev/null
+++ b/src/cuminwall/direct/groups.py
@@ -0,0 +1,205 @@
+"""The backend servers of each database service, and which of them leads.
+
+What a server says of itself in the store decides, and what it answers: one
+that refuses to act as primary is believed at once.
+"""
+
+from cuminwall import leases
+from cuminwall.direct.catalog import ServerEntry
+from cuminwall.direct.effects import CloseConnection, Effect, Note
+from cuminwall.direct.state import Group, Server, State, Use
+
+PART = "groups"
+
+
+def find(state: State, service: str) -> Group:
+    """Returns the group of a service."""
+    group = state.groups.get(service)
+    if group is None:
+        group = state.groups[service] = Group(service)
+    return group
+
+
+def seen(state: State, entry: ServerEntry, out: list[Effect]) -> None:
+    """Takes in a server's entry."""
+    known = state.servers.get(entry.server)
+    if known is not None and known.entry.revision >= entry.revision:
+        known.is_gone = False
+        return
+    is_new = known is None or known.entry.born_ms != entry.born_ms
+    if known is not None and known.entry.service != entry.service:
+        _forget(state, known, out)
+        known = None
+    if known is None:
+        known = state.servers[entry.server] = Server(entry)
+        find(state, entry.service).servers[entry.server] = known
+    known.entry = entry
+    known.is_gone = False
+    if is_new:
+        known.suspect_until = leases.NEVER
+        known.missed_at = None
+    out.append(
+        Note(
+            PART,
+            "server_seen",
+            {
+                "server": entry.server,
+                "service": entry.service,
+                "zone": entry.zone,
+                "primary": entry.is_primary,
+                "leaving": entry.is_leaving,
+                "cold_s": entry.cold_s,
+                "revision": entry.revision,
+            },
+        )
+    )
+    _judge_lead(state, known, out)
+    close_idle_if_unused(state, known, out)
+
+
+def gone(state: State, server: str, out: list[Effect]) -> None:
+    """Takes in that a server has no entry any more."""
+    known = state.servers.get(server)
+    if known is None or known.is_gone:
+        return
+    known.is_gone = True
+    out.append(
+        Note(
+            PART,
+            "server_gone",
+            {"server": server, "revision": known.entry.revision},
+        )
+    )
+    close_idle_if_unused(state, known, out)
+    group = find(state, known.entry.service)
+    if group.primary == server:
+        set_primary(state, group, "", "entry gone", out)
+    if not known.connections:
+        _forget(state, known, out)
+
+
+def set_primary(
+    state: State, group: Group, server: str, cause: str, out: list[Effect]
+) -> None:
+    """Takes a server as the one that leads; "" when none is known."""
+    if group.primary == server:
+        return
+    out.append(
+        Note(
+            PART,
+            "primary_known" if server else "primary_unknown",
+            {
+                "service": group.service,
+                "server": server,
+                "before": group.primary,
+                "cause": cause,
+                "revision": group.primary_revision,
+            },
+        )
+    )
+    group.primary = server
+    if server:
+        state.servers[server].replica_until = leases.NEVER
+        state.unplaced.extend(group.waiting.drain())
+
+
+def refused_lead(state: State, server: Server, out: list[Effect]) -> None:
+    """Takes in that a server said it is no primary."""
+    server.replica_until = state.now + state.limits.suspect_s
+    group = find(state, server.entry.service)
+    if group.primary == server.entry.server:
+        set_primary(state, group, "", "it refused to lead", out)
+
+
+def proved_lead(state: State, server: Server, out: list[Effect]) -> None:
+    """Takes in that a server ran what only a primary runs."""
+    group = find(state, server.entry.service)
+    if group.primary == server.entry.server:
+        return
+    if state.is_store_up and group.primary:
+        return
+    set_primary(state, group, server.entry.server, "it leads", out)
+
+
+def reached(server: Server, now: float) -> None:
+    """Notes that a server answered."""
+    server.reached_at = now
+    server.missed_at = None
+
+
+def missed(state: State, server: Server, cause: str, out: list[Effect]) -> None:
+    """Notes that a server could not be reached."""
+    now = state.now
+    server.suspect_until = now + state.limits.suspect_s
+    if server.missed_at is None:
+        server.missed_at = now
+    out.append(
+        Note(
+            PART,
+            "server_missed",
+            {
+                "server": server.entry.server,
+                "cause": cause,
+                "reached_s_ago": round(now - server.reached_at, 3),
+            },
+        )
+    )
+
+
+def is_usable(state: State, server: Server) -> bool:
+    """Returns whether new work may be sent to a server."""
+    if server.is_gone or server.entry.is_leaving:
+        return False
+    return server.entry.zone not in state.out_zones
+
+
+def zone_changed(
+    state: State, zone: str, is_out: bool, out: list[Effect]
+) -> None:
+    """Takes in that an availability zone is taken out or brought back."""
+    if is_out == (zone in state.out_zones):
+        return
+    if is_out:
+        state.out_zones.add(zone)
+    else:
+        state.out_zones.discard(zone)
+    out.append(Note(PART, "zone_out" if is_out else "zone_in", {"zone": zone}))
+    for server in list(state.servers.values()):
+        if server.entry.zone == zone:
+            close_idle_if_unused(state, server, out)
+
+
+def close_idle_if_unused(
+    state: State, server: Server, out: list[Effect]
+) -> None:
+    """Closes the free connections to a server that gets no new work."""
+    if is_usable(state, server):
+        return
+    state.unplaced.extend(server.waiting.drain())
+    for connection in list(server.connections):
+        if connection.use is not Use.IDLE:
+            continue
+        server.connections.remove(connection)
+        del state.connections[connection.number]
+        out.append(CloseConnection(connection.number))
+
+
+def _judge_lead(state: State, server: Server, out: list[Effect]) -> None:
+    """Works out who leads after a server's entry has changed."""
+    entry = server.entry
+    group = find(state, entry.service)
+    if entry.is_primary and entry.revision > group.primary_revision:
+        group.primary_revision = entry.revision
+        set_primary(state, group, entry.server, "its entry", out)
+        return
+    if not entry.is_primary and group.primary == entry.server:
+        set_primary(state, group, "", "its entry", out)
+
+
+def _forget(state: State, server: Server, out: list[Effect]) -> None:
+    """Drops a server that is gone."""
+    group = find(state, server.entry.service)
+    if group.primary == server.entry.server:
+        set_primary(state, group, "", "entry gone", out)
+    group.servers.pop(server.entry.server, None)
+    state.servers.pop(server.entry.server, None)
--- /dev/null
+++ b/src/cuminwall/direct/journal.py
@@ -0,0 +1,136 @@
+"""Log lines: one JSON object each, on standard output, never blocking.
+
+A line is dropped, and counted, when the reader is too slow or when one part
+of the program writes more than its share within a second. What was dropped
+is told in a line of its own.
+"""
+
+import collections
+import json
+import os
+import time
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+FLUSH_S = 0.05  # How long a line waits for others to leave with it.
+MAX_PENDING_BYTES = 1024 * 1024
+MAX_LINES_PER_S = 400  # Of one part of the program.
+
+CallLater = Callable[[float, Callable[[], None]], object]
+
+
+class Journal:
+    """Writes log lines.
+
+    Attributes:
+      instance: The name of this instance, in each line.
+      descriptor: Where lines go.
+      call_later: Calls something after so many seconds; None writes at once.
+      pending: What waits to be written.
+      dropped: Lines dropped since that was told last.
+      totals: Lines dropped in all, by cause.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        descriptor: int = 1,
+        call_later: CallLater | None = None,
+        clock: Callable[[], float] = time.time,
+    ):
+        self.instance = instance
+        self.descriptor = descriptor
+        self.call_later = call_later
+        self.clock = clock
+        self.pending = bytearray()
+        self.dropped = 0
+        self.totals: collections.Counter[str] = collections.Counter()
+        self.is_flush_due = False
+        self.second = 0
+        self.written: collections.Counter[str] = collections.Counter()
+
+    def add(self, part: str, event: str, fields: dict[str, Any]) -> None:
+        """Writes a line, unless its part has written too many."""
+        now = self.clock()
+        if int(now) != self.second:
+            self.second = int(now)
+            self.written.clear()
+            self._tell_dropped(now)
+        self.written[part] += 1
+        if self.written[part] > MAX_LINES_PER_S:
+            self._drop("rate")
+            return
+        self._append(now, part, event, fields)
+
+    def flush(self) -> None:
+        """Writes what waits, as far as it can be written at once."""
+        self.is_flush_due = False
+        if not self.pending:
+            return
+        try:
+            count = os.write(self.descriptor, self.pending)
+        except BlockingIOError:
+            count = 0
+        except OSError:
+            # Nobody reads the lines; there is nowhere to say so.
+            self.totals["unread"] += self.pending.count(b"\n")
+            self.pending.clear()
+            return
+        del self.pending[:count]
+        if self.pending:
+            self._plan_flush()
+
+    def _append(
+        self, now: float, part: str, event: str, fields: dict[str, Any]
+    ) -> None:
+        """Lets a line wait to be written."""
+        line = {
+            "at": round(now, 3),
+            "instance": self.instance,
+            "part": part,
+            "event": event,
+            **fields,
+        }
+        data = json.dumps(line, default=str).encode() + b"\n"
+        if len(self.pending) + len(data) > MAX_PENDING_BYTES:
+            self._drop("unread")
+            return
+        self.pending += data
+        self._plan_flush()
+
+    def _drop(self, cause: str) -> None:
+        self.dropped += 1
+        self.totals[cause] += 1
+
+    def _tell_dropped(self, now: float) -> None:
+        """Writes how many lines were dropped."""
+        if not self.dropped:
+            return
+        dropped = self.dropped
+        self.dropped = 0
+        self._append(now, "journal", "lines_dropped", {"count": dropped})
+
+    def _plan_flush(self) -> None:
+        if self.call_later is None:
+            if not self.is_flush_due:
+                self.is_flush_due = True
+                self.flush()
+            return
+        if not self.is_flush_due:
+            self.is_flush_due = True
+            self.call_later(FLUSH_S, self.flush)
+
+
+def capture(journal: Journal, level: str = "INFO") -> None:
+    """Sends the lines of `loguru` to a journal as well."""
+
+    def sink(message: Any) -> None:
+        record = message.record
+        part, _, text = record["message"].partition(": ")
+        fields = {"text": text, "level": record["level"].name.lower()}
+        journal.add(part, "message", fields)
+
+    logger.remove()
+    logger.add(sink, level=level, format="{message}")
--- /dev/null
+++ b/src/cuminwall/direct/placing.py
@@ -0,0 +1,111 @@
+"""Which backend server a statement is offered to.
+
+Nothing is refused while a server that may run it is free. Reads go where the
+least work of this instance is, close by first; what must see every commit
+goes to the primary.
+"""
+
+from cuminwall.direct import groups, marks
+from cuminwall.direct.answers import Position
+from cuminwall.direct.catalog import Freshness
+from cuminwall.direct.state import Group, Server, State, Use, Work
+
+DISTANCE = 0.6  # Work that outweighs the way to another availability zone.
+PRIMARY_WEIGHT = 0.5  # Work that outweighs what only the primary can run.
+
+
+def choose(state: State, group: Group, work: Work) -> Server | None:
+    """Returns the server for a statement; None while no server may run it.
+
+    Sets the position that the server's log must hold.
+    """
+    work.after = None
+    if not work.needs_primary:
+        server = _choose_reader(state, group, work)
+        if server is not None:
+            return server
+    return find_primary(state, group, work)
+
+
+def find_primary(state: State, group: Group, work: Work) -> Server | None:
+    """Returns the server that leads, as far as is known.
+
+    Backend servers fence themselves, so asking one that does not lead costs
+    time and nothing else. That is done only when the store can't tell.
+    """
+    server = group.servers.get(group.primary)
+    if server is not None:
+        if not groups.is_usable(state, server):
+            return None
+        if state.now < server.suspect_until and work.offers:
+            return None
+        return server
+    if state.is_store_up:
+        return None
+    for server in group.servers.values():
+        if state.now < max(server.replica_until, server.suspect_until):
+            continue
+        if groups.is_usable(state, server):
+            return server
+    return None
+
+
+def load(server: Server) -> int:
+    """Returns how much work of this instance is at a server."""
+    busy = len(server.waiting)
+    for connection in server.connections:
+        if connection.use in (Use.WORKING, Use.OPENING, Use.ENDING):
+            busy += 1
+    return busy
+
+
+def _choose_reader(state: State, group: Group, work: Work) -> Server | None:
+    """Returns the best replica for a read, or the primary if it is better."""
+    after = _least_position(state, group, work)
+    if after is None:
+        return None
+    best = None
+    best_weight = 0.0
+    for server in group.servers.values():
+        if not _may_read(state, server, work):
+            continue
+        weight = _weight(state, group, server)
+        if best is None or weight < best_weight:
+            best = server
+            best_weight = weight
+    if best is not None and best.entry.server != group.primary:
+        work.after = after
+    return best
+
+
+def _least_position(state: State, group: Group, work: Work) -> Position | None:
+    """Returns the position that a replica must have, or None if unknown."""
+    mark = marks.oldest_valid(state, group, work.route.max_age_s)
+    if mark is None:
+        return None
+    floor = work.session.floor
+    if work.route.freshness is Freshness.OWN and floor is not None:
+        return max(mark.position, floor)
+    return mark.position
+
+
+def _may_read(state: State, server: Server, work: Work) -> bool:
+    """Returns whether a read may be offered to a server."""
+    if not groups.is_usable(state, server):
+        return False
+    if server.entry.server in work.tried:
+        return False
+    until = max(server.suspect_until, server.lagging_until, server.full_until)
+    return state.now >= until
+
+
+def _weight(state: State, group: Group, server: Server) -> float:
+    """Returns how much speaks against a server."""
+    weight = load(server) / max(1, server.entry.slots)
+    if server.entry.zone != state.zone:
+        weight += DISTANCE / max(1, server.entry.slots)
+    if server.entry.server == group.primary:
+        weight += PRIMARY_WEIGHT / max(1, server.entry.slots)
+    if server.entry.cold_s > 0:
+        weight += 1.0
+    return weight
--- /dev/null
+++ b/src/cuminwall/direct/servers.py
@@ -0,0 +1,142 @@
+"""The connections to backend servers: sockets and their messages."""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from loguru import logger
+
+from cuminwall import exceptions, plainhttp
+from cuminwall.direct import effects, events, ports
+from cuminwall.direct.answers import Answer, Failure
+
+PART = "servers"
+
+
+class Servers:
+    """All connections of this instance to backend servers.
+
+    Attributes:
+      make_codec: Makes the codec of one connection.
+      happen: Takes an event.
+      clock: Tells the time of events.
+      open: The connections by number.
+      tasks: Connections that are being opened.
+    """
+
+    def __init__(
+        self,
+        make_codec: Callable[[], ports.ServerCodec],
+        happen: Callable[[events.Event], None],
+        clock: Callable[[], float],
+    ):
+        self.make_codec = make_codec
+        self.happen = happen
+        self.clock = clock
+        self.open: dict[int, ServerSocket] = {}
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+
+    def connect(self, effect: effects.OpenConnection) -> None:
+        """Begins to open a connection."""
+        task = asyncio.create_task(self._connect(effect))
+        self.tasks[effect.connection] = task
+        task.add_done_callback(
+            lambda _: self.tasks.pop(effect.connection, None)
+        )
+
+    def send(self, effect: effects.SendCommands) -> None:
+        """Sends commands in one flight."""
+        found = self.open.get(effect.connection)
+        if found is None or found.transport is None:
+            return
+        codec = found.codec
+        parts = [codec.command(command) for command in effect.commands]
+        found.transport.write(b"".join(parts))
+
+    def close(self, connection: int) -> None:
+        """Closes a connection at once."""
+        task = self.tasks.get(connection)
+        if task is not None:
+            task.cancel()
+        found = self.open.pop(connection, None)
+        if found is not None and found.transport is not None:
+            found.transport.close()
+
+    async def _connect(self, effect: effects.OpenConnection) -> None:
+        """Opens a connection; its end is told as an event."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(
+                lambda: ServerSocket(self, effect), effect.host, effect.port
+            )
+        except OSError as error:
+            logger.debug("{}: {}: {!r}", PART, effect.server, error)
+            number = effect.connection
+            self.happen(
+                events.ConnectionEnded(self.clock(), number, None, True)
+            )
+
+
+class ServerSocket(asyncio.Protocol):
+    """One connection to a backend server."""
+
+    def __init__(self, servers: Servers, effect: effects.OpenConnection):
+        self.servers = servers
+        self.effect = effect
+        self.codec = servers.make_codec()
+        self.transport: asyncio.Transport | None = None
+        self.is_open = False
+        self.failure: Failure | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Says who this is."""
+        self.transport = cast(asyncio.Transport, transport)
+        plainhttp.keep_alive(transport)
+        effect = self.effect
+        self.servers.open[effect.connection] = self
+        login = self.codec.login(
+            effect.service, effect.workspace, effect.server
+        )
+        self.transport.write(login)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes in bytes."""
+        try:
+            messages = self.codec.feed(data)
+        except exceptions.ProtocolError as error:
+            logger.warning("{}: {}: {}", PART, self.effect.server, error)
+            self._abort()
+            return
+        for message in messages:
+            if self.effect.connection in self.servers.open:
+                self._take(message)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the end, unless it was asked for."""
+        number = self.effect.connection
+        if self.servers.open.get(number) is not self:
+            return
+        del self.servers.open[number]
+        now = self.servers.clock()
+        self.servers.happen(
+            events.ConnectionEnded(now, number, self.failure, not self.is_open)
+        )
+
+    def _take(self, message: ports.ServerMessage) -> None:
+        """Turns a message into an event."""
+        now = self.servers.clock()
+        number = self.effect.connection
+        if isinstance(message, Answer):
+            self.servers.happen(events.CommandAnswered(now, number, message))
+            return
+        if isinstance(message, Failure):
+            self.failure = message
+            self._abort()
+            return
+        self.is_open = True
+        self.servers.happen(events.ConnectionOpened(now, number))
+
+    def _abort(self) -> None:
+        """Ends the connection."""
+        if self.transport is not None:
+            self.transport.abort()
--- a/src/cuminwall/rates.py
+++ b/src/cuminwall/rates.py
@@ -6,23 +6,13 @@
 """
 
 import enum
-import math
 
-from cuminwall import messages, sharelending, shares
-from cuminwall.state import Bucket, State
+from cuminwall import sharelending, shares
+from cuminwall.buckets import Bucket, settle
+from cuminwall.state import State
 
 MAX_WAITING = 200  # Requests of a workspace that wait for a token.
 
-DEMAND_TIME_S = 0.5  # Time constant of the smoothed demand.
-DEMAND_STEP_S = 0.2  # Shortest time over which demand is measured.
-SUDDEN_S = 1.0  # Time over which a sudden rise is spread.
-OWN_PART = 0.5  # Wanted rate per demand; the rest comes from the pool.
-STOCK_S = 0.25  # Demand for which tokens are kept ready.
-KEPT_S = 0.3  # Tokens beyond this demand are given back.
-ROOM_S = 0.2  # Demand for which the burst has room beyond that.
-LEAST_DEMAND = 20.0  # Requests a second; below, each fetches its own token.
-LOW_LEVEL_S = 0.05  # Demand below whose tokens more are asked for at once.
-
 
 class Taken(enum.Enum):
     """What became of a request."""
@@ -56,119 +46,8 @@
     return Taken.WAITS
 
 
-def is_low(bucket: Bucket) -> bool:
-    """Returns whether the tokens will not last until the regular ask."""
-    if bucket.waiting:
-        return True
-    if bucket.demand < LEAST_DEMAND:
-        return False
-    return bucket.level < LOW_LEVEL_S * bucket.demand
-
-
-def settle(bucket: Bucket, now: float) -> None:
-    """Lets a bucket gain tokens up to `now`, at what was lent when."""
-    line = bucket.line
-    bounds = sorted((line.until, line.floor_from, line.floor_until))
-    for bound in bounds:
-        if bucket.level_at < bound <= now:
-            _gain(bucket, bound)
-    _gain(bucket, now)
-    shares.lapse(line, now)
-
-
-def state_line(bucket: Bucket, now: float) -> messages.ShareLine:
-    """Returns what an ask states, after giving surplus tokens back."""
-    settle(bucket, now)
-    _measure_demand(bucket, now)
-    demand = bucket.demand if bucket.demand >= LEAST_DEMAND else 0.0
-    waiting = float(len(bucket.waiting))
-    kept = waiting + KEPT_S * demand
-    surplus = max(0.0, bucket.level - kept)
-    bucket.level -= surplus
-    bucket.returned += surplus
-    wanted = (OWN_PART * demand, kept + ROOM_S * demand)
-    line = bucket.line
-    return messages.ShareLine(
-        name=line.name,
-        accepted=line.accepted,
-        held=line.held,
-        floor=line.floor,
-        wanted=wanted,
-        level=bucket.level,
-        short=max(0.0, waiting - bucket.level),
-        stock=max(
-            0.0,
-            STOCK_S * demand - max(0.0, bucket.level - waiting),
-        ),
-        returned=bucket.returned,
-        is_leaving=False,
-    )
-
-
-def give_back(bucket: Bucket, now: float) -> messages.ShareLine:
-    """Returns the last ask of a bucket, which gives all of it back."""
-    settle(bucket, now)
-    bucket.returned += bucket.level
-    bucket.level = 0.0
-    line = bucket.line
-    line.held = line.floor = (0.0, 0.0)
-    return messages.ShareLine(
-        line.name,
-        line.accepted,
-        line.held,
-        line.floor,
-        line.held,
-        0.0,
-        0.0,
-        0.0,
-        bucket.returned,
-        True,
-    )
-
-
-def granted(
-    bucket: Bucket, number: int, grant: messages.ShareGrant, now: float
-) -> shares.Accepted | None:
-    """Takes the lender's answer; None if it is not for the latest ask."""
-    settle(bucket, now)
-    accepted = shares.accept(bucket.line, number, grant, now)
-    if accepted is None:
-        return None
-    bucket.level += grant.level
-    _, burst = shares.usable(bucket.line, now)
-    over = max(0.0, bucket.level - burst)
-    bucket.level -= over
-    bucket.returned += over
-    return accepted
-
-
 def is_idle(state: State, bucket: Bucket) -> bool:
     """Returns whether nobody here needs a share."""
     if bucket.sessions or bucket.waiting:
         return False
     return state.draining or not bucket.arrivals
-
-
-def _gain(bucket: Bucket, now: float) -> None:
-    """Adds tokens at what was lent since, and keeps them within what is."""
-    passed_s = max(0.0, now - bucket.level_at)
-    rate, burst = shares.usable(bucket.line, bucket.level_at)
-    bucket.level = min(burst, bucket.level + passed_s * rate)
-    bucket.level_at = max(bucket.level_at, now)
-    _, burst = shares.usable(bucket.line, now)
-    bucket.level = min(burst, bucket.level)
-
-
-def _measure_demand(bucket: Bucket, now: float) -> None:
-    """Smooths the arrivals since the last measurement."""
-    passed_s = now - bucket.demand_at
-    if passed_s < DEMAND_STEP_S:
-        # A sudden rise counts at once.
-        least = bucket.arrivals / SUDDEN_S
-        bucket.demand = max(bucket.demand, least)
-        return
-    kept = math.exp(-passed_s / DEMAND_TIME_S)
-    measured = bucket.arrivals / passed_s
-    bucket.demand = bucket.demand * kept + measured * (1 - kept)
-    bucket.arrivals = 0
-    bucket.demand_at = now
--- a/src/cuminwall/sessions.py
+++ b/src/cuminwall/sessions.py
@@ -5,6 +5,7 @@
 """
 
 from cuminwall import (
+    buckets,
     jobs,
     membership,
     outcomes,
@@ -118,7 +119,7 @@
         return
     state.pending[number] = pending
     session.running = number
-    if bucket is not None and rates.is_low(bucket):
+    if bucket is not None and buckets.is_low(bucket):
         shareasks.ask_at_once(state, bucket, out)
     if taken is rates.Taken.WAITS:
         return
--- a/src/cuminwall/shareasks.py
+++ b/src/cuminwall/shareasks.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from cuminwall import (
+    buckets,
     connectionshares,
     messages,
     placement,
@@ -15,14 +16,14 @@
     shares,
 )
 from cuminwall.effects import Effect, Log, Say
-from cuminwall.state import Bucket, Group, Server, ServerShare, State
+from cuminwall.state import Group, Server, ServerShare, State
 
 PREFIX = "shares"
 
-Holder = Bucket | ServerShare
+Holder = buckets.Bucket | ServerShare
 
 
-def take_up_workspace(state: State, workspace: str) -> Bucket | None:
+def take_up_workspace(state: State, workspace: str) -> buckets.Bucket | None:
     """Returns a workspace's bucket, and asks for a share if it is new."""
     is_new = workspace not in state.buckets
     bucket = rates.find(state, workspace)
@@ -106,13 +107,13 @@
 
 
 @state_line.register
-def _(holder: Bucket, state: State) -> messages.ShareLine:
+def _(holder: buckets.Bucket, state: State) -> messages.ShareLine:
     if not rates.is_idle(state, holder):
-        return rates.state_line(holder, state.now)
+        return buckets.state_line(holder, state.now)
     shard = _shard_of(state, holder)
     del state.buckets[holder.workspace]
     del state.share_holders[shard][holder.line.name]
-    return rates.give_back(holder, state.now)
+    return buckets.give_back(holder, state.now)
 
 
 @state_line.register
@@ -135,13 +136,13 @@
 
 @granted.register
 def _(
-    holder: Bucket,
+    holder: buckets.Bucket,
     state: State,
     number: int,
     grant: messages.ShareGrant,
     out: list[Effect],
 ) -> shares.Accepted | None:
-    return rates.granted(holder, number, grant, state.now)
+    return buckets.granted(holder, number, grant, state.now)
 
 
 @granted.register
--- a/src/cuminwall/state.py
+++ b/src/cuminwall/state.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from cuminwall import (
+    buckets,
     configuration,
     document,
     fairness,
@@ -131,48 +132,6 @@
         self.wrote = False
 
 
-class Bucket:
-    """This instance's share of a workspace's rate and burst.
-
-    Attributes:
-      workspace: The workspace.
-      line: The share: rate and burst.
-      level: The tokens: requests that may come at once.
-      level_at: When the level was worked out, in seconds.
-      returned: The tokens ever given back to the lender.
-      demand: Requests a second, smoothed, whether served or not.
-      arrivals: Requests since `demand` was worked out.
-      demand_at: When that was.
-      sessions: The callers of the workspace here.
-      waiting: Rounds that wait for a token: number and arrival time.
-    """
-
-    __slots__ = (
-        "workspace",
-        "line",
-        "level",
-        "level_at",
-        "returned",
-        "demand",
-        "arrivals",
-        "demand_at",
-        "sessions",
-        "waiting",
-    )
-
-    def __init__(self, workspace: str, line: shares.Line, now: float):
-        self.workspace = workspace
-        self.line = line
-        self.level = 0.0
-        self.level_at = now
-        self.returned = 0.0
-        self.demand = 0.0
-        self.arrivals = 0
-        self.demand_at = now
-        self.sessions = 0
-        self.waiting: deque[tuple[int, float]] = deque()
-
-
 class ServerShare(NamedTuple):
     """Names a backend server whose connections are shared."""
 
@@ -637,12 +596,14 @@
             tuple[str, int], tuple[messages.PromoteOrder, str]
         ] = {}
 
-        self.buckets: dict[str, Bucket] = {}
-        self.waiting: dict[str, Bucket] = {}
-        self.share_holders: dict[int, dict[str, Bucket | ServerShare]] = {}
+        self.buckets: dict[str, buckets.Bucket] = {}
+        self.waiting: dict[str, buckets.Bucket] = {}
+        self.share_holders: dict[
+            int, dict[str, buckets.Bucket | ServerShare]
+        ] = {}
         self.share_asks: dict[int, float] = {}
         self.permits_until = float("inf")
-        self.urgent_shares: dict[str, Bucket | ServerShare] = {}
+        self.urgent_shares: dict[str, buckets.Bucket | ServerShare] = {}
         self.calls: dict[int, tuple[Any, ...]] = {}
         self.last_number = 0
 
--- a/tests/share_world.py
+++ b/tests/share_world.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Callable
 
-from cuminwall import lending, messages, rates, shares, state
+from cuminwall import buckets, lending, messages, shares
 
 RATE_POLICY = lending.Policy(
     lease_s=2.0,
@@ -39,7 +39,7 @@
     def __init__(self, name: str, components: int, now: float):
         self.name = name
         self.line = shares.Line("limit", components)
-        self.bucket = state.Bucket("w", self.line, now)
+        self.bucket = buckets.Bucket("w", self.line, now)
         self.is_rate = components == 2
         self.wanted = 0.0
         self.epoch = 0
@@ -52,13 +52,13 @@
     def held(self, now: float) -> shares.Amounts:
         """Returns what it would use now."""
         if self.is_rate:
-            rates.settle(self.bucket, now)
+            buckets.settle(self.bucket, now)
         return shares.usable(self.line, now)
 
     def state_line(self, now: float) -> messages.ShareLine:
         """Returns what an ask states."""
         if self.is_rate:
-            return rates.state_line(self.bucket, now)
+            return buckets.state_line(self.bucket, now)
         shares.lapse(self.line, now)
         line = self.line
         want = (self.wanted,)
@@ -70,7 +70,7 @@
     def granted(self, number: int, grant: messages.ShareGrant, now: float):
         """Takes an answer."""
         if self.is_rate:
-            return rates.granted(self.bucket, number, grant, now)
+            return buckets.granted(self.bucket, number, grant, now)
         return shares.accept(self.line, number, grant, now)
 
 
@@ -228,7 +228,7 @@
     def serve(self, holder: Holder) -> None:
         """Admits what has tokens, and drops what waited long."""
         bucket = holder.bucket
-        rates.settle(bucket, self.now)
+        buckets.settle(bucket, self.now)
         while bucket.waiting and bucket.level >= 1.0:
             bucket.waiting.popleft()
             bucket.level -= 1.0
