--- a/src/cuminwall/buckets.py
+++ b/src/cuminwall/buckets.py
@@ -6,26 +6,47 @@
 
 import math
 from collections import deque
+from typing import NamedTuple
 
 from cuminwall import messages, shares
 
-DEMAND_TIME_S = 0.5  # Time constant of the smoothed demand.
 DEMAND_STEP_S = 0.2  # Shortest time over which demand is measured.
 SUDDEN_S = 1.0  # Time over which a sudden rise is spread.
-OWN_PART = 0.5  # Wanted rate per demand; the rest comes from the pool.
-STOCK_S = 0.25  # Demand for which tokens are kept ready.
-KEPT_S = 0.3  # Tokens beyond this demand are given back.
-ROOM_S = 0.2  # Demand for which the burst has room beyond that.
-LEAST_DEMAND = 20.0  # Requests a second; below, each fetches its own token.
 LOW_LEVEL_S = 0.05  # Demand below whose tokens more are asked for at once.
 
 
+class Appetite(NamedTuple):
+    """How much of a workspace's limits an instance would like to hold.
+
+    Attributes:
+      demand_time_s: Time constant of the smoothed demand.
+      own_part: Wanted rate per demand; the rest comes from the pool.
+      stock_s: Demand for which tokens are kept ready.
+      kept_s: Tokens beyond this demand are given back.
+      room_s: Demand for which the burst has room beyond that.
+      least_demand: Requests a second; below, each fetches its own token.
+      spare: Tokens that are kept whatever the demand.
+    """
+
+    demand_time_s: float = 0.5
+    own_part: float = 0.5
+    stock_s: float = 0.25
+    kept_s: float = 0.3
+    room_s: float = 0.2
+    least_demand: float = 20.0
+    spare: float = 0.0
+
+
+DEFAULT_APPETITE = Appetite()
+
+
 class Bucket:
     """This instance's share of a workspace's rate and burst.
 
     Attributes:
       workspace: The workspace.
       line: The share: rate and burst.
+      appetite: How much it would like to hold.
       level: The tokens: requests that may come at once.
       level_at: When the level was worked out, in seconds.
       returned: The tokens ever given back to the lender.
@@ -39,6 +60,7 @@
     __slots__ = (
         "workspace",
         "line",
+        "appetite",
         "level",
         "level_at",
         "returned",
@@ -49,9 +71,16 @@
         "waiting",
     )
 
-    def __init__(self, workspace: str, line: shares.Line, now: float):
+    def __init__(
+        self,
+        workspace: str,
+        line: shares.Line,
+        now: float,
+        appetite: Appetite = DEFAULT_APPETITE,
+    ):
         self.workspace = workspace
         self.line = line
+        self.appetite = appetite
         self.level = 0.0
         self.level_at = now
         self.returned = 0.0
@@ -66,7 +95,7 @@
     """Returns whether the tokens will not last until the regular ask."""
     if bucket.waiting:
         return True
-    if bucket.demand < LEAST_DEMAND:
+    if bucket.demand < bucket.appetite.least_demand:
         return False
     return bucket.level < LOW_LEVEL_S * bucket.demand
 
@@ -86,13 +115,15 @@
     """Returns what an ask states, after giving surplus tokens back."""
     settle(bucket, now)
     _measure_demand(bucket, now)
-    demand = bucket.demand if bucket.demand >= LEAST_DEMAND else 0.0
+    appetite = bucket.appetite
+    is_known = bucket.demand >= appetite.least_demand
+    demand = bucket.demand if is_known else 0.0
     waiting = float(len(bucket.waiting))
-    kept = waiting + KEPT_S * demand
+    kept = waiting + appetite.kept_s * demand + appetite.spare
     surplus = max(0.0, bucket.level - kept)
     bucket.level -= surplus
     bucket.returned += surplus
-    wanted = (OWN_PART * demand, kept + ROOM_S * demand)
+    wanted = (appetite.own_part * demand, kept + appetite.room_s * demand)
     line = bucket.line
     return messages.ShareLine(
         name=line.name,
@@ -104,7 +135,7 @@
         short=max(0.0, waiting - bucket.level),
         stock=max(
             0.0,
-            STOCK_S * demand - max(0.0, bucket.level - waiting),
+            appetite.stock_s * demand - max(0.0, bucket.level - waiting),
         ),
         returned=bucket.returned,
         is_leaving=False,
@@ -166,7 +197,7 @@
         least = bucket.arrivals / SUDDEN_S
         bucket.demand = max(bucket.demand, least)
         return
-    kept = math.exp(-passed_s / DEMAND_TIME_S)
+    kept = math.exp(-passed_s / bucket.appetite.demand_time_s)
     measured = bucket.arrivals / passed_s
     bucket.demand = bucket.demand * kept + measured * (1 - kept)
     bucket.arrivals = 0
--- a/src/cuminwall/direct/answers.py
+++ b/src/cuminwall/direct/answers.py
@@ -89,6 +89,20 @@
     detail: str
 
 
+class Status(NamedTuple):
+    """What a server says of itself when it is asked.
+
+    Attributes:
+      is_primary: Whether it leads.
+      term: The highest term that it knows.
+      position: How far its log goes.
+    """
+
+    is_primary: bool
+    term: int
+    position: Position
+
+
 class Answer(NamedTuple):
     """The whole answer to one statement.
 
@@ -98,6 +112,7 @@
       failure: Why it was no success, or None.
       phase: Where the session stands after it.
       position: The server's place in its log, or None.
+      status: What it says of itself, if that was asked for.
     """
 
     rows: tuple[str, ...]
@@ -105,6 +120,7 @@
     failure: Failure | None
     phase: Phase
     position: Position | None
+    status: Status | None = None
 
 
 def done(phase: Phase) -> Answer:
--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -91,7 +91,7 @@
         self.session = self.callers.count
         self.callers.open[self.session] = self
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(LOGIN_S, transport.abort)
+        self.timer = loop.call_later(LOGIN_S, self.transport.abort)
 
     def data_received(self, data: bytes) -> None:
         """Takes in bytes."""
--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -40,7 +40,7 @@
     service = state.catalog.services.get(server.entry.service)
     if service is None:
         return 1
-    return max(1, service.connections // max(1, len(state.instances)))
+    return max(1, service.connections // max(1, len(state.members)))
 
 
 def acquire(
--- /dev/null
+++ b/src/cuminwall/direct/coordination.py
@@ -0,0 +1,205 @@
+"""Which instance coordinates: a value in the store that ends with a lease.
+
+The coordinator lends the shared limits and orders changes of primary. It
+acts only while its lease surely holds by its own clock, which counts from
+before each renewal was sent. Whoever takes over raises the epoch.
+"""
+
+import json
+
+from cuminwall import placement
+from cuminwall.direct import failover, lender
+from cuminwall.direct.effects import (
+    Effect,
+    EndLease,
+    GrantLease,
+    KeepLease,
+    Note,
+)
+from cuminwall.direct.state import Coordinator, Purpose, State, Subject
+
+PART = "coordination"
+
+NAME = "coordinator"
+EPOCH_NAME = "epoch"
+MARGIN_S = 0.1  # Kept off a lease, for clocks that run apart.
+RANK_DELAY_S = 0.12  # How much later each next instance tries to take over.
+MAX_RANK = 8
+VACANT_DELAY_S = 0.02
+
+
+def is_held(state: State) -> bool:
+    """Returns whether this instance coordinates now."""
+    own = state.hold
+    return own.epoch > 0 and state.now < own.until
+
+
+def seen(
+    state: State, value: bytes | None, revision: int, out: list[Effect]
+) -> None:
+    """Takes in who coordinates."""
+    found = _decode(value, revision)
+    state.coordinator = found
+    hold = state.hold
+    is_own = (
+        found is not None
+        and found.instance == state.instance
+        and found.boot == state.boot
+    )
+    if is_own:
+        assert found is not None
+        _take_up(state, found, out)
+        return
+    if hold.epoch:
+        _lose(state, "another took over", out)
+    if found is None:
+        _plan_try(state)
+
+
+def tick(state: State, out: list[Effect]) -> None:
+    """Renews the lease, or tries to take over where nobody coordinates."""
+    hold = state.hold
+    if hold.epoch:
+        if state.now >= hold.until:
+            _lose(state, "the lease lapsed", out)
+            return
+        if state.now >= hold.renew_at and not hold.is_asking:
+            hold.is_asking = True
+            hold.renew_at = state.now + state.limits.lease_renew_s
+            out.append(KeepLease(hold.lease))
+        state.remind(hold.renew_at, Subject.COORDINATOR)
+        return
+    if state.coordinator is not None or state.is_leaving:
+        return
+    if state.now < hold.try_at or not state.is_store_up:
+        return
+    if hold.is_asking or state.pending_swap(Purpose.COORDINATE):
+        return
+    if hold.lease and state.now < hold.until:
+        _write(state, out)
+        return
+    hold.is_asking = True
+    out.append(GrantLease(state.limits.instance_lease_s))
+
+
+def leased(
+    state: State,
+    lease: int,
+    sent_at: float,
+    ttl_s: float | None,
+    out: list[Effect],
+) -> None:
+    """Takes in the answer to a call about the lease."""
+    hold = state.hold
+    hold.is_asking = False
+    if ttl_s is None:
+        _plan_try(state)
+        return
+    if ttl_s <= 0.0:
+        hold.lease = 0
+        if hold.epoch:
+            _lose(state, "the lease is over", out)
+        return
+    hold.lease = lease
+    hold.until = max(hold.until, sent_at + ttl_s - MARGIN_S)
+    if hold.epoch:
+        state.remind(hold.until, Subject.COORDINATOR)
+        return
+    if state.coordinator is None:
+        _write(state, out)
+
+
+def leave(state: State, out: list[Effect]) -> None:
+    """Makes way for another coordinator at once."""
+    hold = state.hold
+    if hold.lease:
+        out.append(EndLease(hold.lease))
+    if hold.epoch:
+        _lose(state, "this instance leaves", out)
+
+
+def _write(state: State, out: list[Effect]) -> None:
+    """Tries to become the coordinator."""
+    value = {
+        "instance": state.instance,
+        "boot": state.boot,
+        "epoch": state.epoch + 1,
+    }
+    state.swap(
+        Purpose.COORDINATE,
+        {
+            NAME: 0,
+            EPOCH_NAME: state.shared_revisions.get(EPOCH_NAME, 0),
+        },
+        {
+            NAME: json.dumps(value).encode(),
+            EPOCH_NAME: str(state.epoch + 1).encode(),
+        },
+        frozenset({NAME}),
+        state.hold.lease,
+        out,
+    )
+    _plan_try(state)
+
+
+def _plan_try(state: State) -> None:
+    """Lets the instances try one after the other."""
+    ranked = placement.ranked(f"epoch {state.epoch}", state.members)
+    rank = MAX_RANK
+    if state.instance in ranked:
+        rank = min(MAX_RANK, ranked.index(state.instance))
+    hold = state.hold
+    hold.try_at = state.now + VACANT_DELAY_S + rank * RANK_DELAY_S
+    state.remind(hold.try_at, Subject.COORDINATOR)
+
+
+def _take_up(state: State, found: Coordinator, out: list[Effect]) -> None:
+    """Begins to coordinate."""
+    hold = state.hold
+    if hold.epoch == found.epoch or state.now >= hold.until:
+        return
+    hold.epoch = found.epoch
+    hold.renew_at = state.now + state.limits.lease_renew_s
+    out.append(
+        Note(
+            PART,
+            "took_over",
+            {
+                "epoch": found.epoch,
+                "revision": found.revision,
+                "lease_s": round(hold.until - state.now, 3),
+            },
+        )
+    )
+    lender.take_up(state, found)
+    failover.take_up(state)
+    state.remind(hold.renew_at, Subject.COORDINATOR)
+
+
+def _lose(state: State, cause: str, out: list[Effect]) -> None:
+    """Ceases to coordinate."""
+    hold = state.hold
+    out.append(Note(PART, "gave_up", {"epoch": hold.epoch, "cause": cause}))
+    hold.epoch = 0
+    hold.lease = 0
+    hold.until = 0.0
+    hold.is_asking = False
+    lender.give_up(state)
+    failover.give_up(state, out)
+    _plan_try(state)
+
+
+def _decode(value: bytes | None, revision: int) -> Coordinator | None:
+    """Returns the coordinator that a value names."""
+    if value is None:
+        return None
+    try:
+        given = json.loads(value)
+        return Coordinator(
+            str(given["instance"]),
+            str(given["boot"]),
+            int(given["epoch"]),
+            revision,
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/src/cuminwall/direct/effects.py
+++ b/src/cuminwall/direct/effects.py
@@ -65,6 +65,7 @@
       values: The new value by name.
       leased: The names whose values end with this instance's lease.
       lease: That lease.
+      removed: The names of values to remove.
     """
 
     number: int
@@ -72,6 +73,7 @@
     values: dict[str, bytes]
     leased: frozenset[str]
     lease: int
+    removed: frozenset[str]
 
 
 class GrantLease(NamedTuple):
@@ -106,6 +108,16 @@
     fence: int
 
 
+class JoinPeers(NamedTuple):
+    """Begins to talk with the other instances.
+
+    Attributes:
+      secret: By which they know each other.
+    """
+
+    secret: bytes
+
+
 class Say(NamedTuple):
     """Sends a message to another instance."""
 
@@ -158,6 +170,7 @@
     | KeepLease
     | EndLease
     | Promote
+    | JoinPeers
     | Say
     | EndProcess
     | Note
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -18,6 +18,7 @@
     callers,
     effects,
     events,
+    fleet,
     journal,
     meters,
     ports,
@@ -45,7 +46,7 @@
       meters: The metrics, or None.
       callers: The callers' connections.
       servers: The connections to backend servers.
-      say: Sends a message to another instance.
+      fleet: The links to the other instances.
       ended: Set when nothing is left to do.
     """
 
@@ -66,7 +67,7 @@
         self.meters = meters_
         self.callers = callers.Callers(caller_codec, self.happen, boot_clock)
         self.servers = servers.Servers(server_codec, self.happen, boot_clock)
-        self.say: Callable[[str, Any], None] = _drop_message
+        self.fleet = fleet.Fleet(state_, self.happen, boot_clock)
         self.ended = asyncio.Event()
         self.queue: collections.deque[events.Event] = collections.deque()
         self.is_running = False
@@ -126,9 +127,7 @@
         sent_at = boot_clock()
         revision: int | None
         try:
-            revision = await self.store.swap(
-                effect.expected, effect.values, effect.leased, effect.lease
-            )
+            revision = await self.store.swap(effect)
         except exceptions.StoreUnavailableError as error:
             self._note_failed_call("swap", error)
             revision = None
@@ -194,11 +193,6 @@
         self.journal.add(PART, "call_failed", fields)
 
 
-def _drop_message(instance: str, message: Any) -> None:
-    """Stands in until the links to other instances are there."""
-    logger.debug("{}: {} not told {}", PART, instance, message)
-
-
 @functools.singledispatch
 def carry(effect: Any, engine: Engine) -> None:
     """Carries out one effect."""
@@ -265,9 +259,14 @@
     engine.start(engine.promote(effect))
 
 
+@carry.register
+def _(effect: effects.JoinPeers, engine: Engine) -> None:
+    engine.start(engine.fleet.join(effect.secret))
+
+
 @carry.register
 def _(effect: effects.Say, engine: Engine) -> None:
-    engine.say(effect.instance, effect.message)
+    engine.fleet.say(effect.instance, effect.message)
 
 
 @carry.register
--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -100,13 +100,13 @@
 
     Attributes:
       now: The time.
-      key: The name of the value.
+      name: Its name.
       value: Its bytes; None if it is gone.
       revision: The store's revision of the change.
     """
 
     now: float
-    key: str
+    name: str
     value: bytes | None
     revision: int
 
--- /dev/null
+++ b/src/cuminwall/direct/lender.py
@@ -0,0 +1,127 @@
+"""What the coordinator lends of the workspaces' rates.
+
+A new coordinator does not know what its predecessor has lent. It lends only
+what it is given back, until every process that was there before it has told
+what it holds, has been replaced by a later process of its instance, or has
+been silent for as long as any loan lasts.
+"""
+
+from cuminwall import lending
+from cuminwall.direct import messages
+from cuminwall.direct.effects import Effect, Note
+from cuminwall.direct.state import Coordinator, Lender, State
+
+PART = "lender"
+
+RATE_PREFIX = "rate:"
+LENDABLE = (0.9, 0.9)  # The rest stays for sudden needs.
+FLOOR_PART = 0.3  # Of the whole, for all that lose touch.
+FLOOR_LEAST = (0.0, 0.5)
+DRIFT_S = 1.0  # Added before a silent process counts as without any loan.
+
+
+def take_up(state: State, found: Coordinator) -> None:
+    """Begins to lend."""
+    lent = state.lender = Lender(found.epoch, state.now)
+    for member in state.members.values():
+        if member.instance != state.instance:
+            lent.unheard[member.instance] = member.boot
+
+
+def give_up(state: State) -> None:
+    """Ceases to lend."""
+    state.lender = None
+
+
+def asked(
+    state: State, sender: str, ask: messages.Ask, out: list[Effect]
+) -> messages.Grants | None:
+    """Returns the answer to an ask; None if it was meant for another."""
+    lent = state.lender
+    if lent is None or ask.epoch != lent.epoch:
+        return None
+    member = state.members.get(sender)
+    if member is None or member.boot != ask.boot:
+        return None
+    lent.heard_at[sender] = state.now
+    holder = f"{sender}@{ask.boot}"
+    grants = []
+    for line in ask.lines:
+        limit = _find(state, lent, line.name)
+        if limit is None:
+            continue
+        grant = lending.asked(limit, holder, ask.number, line, state.now)
+        if grant is not None:
+            grants.append(grant)
+    if ask.is_complete and lent.unheard.get(sender) == ask.boot:
+        del lent.unheard[sender]
+    settle_claims(state, out)
+    return messages.Grants(ask.number, ask.epoch, tuple(grants))
+
+
+def settle_claims(state: State, out: list[Effect]) -> None:
+    """Lends freely once nobody may hold what this lender has not lent."""
+    lent = state.lender
+    if lent is None or lent.is_settled:
+        return
+    for instance, boot in list(lent.unheard.items()):
+        member = state.members.get(instance)
+        if member is None or member.boot != boot:
+            del lent.unheard[instance]
+    limits = state.limits
+    quiet_s = limits.share_lease_s + limits.share_floor_s + DRIFT_S
+    if lent.unheard and state.now < lent.since + quiet_s:
+        return
+    lent.is_settled = True
+    for limit in lent.limits.values():
+        lending.all_heard(limit, state.now)
+    out.append(
+        Note(
+            PART,
+            "settled",
+            {
+                "epoch": lent.epoch,
+                "after_s": round(state.now - lent.since, 3),
+                "silent": sorted(lent.unheard),
+            },
+        )
+    )
+
+
+def _find(state: State, lent: Lender, name: str) -> lending.Limit | None:
+    """Returns a limit with its present whole; None if there is none."""
+    entry = state.catalog.workspaces.get(name.removeprefix(RATE_PREFIX))
+    if entry is None:
+        lent.limits.pop(name, None)
+        return None
+    whole = (entry.rate, entry.burst)
+    limit = lent.limits.get(name)
+    if limit is not None:
+        lending.set_whole(limit, whole, state.now)
+        return limit
+    policy = lending.Policy(
+        lease_s=state.limits.share_lease_s,
+        floor_s=state.limits.share_floor_s,
+        drain_s=0.0,
+        lendable=LENDABLE,
+        floor_part=FLOOR_PART,
+        floor_most=FLOOR_PART,
+        floor_least=FLOOR_LEAST,
+        is_whole=False,
+        has_level=True,
+    )
+    limit = lending.Limit(whole, policy, lent.is_settled, lent.since)
+    lent.limits[name] = limit
+    return limit
+
+
+def heard_lately(state: State, within_s: float) -> int:
+    """Returns how many other instances asked lately."""
+    lent = state.lender
+    if lent is None:
+        return 0
+    count = 0
+    for heard_at in lent.heard_at.values():
+        if state.now - heard_at <= within_s:
+            count += 1
+    return count
--- /dev/null
+++ b/src/cuminwall/direct/membership.py
@@ -0,0 +1,127 @@
+"""The instances of the system, as they stand in the store.
+
+Each process writes a line when it starts and removes it when it ends in
+order. The line of a process that was killed stays until the next process of
+its instance replaces it, or the coordinator has not heard of it for long.
+"""
+
+import json
+from typing import Any
+
+from cuminwall.direct.effects import Effect, JoinPeers, Note, SwapValues
+from cuminwall.direct.state import Member, Purpose, State, Subject
+
+PART = "membership"
+
+PREFIX = "instances/"
+SECRET_NAME = "secret"
+RETRY_S = 0.3  # Between two tries to write the line.
+
+
+def name_of(instance: str) -> str:
+    """Returns the name of an instance's line."""
+    return PREFIX + instance
+
+
+def register(state: State, out: list[Effect]) -> None:
+    """Writes this process's line, and the fleet's secret if there is none."""
+    if state.is_leaving or state.pending_swap(Purpose.REGISTER):
+        return
+    own = state.members.get(state.instance)
+    if own is not None and own.boot == state.boot and state.secret:
+        return
+    name = name_of(state.instance)
+    expected = {name: state.shared_revisions.get(name, 0)}
+    values = {name: _line(state)}
+    if not state.secret:
+        expected[SECRET_NAME] = 0
+        values[SECRET_NAME] = state.entropy
+    state.swap(Purpose.REGISTER, expected, values, frozenset(), 0, out)
+    state.remind(state.now + RETRY_S, Subject.MEMBERSHIP)
+
+
+def seen(
+    state: State,
+    name: str,
+    value: bytes | None,
+    revision: int,
+    out: list[Effect],
+) -> None:
+    """Takes in an instance's line."""
+    instance = name.removeprefix(PREFIX)
+    if value is None:
+        if state.members.pop(instance, None) is not None:
+            out.append(Note(PART, "instance_gone", {"peer": instance}))
+        return
+    member = _member(instance, value, revision)
+    if member is None:
+        out.append(Note(PART, "malformed_line", {"peer": instance}))
+        return
+    known = state.members.get(instance)
+    state.members[instance] = member
+    if known is None or known.boot != member.boot:
+        out.append(
+            Note(
+                PART,
+                "instance_seen",
+                {
+                    "peer": instance,
+                    "boot": member.boot,
+                    "zone": member.zone,
+                    "revision": revision,
+                },
+            )
+        )
+
+
+def secret_seen(state: State, value: bytes | None, out: list[Effect]) -> None:
+    """Takes in the secret by which instances know each other."""
+    if value is None or value == state.secret:
+        return
+    state.secret = value
+    out.append(JoinPeers(value))
+
+
+def leave(state: State, out: list[Effect]) -> None:
+    """Removes this process's line."""
+    name = name_of(state.instance)
+    revision = state.shared_revisions.get(name, 0)
+    if not revision:
+        return
+    out.append(
+        SwapValues(
+            state.next_number(),
+            {name: revision},
+            {},
+            frozenset(),
+            0,
+            frozenset({name}),
+        )
+    )
+
+
+def _line(state: State) -> bytes:
+    """Returns this process's line."""
+    line = {
+        "boot": state.boot,
+        "zone": state.zone,
+        "host": state.peer_host,
+        "port": state.peer_port,
+    }
+    return json.dumps(line).encode()
+
+
+def _member(instance: str, value: bytes, revision: int) -> Member | None:
+    """Returns the member that a line tells; None if it is malformed."""
+    try:
+        line: Any = json.loads(value)
+        return Member(
+            instance,
+            str(line["boot"]),
+            str(line["zone"]),
+            str(line["host"]),
+            int(line["port"]),
+            revision,
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
--- /dev/null
+++ b/src/cuminwall/direct/messages.py
@@ -0,0 +1,60 @@
+"""What instances say to each other. A type's place in `TYPES` is its number."""
+
+from typing import NamedTuple
+
+from cuminwall import codec
+from cuminwall.messages import ShareGrant, ShareLine
+
+
+class Missed(NamedTuple):
+    """A server that the sender can't reach.
+
+    Attributes:
+      server: Its id.
+      age_s: For how long.
+    """
+
+    server: str
+    age_s: float
+
+
+class Ask(NamedTuple):
+    """An instance tells the coordinator what it holds, needs and sees.
+
+    Attributes:
+      number: Running number of the asker's process.
+      boot: Tells the process from an earlier one of the same instance.
+      epoch: The coordinator's, as the asker knows it.
+      is_complete: Whether every share that the asker holds is stated.
+      lines: Shares.
+      missed: The servers that it can't reach.
+      config_version: The version of its configuration.
+      is_leaving: Whether it is about to end.
+    """
+
+    number: int
+    boot: str
+    epoch: int
+    is_complete: bool
+    lines: tuple[ShareLine, ...]
+    missed: tuple[Missed, ...]
+    config_version: int
+    is_leaving: bool
+
+
+class Grants(NamedTuple):
+    """The coordinator's answer to an ask.
+
+    Attributes:
+      number: The number of the ask.
+      epoch: The coordinator's.
+      grants: Shares.
+    """
+
+    number: int
+    epoch: int
+    grants: tuple[ShareGrant, ...]
+
+
+TYPES: tuple[type, ...] = (ShareLine, ShareGrant, Missed, Ask, Grants)
+CODEC = codec.Codec(TYPES)
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -1,6 +1,7 @@
 """One instance of direct service, from its settings to its end."""
 
 import asyncio
+import secrets
 import signal
 from collections.abc import Callable
 from typing import NamedTuple
@@ -27,6 +28,8 @@
 NOT_FOUND = 404
 UNAVAILABLE = 503
 EXIT_BAD_SETTINGS = 2
+ENTROPY_BYTES = 32
+BOOT_BYTES = 8
 
 
 class Address(NamedTuple):
@@ -99,8 +102,12 @@
         self.journal = journal.Journal(own.instance, call_later=loop.call_later)
         journal.capture(self.journal)
         meters_ = meters.Meters()
+        known = state.State(own.instance, own.zone, own.limits)
+        known.entropy = secrets.token_bytes(ENTROPY_BYTES)
+        known.boot = secrets.token_hex(BOOT_BYTES)
+        known.peer_host, known.peer_port = own.peers
         self.engine = engine.Engine(
-            state.State(own.instance, own.zone, own.limits),
+            known,
             platform.make_store(*own.store),
             platform.make_provider(*own.provider),
             platform.caller_codec,
--- a/src/cuminwall/direct/ports.py
+++ b/src/cuminwall/direct/ports.py
@@ -10,6 +10,7 @@
 from cuminwall import exceptions
 from cuminwall.direct.answers import Answer, Failure
 from cuminwall.direct.commands import Command
+from cuminwall.direct.effects import SwapValues
 from cuminwall.direct.events import PromotionOutcome
 from cuminwall.direct.statements import Statement
 
@@ -125,13 +126,7 @@
           HistoryLostError: The store no longer knows.
         """
 
-    async def swap(
-        self,
-        expected: dict[str, int],
-        values: dict[str, bytes],
-        leased: frozenset[str],
-        lease: int,
-    ) -> int:
+    async def swap(self, call: SwapValues) -> int:
         """Writes shared values if all have the expected revisions.
 
         Returns:
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -1,11 +1,227 @@
-"""Tokens of the workspaces: each operation takes one before it runs."""
+"""Tokens of the workspaces: each operation takes one before it runs.
 
-from cuminwall.direct import works
-from cuminwall.direct.effects import Effect
-from cuminwall.direct.state import State, Work
+An operation that finds none waits a short time, while the coordinator is
+asked for more. One that can't get a token in that time is refused at once.
+"""
+
+from cuminwall import buckets, shares
+from cuminwall.direct import coordination, lender, messages, works
+from cuminwall.direct.effects import Effect, Note, Say
+from cuminwall.direct.state import Stage, State, Subject, Work
+from cuminwall.messages import ShareLine
+
+PART = "quotas"
+
+APPETITE = buckets.Appetite(
+    demand_time_s=2.0,
+    own_part=1.3,
+    stock_s=0.5,
+    kept_s=1.0,
+    room_s=0.5,
+    least_demand=0.0,
+    spare=1.0,
+)
+IDLE_S = 8.0  # After so long without an operation a share is given back.
+LOOK_S = 0.02  # How often waiting work is looked at, at most.
+MAX_WAITING = 50  # Operations of a workspace that wait for a token.
 
 
 def take(state: State, work: Work, out: list[Effect]) -> None:
     """Takes a token for an operation, or lets it wait or refuses it."""
-    del out
-    works.admit(state, work)
+    bucket = _find(state, work.session.workspace)
+    if bucket is None:
+        works.admit(state, work)
+        return
+    bucket.arrivals += 1
+    state.asked_tokens_at[bucket.workspace] = state.now
+    buckets.settle(bucket, state.now)
+    if not bucket.waiting and bucket.level >= 1.0:
+        bucket.level -= 1.0
+        works.admit(state, work)
+        return
+    if len(bucket.waiting) >= MAX_WAITING or _is_hopeless(state, bucket):
+        ask_now(state, bucket, out)
+        works.refuse(state, work, _describe(bucket, state.now), out)
+        return
+    work.stage = Stage.TOKENS
+    work.wait_until = state.now + state.limits.token_wait_s
+    state.remind(work.wait_until, Subject.WORK, work.number)
+    bucket.waiting.append((work.number, state.now))
+    ask_now(state, bucket, out)
+    _look_again(state, bucket)
+
+
+def release(state: State, bucket: buckets.Bucket) -> None:
+    """Lets waiting operations go on, as far as there are tokens."""
+    buckets.settle(bucket, state.now)
+    while bucket.waiting:
+        work = state.works.get(bucket.waiting[0][0])
+        if work is None or work.stage is not Stage.TOKENS:
+            bucket.waiting.popleft()
+            continue
+        if bucket.level < 1.0:
+            _look_again(state, bucket)
+            return
+        bucket.level -= 1.0
+        bucket.waiting.popleft()
+        works.admit(state, work)
+
+
+def due(state: State, workspace: str) -> None:
+    """Looks at the operations that wait for a workspace's tokens."""
+    bucket = state.buckets.get(workspace)
+    if bucket is not None:
+        release(state, bucket)
+
+
+def tick(state: State, out: list[Effect]) -> None:
+    """Sends the regular ask."""
+    if state.now < state.ask_at:
+        return
+    state.ask_at = state.now + state.limits.ask_s
+    state.remind(state.ask_at, Subject.QUOTAS)
+    ask(state, list(state.buckets.values()), True, out)
+
+
+def ask_now(state: State, bucket: buckets.Bucket, out: list[Effect]) -> None:
+    """Asks for one workspace's tokens, unless an ask is on its way."""
+    if shares.may_ask_now(bucket.line, state.now):
+        ask(state, [bucket], False, out)
+
+
+def ask(
+    state: State,
+    wanted: list[buckets.Bucket],
+    is_complete: bool,
+    out: list[Effect],
+) -> None:
+    """Tells the coordinator what is held, needed and seen here."""
+    coordinator = state.coordinator
+    own = state.members.get(state.instance)
+    if coordinator is None or own is None or own.boot != state.boot:
+        # Whoever takes over next must know of all that may hold a share.
+        return
+    number = state.next_number()
+    lines = []
+    for bucket in wanted:
+        since_s = state.now - bucket.line.asked_at
+        is_open = not bucket.line.is_answered
+        if is_open and since_s < shares.ASK_TIMEOUT_S and not is_complete:
+            continue
+        line = _state_line(state, bucket)
+        shares.note_asked(bucket.line, number, state.now, line.short > 0)
+        lines.append(line)
+    message = messages.Ask(
+        number=number,
+        boot=state.boot,
+        epoch=coordinator.epoch,
+        is_complete=is_complete,
+        lines=tuple(lines),
+        missed=_missed(state),
+        config_version=state.catalog.version,
+        is_leaving=state.is_leaving,
+    )
+    if coordinator.instance != state.instance:
+        out.append(Say(coordinator.instance, message))
+        return
+    if coordination.is_held(state):
+        grants = lender.asked(state, state.instance, message, out)
+        if grants is not None:
+            granted(state, grants)
+
+
+def granted(state: State, grants: messages.Grants) -> None:
+    """Takes in the coordinator's answer."""
+    for grant in grants.grants:
+        workspace = grant.name.removeprefix(lender.RATE_PREFIX)
+        bucket = state.buckets.get(workspace)
+        if bucket is None:
+            continue
+        accepted = buckets.granted(bucket, grants.number, grant, state.now)
+        if accepted is None:
+            continue
+        if accepted.has_grown or grant.level:
+            bucket.line.pause_s = shares.FIRST_PAUSE_S
+        else:
+            shares.lengthen_pause(bucket.line)
+        release(state, bucket)
+
+
+def _state_line(state: State, bucket: buckets.Bucket) -> ShareLine:
+    """Returns what is stated of one workspace; an unused share goes back."""
+    asked_at = state.asked_tokens_at.get(bucket.workspace, 0.0)
+    is_unused = state.now - asked_at > IDLE_S and not bucket.waiting
+    if is_unused or state.is_leaving and not bucket.waiting:
+        del state.buckets[bucket.workspace]
+        return buckets.give_back(bucket, state.now)
+    return buckets.state_line(bucket, state.now)
+
+
+def _missed(state: State) -> tuple[messages.Missed, ...]:
+    """Returns the servers that can't be reached from here."""
+    found = []
+    for server in state.servers.values():
+        if server.missed_at is None or server.is_gone:
+            continue
+        age_s = state.now - server.missed_at
+        found.append(messages.Missed(server.entry.server, age_s))
+    return tuple(found)
+
+
+def _find(state: State, workspace: str) -> buckets.Bucket | None:
+    """Returns a workspace's bucket, or None if it has no limit."""
+    bucket = state.buckets.get(workspace)
+    if bucket is not None or workspace not in state.catalog.workspaces:
+        return bucket
+    line = shares.Line(lender.RATE_PREFIX + workspace, 2)
+    bucket = buckets.Bucket(workspace, line, state.now, APPETITE)
+    state.buckets[workspace] = bucket
+    return bucket
+
+
+def _is_hopeless(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether no token can come in the time that work may wait.
+
+    That is so when the coordinator has just answered that it has none.
+    """
+    line = bucket.line
+    if not line.is_answered or line.pause_s <= shares.FIRST_PAUSE_S:
+        return False
+    rate, _ = shares.usable(line, state.now)
+    needed = len(bucket.waiting) + 1.0 - bucket.level
+    return needed > rate * state.limits.token_wait_s
+
+
+def _look_again(state: State, bucket: buckets.Bucket) -> None:
+    """Looks at the waiting operations when the next token is due."""
+    rate, _ = shares.usable(bucket.line, state.now)
+    delay_s = state.limits.token_wait_s
+    if rate > 0:
+        delay_s = min(delay_s, (1.0 - bucket.level) / rate)
+    due_at = state.now + max(LOOK_S, delay_s)
+    state.remind(due_at, Subject.TOKENS, bucket.workspace)
+
+
+def _describe(bucket: buckets.Bucket, now: float) -> str:
+    """Returns why an operation is refused, for its caller and the log."""
+    rate, burst = shares.usable(bucket.line, now)
+    return f"over the rate; here {rate:.2f}/s, burst {burst:.1f}"
+
+
+def note_epoch(state: State, out: list[Effect]) -> None:
+    """Tells a new coordinator at once what is held here."""
+    if state.coordinator is None:
+        return
+    state.ask_at = state.now
+    out.append(
+        Note(
+            PART,
+            "coordinator_seen",
+            {
+                "coordinator": state.coordinator.instance,
+                "epoch": state.coordinator.epoch,
+                "revision": state.coordinator.revision,
+            },
+        )
+    )
+    tick(state, out)
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -8,19 +8,35 @@
 import heapq
 from typing import Any
 
-from cuminwall.direct import connections, events, groups, sessions, works
+from cuminwall.direct import (
+    connections,
+    coordination,
+    events,
+    failover,
+    groups,
+    inquiries,
+    lender,
+    membership,
+    messages,
+    quotas,
+    sessions,
+    shutdown,
+    timers,
+    works,
+)
 from cuminwall.direct.answers import Answer
-from cuminwall.direct.effects import Effect, EndProcess, Note
+from cuminwall.direct.effects import Effect, Note, Say
 from cuminwall.direct.state import (
     Connection,
     Expected,
+    Purpose,
     State,
-    Subject,
-    Timer,
 )
 
 PART = "config"
 
+_NEWEST = 1 << 62  # A revision above all.
+
 
 def reduce(state: State, event: events.Event) -> list[Effect]:
     """Takes in one event and returns what is to be done."""
@@ -63,6 +79,10 @@
 
 @handle.register
 def _(event: events.ConnectionOpened, state: State, out: list[Effect]) -> None:
+    inquiry = state.inquiries.get(event.connection)
+    if inquiry is not None:
+        inquiries.opened(state, inquiry, out)
+        return
     connection = state.connections.get(event.connection)
     if connection is None:
         return
@@ -73,6 +93,10 @@
 
 @handle.register
 def _(event: events.CommandAnswered, state: State, out: list[Effect]) -> None:
+    inquiry = state.inquiries.get(event.connection)
+    if inquiry is not None:
+        inquiries.answered(state, inquiry, event.answer, out)
+        return
     connection = state.connections.get(event.connection)
     if connection is None or not connection.expected:
         return
@@ -83,6 +107,10 @@
 
 @handle.register
 def _(event: events.ConnectionEnded, state: State, out: list[Effect]) -> None:
+    inquiry = state.inquiries.get(event.connection)
+    if inquiry is not None:
+        inquiries.failed(state, inquiry, event.failure is not None, out)
+        return
     connection = state.connections.get(event.connection)
     if connection is None:
         return
@@ -124,6 +152,13 @@
     for zone in list(state.out_zones):
         if zone not in event.zones:
             groups.zone_changed(state, zone, False, out)
+    for name in list(state.shared_revisions):
+        if name not in event.shared:
+            gone = events.SharedValueSeen(event.now, name, None, _NEWEST)
+            handle(gone, state, out)
+    membership.register(state, out)
+    if state.coordinator is None:
+        coordination.seen(state, None, 0, out)
 
 
 @handle.register
@@ -133,27 +168,83 @@
     state.is_store_up = event.is_up
     name = "regained" if event.is_up else "lost"
     out.append(Note("store", name, {"cause": event.cause}))
-    if not event.is_up:
+    if event.is_up:
+        state.store_up_since = state.now
+    else:
+        state.had_outage = True
         for group in state.groups.values():
             state.unplaced.extend(group.waiting.drain())
 
 
 @handle.register
 def _(event: events.SharedValueSeen, state: State, out: list[Effect]) -> None:
-    del event, state, out
+    known = state.shared_revisions.get(event.name, 0)
+    if event.revision < known:
+        return
+    state.shared_revisions[event.name] = event.revision
+    if event.value is None:
+        state.shared_revisions.pop(event.name)
+    if event.name.startswith(membership.PREFIX):
+        membership.seen(state, event.name, event.value, event.revision, out)
+        lender.settle_claims(state, out)
+        membership.register(state, out)
+    elif event.name == membership.SECRET_NAME:
+        membership.secret_seen(state, event.value, out)
+    elif event.name == coordination.EPOCH_NAME:
+        state.epoch = max(state.epoch, int(event.value or b"0"))
+    elif event.name == coordination.NAME:
+        coordination.seen(state, event.value, event.revision, out)
+        quotas.note_epoch(state, out)
+
+
+@handle.register
+def _(event: events.SwapRan, state: State, out: list[Effect]) -> None:
+    swap = state.swaps.pop(event.number, None)
+    if swap is None:
+        return
+    if event.revision:
+        for name in swap.names:
+            known = state.shared_revisions.get(name, 0)
+            state.shared_revisions[name] = max(known, event.revision)
+    if swap.purpose is Purpose.ORDER and coordination.is_held(state):
+        service = swap.names[0].removeprefix(failover.NAME_PREFIX)
+        failover.swapped(state, service, event.revision, out)
+
+
+@handle.register
+def _(event: events.LeaseRan, state: State, out: list[Effect]) -> None:
+    coordination.leased(state, event.lease, event.sent_at, event.ttl_s, out)
+
+
+@handle.register
+def _(event: events.PromotionRan, state: State, out: list[Effect]) -> None:
+    failover.promoted(
+        state, event.service, event.server, event.fence, event.outcome, out
+    )
+
+
+@handle.register
+def _(event: events.PeerSaid, state: State, out: list[Effect]) -> None:
+    if isinstance(event.message, messages.Ask):
+        if coordination.is_held(state):
+            failover.reported(state, event.sender, event.message.missed)
+            grants = lender.asked(state, event.sender, event.message, out)
+            if grants is not None:
+                out.append(Say(event.sender, grants))
+    elif isinstance(event.message, messages.Grants):
+        quotas.granted(state, event.message)
 
 
 @handle.register
 def _(event: events.ShutdownOrdered, state: State, out: list[Effect]) -> None:
-    state.is_leaving = True
-    out.append(EndProcess())
+    shutdown.begin(state, out)
 
 
 @handle.register
 def _(event: events.TimePassed, state: State, out: list[Effect]) -> None:
     while state.timers and state.timers[0].due_at <= state.now:
         timer = heapq.heappop(state.timers)
-        _due(state, timer, out)
+        timers.due(state, timer, out)
         settle(state, out)
 
 
@@ -176,17 +267,3 @@
         works.answered(state, connection, answer, out)
     elif expected is Expected.END:
         works.transaction_ended(state, connection, answer, out)
-
-
-def _due(state: State, timer: Timer, out: list[Effect]) -> None:
-    """Looks at what a timer is about, if it still counts."""
-    if timer.subject is Subject.WORK:
-        work = state.works.get(timer.key)
-        if work is not None:
-            works.due(state, work, out)
-    elif timer.subject is Subject.SESSION:
-        sessions.due(state, timer.key, out)
-    elif timer.subject is Subject.CONNECTION:
-        connection = state.connections.get(timer.key)
-        if connection is not None:
-            works.connection_due(state, connection, out)
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -187,12 +187,21 @@
 
 def _end_resting(state: State, session: Session, out: list[Effect]) -> None:
     """Ends a transaction that rests too long, or whose key is withdrawn."""
-    transaction = session.transaction
-    if transaction is None or session.work is not None:
+    if session.transaction is None or session.work is not None:
         return
     rested_s = state.now - session.acted_at
-    is_withdrawn = _objection(state, session) is not None
-    if not is_withdrawn and rested_s < state.catalog.transaction_idle_s:
+    if _objection(state, session) is not None and session.is_closing:
+        end_transaction(state, session, "key withdrawn", out)
+    elif rested_s >= state.catalog.transaction_idle_s:
+        end_transaction(state, session, "it rested too long", out)
+
+
+def end_transaction(
+    state: State, session: Session, cause: str, out: list[Effect]
+) -> None:
+    """Rolls a resting transaction back, and ends its session if that is due."""
+    transaction = session.transaction
+    if transaction is None:
         return
     out.append(
         Note(
@@ -200,13 +209,12 @@
             "transaction_ended",
             {
                 "session": session.number,
-                "rested_s": round(rested_s, 3),
-                "key_withdrawn": is_withdrawn,
+                "rested_s": round(state.now - session.acted_at, 3),
+                "cause": cause,
             },
         )
     )
     _roll_back(state, transaction, out)
-    transaction.connection = None
     session.phase = Phase.FAILED
     if session.is_closing:
         close(state, session, out)
--- /dev/null
+++ b/src/cuminwall/direct/shutdown.py
@@ -0,0 +1,84 @@
+"""Ending in order: no caller is cut, and what was lent goes back.
+
+The instance is not ready from the first moment. Idle sessions are closed a
+few at a time, so that their callers do not all return at once elsewhere. An
+open transaction has half of the grace to end.
+"""
+
+from cuminwall.direct import coordination, membership, quotas, sessions
+from cuminwall.direct.answers import Phase
+from cuminwall.direct.effects import Effect, EndProcess, Note
+from cuminwall.direct.state import Session, State, Subject
+
+PART = "shutdown"
+
+NOT_READY_S = 1.0  # Until the platform has seen twice that it is not ready.
+IDLE_PART = 0.45  # Of the grace, by which all idle sessions are closed.
+TRANSACTION_PART = 0.55  # Of the grace, by which transactions are ended.
+END_PART = 0.9  # Of the grace, by which the process ends in any case.
+
+
+def begin(state: State, out: list[Effect]) -> None:
+    """Begins to end."""
+    if state.is_leaving:
+        return
+    state.is_leaving = True
+    state.leaving_since = state.now
+    out.append(Note(PART, "begun", {"sessions": len(state.sessions)}))
+    quotas.ask(state, list(state.buckets.values()), True, out)
+    coordination.leave(state, out)
+    membership.leave(state, out)
+    tick(state, out)
+
+
+def tick(state: State, out: list[Effect]) -> None:
+    """Closes what may be closed by now."""
+    if not state.is_leaving:
+        return
+    passed_s = state.now - state.leaving_since
+    grace_s = state.limits.grace_s
+    _close_lot(state, passed_s, grace_s, out)
+    if passed_s >= TRANSACTION_PART * grace_s:
+        _end_transactions(state, out)
+    if not state.sessions and passed_s >= NOT_READY_S:
+        out.append(Note(PART, "done", {"after_s": round(passed_s, 3)}))
+        out.append(EndProcess())
+        return
+    if passed_s >= END_PART * grace_s:
+        out.append(Note(PART, "cut", {"sessions": len(state.sessions)}))
+        out.append(EndProcess())
+        return
+    state.remind(state.now + state.limits.close_lot_s, Subject.SHUTDOWN)
+
+
+def _close_lot(
+    state: State, passed_s: float, grace_s: float, out: list[Effect]
+) -> None:
+    """Closes as many idle sessions as are due by now."""
+    left_s = IDLE_PART * grace_s - passed_s
+    count = len(state.sessions)
+    if left_s > 0:
+        lots = max(1.0, left_s / state.limits.close_lot_s)
+        count = max(1, int(count / lots))
+    for session in list(state.sessions.values()):
+        if count <= 0:
+            return
+        if _is_idle(session):
+            sessions.close(state, session, out)
+            count -= 1
+        elif passed_s >= IDLE_PART * grace_s:
+            session.is_closing = True
+
+
+def _end_transactions(state: State, out: list[Effect]) -> None:
+    """Ends the transactions that have had their time."""
+    for session in list(state.sessions.values()):
+        if session.work is None and session.transaction is not None:
+            sessions.end_transaction(state, session, "shutdown", out)
+
+
+def _is_idle(session: Session) -> bool:
+    """Returns whether a session waits for its caller, in no transaction."""
+    if session.work is not None or session.inbox:
+        return False
+    return session.phase is Phase.IDLE
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -9,9 +9,11 @@
 from collections import deque
 from typing import Any, NamedTuple
 
-from cuminwall import buckets, leases
+from cuminwall import buckets, leases, lending
 from cuminwall.direct import catalog, limits, waiting
-from cuminwall.direct.answers import Phase, Position
+from cuminwall.direct.answers import Phase, Position, Status
+from cuminwall.direct.commands import Command
+from cuminwall.direct.effects import SwapValues
 from cuminwall.direct.statements import Shape, Statement
 
 
@@ -38,11 +40,189 @@
     CONNECTION = enum.auto()
     SESSION = enum.auto()
     TOKENS = enum.auto()
-    SERVER = enum.auto()
+    INQUIRY = enum.auto()
+    MEMBERSHIP = enum.auto()
     COORDINATOR = enum.auto()
+    QUOTAS = enum.auto()
+    FAILOVER = enum.auto()
     SHUTDOWN = enum.auto()
 
 
+class Purpose(enum.Enum):
+    """What a conditional write of the store is for."""
+
+    REGISTER = enum.auto()
+    COORDINATE = enum.auto()
+    ORDER = enum.auto()
+
+
+class Member(NamedTuple):
+    """An instance of the system.
+
+    Attributes:
+      instance: Its name.
+      boot: Tells its process from earlier ones.
+      zone: Its availability zone.
+      host: The IP number on which its peers reach it.
+      port: The port on which its peers reach it.
+      revision: The store's revision of its line.
+    """
+
+    instance: str
+    boot: str
+    zone: str
+    host: str
+    port: int
+    revision: int
+
+
+class Coordinator(NamedTuple):
+    """Who coordinates, as the store says.
+
+    Attributes:
+      instance: The instance.
+      boot: Its process.
+      epoch: Counts the changes of coordinator.
+      revision: The store's revision of the line.
+    """
+
+    instance: str
+    boot: str
+    epoch: int
+    revision: int
+
+
+class Swap(NamedTuple):
+    """A conditional write on its way.
+
+    Attributes:
+      purpose: What it is for.
+      names: The values that it writes.
+    """
+
+    purpose: Purpose
+    names: tuple[str, ...]
+
+
+class Hold:
+    """This instance's part in coordination.
+
+    Attributes:
+      lease: Its lease in the store, or 0.
+      until: Until when the lease surely holds.
+      epoch: The epoch in which it coordinates, or 0.
+      renew_at: When the lease is renewed next.
+      try_at: When it may try to take over.
+      is_asking: Whether a call about the lease is on its way.
+    """
+
+    __slots__ = ("lease", "until", "epoch", "renew_at", "try_at", "is_asking")
+
+    def __init__(self) -> None:
+        self.lease = 0
+        self.until = 0.0
+        self.epoch = 0
+        self.renew_at = 0.0
+        self.try_at = 0.0
+        self.is_asking = False
+
+
+class Lender:
+    """What the coordinator lends.
+
+    Attributes:
+      epoch: Its epoch.
+      since: Since when it lends.
+      limits: The shared limits by name.
+      unheard: The processes that may hold what an earlier one has lent.
+      heard_at: When each instance asked last.
+      is_settled: Whether no earlier loan can be left.
+    """
+
+    __slots__ = (
+        "epoch",
+        "since",
+        "limits",
+        "unheard",
+        "heard_at",
+        "is_settled",
+    )
+
+    def __init__(self, epoch: int, now: float):
+        self.epoch = epoch
+        self.since = now
+        self.limits: dict[str, lending.Limit] = {}
+        self.unheard: dict[str, str] = {}
+        self.heard_at: dict[str, float] = {}
+        self.is_settled = False
+
+
+class Step(enum.Enum):
+    """How far a change of primary has come.
+
+    Attributes:
+      ASKING: The candidates are asked how far their logs go.
+      STEPPING_DOWN: The old primary is made a replica.
+      CHOOSING: The one to promote is chosen, once it has caught up.
+      WRITING: The order is being written to the store.
+      ORDERED: The order is given.
+    """
+
+    ASKING = enum.auto()
+    STEPPING_DOWN = enum.auto()
+    CHOOSING = enum.auto()
+    WRITING = enum.auto()
+    ORDERED = enum.auto()
+
+
+class Change:
+    """A change of primary in course.
+
+    Attributes:
+      service: The database service.
+      cause: Why.
+      before: The primary before it, or "".
+      begun_at: When it began.
+      step: How far it has come.
+      asked_at: When the servers were asked last.
+      wait_until: Until when the step may take.
+      is_fenced: Whether the old primary was told to step down.
+      log_end: Where its log ends, if it told.
+      target: The server that is to lead.
+      tried: The servers that could not be promoted.
+      fence: The number of the order.
+    """
+
+    __slots__ = (
+        "service",
+        "cause",
+        "before",
+        "begun_at",
+        "step",
+        "asked_at",
+        "wait_until",
+        "is_fenced",
+        "log_end",
+        "target",
+        "tried",
+        "fence",
+    )
+
+    def __init__(self, service: str, cause: str, before: str, now: float):
+        self.service = service
+        self.cause = cause
+        self.before = before
+        self.begun_at = now
+        self.step = Step.ASKING
+        self.asked_at = now
+        self.wait_until = now
+        self.is_fenced = False
+        self.log_end: Position | None = None
+        self.target = ""
+        self.tried: set[str] = set()
+        self.fence = 0
+
+
 class Session:
     """A caller.
 
@@ -302,6 +482,9 @@
         said that it is none.
       reached_at: When it last answered.
       missed_at: When it was first out of reach since then, or None.
+      status: What it answered last to the coordinator, or None.
+      status_at: When that was, or when it failed to answer.
+      status_alive: Whether it answered at all.
     """
 
     __slots__ = (
@@ -315,6 +498,9 @@
         "replica_until",
         "reached_at",
         "missed_at",
+        "status",
+        "status_at",
+        "status_alive",
     )
 
     def __init__(self, entry: catalog.ServerEntry):
@@ -328,6 +514,30 @@
         self.replica_until = leases.NEVER
         self.reached_at = leases.NEVER
         self.missed_at: float | None = None
+        self.status: Status | None = None
+        self.status_at = leases.NEVER
+        self.status_alive = True
+
+
+class Inquiry:
+    """A question to a server on a connection of its own.
+
+    Attributes:
+      number: The connection's number.
+      server: The server.
+      command: What it is asked.
+      asked_at: When.
+    """
+
+    __slots__ = ("number", "server", "command", "asked_at")
+
+    def __init__(
+        self, number: int, server: "Server", command: Command, now: float
+    ):
+        self.number = number
+        self.server = server
+        self.command = command
+        self.asked_at = now
 
 
 class Mark(NamedTuple):
@@ -392,8 +602,29 @@
       ready: Sessions that may go on with their next statement.
       unplaced: Work for which a server is to be chosen.
       early: Callers that came before the first configuration.
-      instances: The instances of the system, by name.
+      boot: Tells this process from earlier ones of the instance.
+      entropy: Random bytes of this process.
+      peer_host: Where other instances reach this one.
+      peer_port: On which port.
+      secret: By which instances know each other; empty until it is read.
+      members: The instances of the system, by name.
+      shared_revisions: The store's revision of each shared value.
+      swaps: The conditional writes on their way, by number.
+      coordinator: Who coordinates, or None.
+      epoch: The highest epoch that was seen.
+      hold: This instance's part in coordination.
+      lender: What it lends while it coordinates, or None.
+      changes: The changes of primary in course, by service.
+      unknown_since: Since when a service has no known primary.
+      missed_by: Which instances can't reach a server: when that was heard,
+        and since when.
+      inquiries: Questions to servers, by number.
+      ask_at: When the coordinator is asked next.
+      asked_tokens_at: When a workspace last asked for a token here.
+      leaving_since: Since when this instance is about to end.
       is_store_up: Whether the store answers.
+      store_up_since: Since when it does.
+      had_outage: Whether it ever failed to answer.
       snapshots: How many times the whole store was read.
       is_leaving: Whether this instance is about to end.
     """
@@ -420,8 +651,28 @@
         self.ready: deque[Session] = deque()
         self.unplaced: deque[Work] = deque()
         self.early: list[Session] = []
-        self.instances: set[str] = {instance}
+        self.boot = ""
+        self.entropy = b""
+        self.peer_host = ""
+        self.peer_port = 0
+        self.secret = b""
+        self.members: dict[str, Member] = {}
+        self.shared_revisions: dict[str, int] = {}
+        self.swaps: dict[int, Swap] = {}
+        self.coordinator: Coordinator | None = None
+        self.epoch = 0
+        self.hold = Hold()
+        self.lender: Lender | None = None
+        self.changes: dict[str, Change] = {}
+        self.unknown_since: dict[str, float] = {}
+        self.missed_by: dict[str, dict[str, tuple[float, float]]] = {}
+        self.inquiries: dict[int, Inquiry] = {}
+        self.ask_at = leases.NEVER
+        self.asked_tokens_at: dict[str, float] = {}
+        self.leaving_since = 0.0
         self.is_store_up = False
+        self.store_up_since = 0.0
+        self.had_outage = False
         self.snapshots = 0
         self.numbers = 0
         self.is_leaving = False
@@ -435,3 +686,23 @@
         """Sets a timer; whoever handles it checks whether it still counts."""
         timer = Timer(due_at, self.next_number(), subject, key)
         heapq.heappush(self.timers, timer)
+
+    def swap(
+        self,
+        purpose: Purpose,
+        expected: dict[str, int],
+        values: dict[str, bytes],
+        leased: frozenset[str],
+        lease: int,
+        out: list[Any],
+    ) -> None:
+        """Asks for a conditional write of the store."""
+        number = self.next_number()
+        self.swaps[number] = Swap(purpose, tuple(values))
+        out.append(
+            SwapValues(number, expected, values, leased, lease, frozenset())
+        )
+
+    def pending_swap(self, purpose: Purpose) -> bool:
+        """Returns whether a conditional write for a purpose is on its way."""
+        return any(swap.purpose is purpose for swap in self.swaps.values())
--- /dev/null
+++ b/src/cuminwall/direct/timers.py
@@ -0,0 +1,81 @@
+"""What is done when a timer is due; one function for each subject."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cuminwall.direct import (
+    coordination,
+    failover,
+    inquiries,
+    lender,
+    membership,
+    quotas,
+    sessions,
+    shutdown,
+    works,
+)
+from cuminwall.direct.effects import Effect
+from cuminwall.direct.state import State, Subject, Timer
+
+
+def due(state: State, timer: Timer, out: list[Effect]) -> None:
+    """Looks at what a timer is about, if it still counts."""
+    _HANDLERS[timer.subject](state, timer.key, out)
+
+
+def _work(state: State, key: Any, out: list[Effect]) -> None:
+    work = state.works.get(key)
+    if work is not None:
+        works.due(state, work, out)
+
+
+def _connection(state: State, key: Any, out: list[Effect]) -> None:
+    connection = state.connections.get(key)
+    if connection is not None:
+        works.connection_due(state, connection, out)
+
+
+def _tokens(state: State, key: Any, out: list[Effect]) -> None:
+    del out
+    quotas.due(state, key)
+
+
+def _quotas(state: State, key: Any, out: list[Effect]) -> None:
+    del key
+    quotas.tick(state, out)
+
+
+def _membership(state: State, key: Any, out: list[Effect]) -> None:
+    del key
+    membership.register(state, out)
+
+
+def _coordinator(state: State, key: Any, out: list[Effect]) -> None:
+    del key
+    coordination.tick(state, out)
+
+
+def _failover(state: State, key: Any, out: list[Effect]) -> None:
+    del key
+    if coordination.is_held(state):
+        failover.tick(state, out)
+        lender.settle_claims(state, out)
+
+
+def _shutdown(state: State, key: Any, out: list[Effect]) -> None:
+    del key
+    shutdown.tick(state, out)
+
+
+_HANDLERS: dict[Subject, Callable[[State, Any, list[Effect]], None]] = {
+    Subject.WORK: _work,
+    Subject.CONNECTION: _connection,
+    Subject.SESSION: sessions.due,
+    Subject.TOKENS: _tokens,
+    Subject.INQUIRY: inquiries.due,
+    Subject.MEMBERSHIP: _membership,
+    Subject.COORDINATOR: _coordinator,
+    Subject.QUOTAS: _quotas,
+    Subject.FAILOVER: _failover,
+    Subject.SHUTDOWN: _shutdown,
+}
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -209,6 +209,19 @@
     _trim_level(limit)
 
 
+def all_heard(limit: Limit, now: float) -> None:
+    """Takes in that no holder of an earlier lender is unheard any more.
+
+    What is unclaimed then was held by processes that have ended.
+    """
+    settle(limit, now)
+    limit.unclaimed = (0.0,) * len(limit.whole)
+    limit.unheard_floors = limit.unclaimed
+    limit.quiet_until = leases.NEVER
+    limit.floor_quiet_until = leases.NEVER
+    limit.divided_at = leases.NEVER
+
+
 def free(limit: Limit) -> Amounts:
     """Returns what nobody holds; negative after the whole was reduced."""
     found = []
