Ask again for waiting operations, and pause only after asks that were short

Cause: a regular ask that needed nothing lengthened the pause, so that short operations counted as hopeless; and nobody asked again for an operation that came during a pause.

--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -15,7 +15,7 @@
 
 RATE_PREFIX = "rate:"
 LENDABLE = (0.9, 0.9)  # The rest stays for sudden needs.
-FLOOR_PART = 0.3  # Of the whole, for all that lose touch.
+FLOOR_PART = 0.2  # Of the whole, for all that lose touch.
 FLOOR_LEAST = (0.0, 0.5)
 DRIFT_S = 1.0  # Added before a silent process counts as without any loan.
 
@@ -110,7 +110,9 @@
         is_whole=False,
         has_level=True,
     )
-    limit = lending.Limit(whole, policy, lent.is_settled, lent.since)
+    limit = lending.Limit(whole, policy, lent.epoch == 1, lent.since)
+    if lent.is_settled:
+        lending.all_heard(limit, state.now)
     lent.limits[name] = limit
     return limit
 
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -14,15 +14,16 @@
 
 APPETITE = buckets.Appetite(
     demand_time_s=2.0,
-    own_part=1.3,
-    stock_s=0.5,
-    kept_s=1.0,
-    room_s=0.5,
+    own_part=1.0,
+    stock_s=0.25,
+    kept_s=0.3,
+    room_s=0.2,
     least_demand=0.0,
     spare=1.0,
 )
 IDLE_S = 8.0  # After so long without an operation a share is given back.
-LOOK_S = 0.02  # How often waiting work is looked at, at most.
+LOOK_S = 0.02  # How often waiting work is looked at, at least.
+LEAST_LOOK_S = 0.002  # And at most.
 MAX_WAITING = 50  # Operations of a workspace that wait for a token.
 
 
@@ -67,11 +68,14 @@
         works.admit(state, work)
 
 
-def due(state: State, workspace: str) -> None:
+def due(state: State, workspace: str, out: list[Effect]) -> None:
     """Looks at the operations that wait for a workspace's tokens."""
     bucket = state.buckets.get(workspace)
-    if bucket is not None:
-        release(state, bucket)
+    if bucket is None:
+        return
+    release(state, bucket)
+    if bucket.waiting:
+        ask_now(state, bucket, out)
 
 
 def tick(state: State, out: list[Effect]) -> None:
@@ -142,7 +146,7 @@
             continue
         if accepted.has_grown or grant.level:
             bucket.line.pause_s = shares.FIRST_PAUSE_S
-        else:
+        elif bucket.line.was_short:
             shares.lengthen_pause(bucket.line)
         release(state, bucket)
 
@@ -195,10 +199,10 @@
 def _look_again(state: State, bucket: buckets.Bucket) -> None:
     """Looks at the waiting operations when the next token is due."""
     rate, _ = shares.usable(bucket.line, state.now)
-    delay_s = state.limits.token_wait_s
+    delay_s = LOOK_S
     if rate > 0:
         delay_s = min(delay_s, (1.0 - bucket.level) / rate)
-    due_at = state.now + max(LOOK_S, delay_s)
+    due_at = state.now + max(LEAST_LOOK_S, delay_s)
     state.remind(due_at, Subject.TOKENS, bucket.workspace)
 
 
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -36,8 +36,7 @@
 
 
 def _tokens(state: State, key: Any, out: list[Effect]) -> None:
-    del out
-    quotas.due(state, key)
+    quotas.due(state, key, out)
 
 
 def _quotas(state: State, key: Any, out: list[Effect]) -> None:
--- /dev/null
+++ b/tests/direct_world.py
@@ -0,0 +1,759 @@
+"""Several instances of direct service in one process, with small fakes.
+
+Time is simulated. The store, the backend servers and the links between
+instances are fakes that keep their promises; a test may cut them, slow them
+down or lose their answers.
+"""
+
+import functools
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from cuminwall.direct import (
+    answers,
+    catalog,
+    commands,
+    effects,
+    events,
+    limits,
+    reducer,
+    state,
+    statements,
+)
+from cuminwall.direct.answers import Answer, Failure, Phase, Position, Reason
+
+LINK_S = 0.002
+STORE_S = 0.004
+ROUTE_AGE_S = 1.5
+
+
+def route(database: str = "db", **changes: Any) -> catalog.Route:
+    """Returns a route as the tests use it."""
+    plain = catalog.Route(
+        database, "s", catalog.Freshness.ALL, 0.0, 0.8, 0.15, 1, False
+    )
+    return plain._replace(**changes)
+
+
+def make_catalog(
+    version: int = 1, rate: float = 1000.0, burst: float = 1000.0
+) -> catalog.Catalog:
+    """Returns a configuration with one service and three databases."""
+    aged = catalog.Freshness.AGED
+    own = catalog.Freshness.OWN
+    routes = {
+        "db": route(),
+        "aged": route("aged", freshness=aged, max_age_s=ROUTE_AGE_S),
+        "own": route("own", freshness=own, max_age_s=ROUTE_AGE_S),
+    }
+    return catalog.Catalog(
+        version,
+        routes,
+        {"s": catalog.ServiceLimits("s", 60, 0.0)},
+        {"w": catalog.Workspace("w", rate, burst, 1)},
+        {"key": "w"},
+        3.0,
+    )
+
+
+class Written(NamedTuple):
+    """A value of the fake store."""
+
+    value: bytes
+    revision: int
+    lease: int
+
+
+class FakeStore:
+    """Shared values with revisions and leases."""
+
+    def __init__(self, world: "World"):
+        self.world = world
+        self.values: dict[str, Written] = {}
+        self.leases: dict[int, float] = {}
+        self.ttls: dict[int, float] = {}
+        self.revision = 1
+        self.is_up = True
+        self.lost_answers = 0
+
+    def swap(self, call: effects.SwapValues) -> int:
+        """Writes values under a condition."""
+        for name, revision in call.expected.items():
+            held = self.values.get(name)
+            if (held.revision if held else 0) != revision:
+                return 0
+        if call.leased and call.lease not in self.leases:
+            return 0
+        self.revision += 1
+        for name, value in call.values.items():
+            lease = call.lease if name in call.leased else 0
+            self.values[name] = Written(value, self.revision, lease)
+            self.world.tell_shared(name, value, self.revision)
+        for name in call.removed:
+            if self.values.pop(name, None) is not None:
+                self.world.tell_shared(name, None, self.revision)
+        return self.revision
+
+    def grant(self, ttl_s: float) -> int:
+        """Returns a new lease."""
+        lease = len(self.ttls) + 1
+        self.ttls[lease] = ttl_s
+        self.keep(lease)
+        return lease
+
+    def keep(self, lease: int) -> float:
+        """Renews a lease; returns its time to live, 0 if it is over."""
+        ttl_s = self.ttls[lease]
+        if lease not in self.leases and len(self.leases) >= lease:
+            return 0.0
+        self.leases[lease] = self.world.now + ttl_s
+        self.world.at(ttl_s, lambda: self.expire(lease))
+        return ttl_s
+
+    def expire(self, lease: int) -> None:
+        """Ends a lease whose time is over."""
+        if self.leases.get(lease, float("inf")) > self.world.now:
+            return
+        self.end(lease)
+
+    def end(self, lease: int) -> None:
+        """Ends a lease."""
+        if self.leases.pop(lease, None) is None:
+            return
+        for name, held in list(self.values.items()):
+            if held.lease != lease:
+                continue
+            del self.values[name]
+            self.revision += 1
+            self.world.tell_shared(name, None, self.revision)
+
+
+class FakeServer:
+    """A backend server that fences itself.
+
+    Attributes:
+      log: The commits that it holds: who wrote what.
+      slots: How many statements it runs at once.
+      service_s: How long one statement takes.
+      is_dark: Whether it answers nothing and takes no connection.
+      lag_s: How far a replica is behind.
+      lose_answers: How many answers to statements are lost from now on.
+    """
+
+    def __init__(self, name: str, zone: str = "z1"):
+        self.name = name
+        self.zone = zone
+        self.is_primary = False
+        self.term = 1
+        self.log: list[tuple[float, str, int]] = []
+        self.slots = 3
+        self.queue = 24
+        self.service_s = 0.01
+        self.busy_until = [0.0] * self.slots
+        self.is_dark = False
+        self.lag_s = 0.0
+        self.lose_answers = 0
+        self.ran: list[tuple[str, str, float]] = []
+        self.stepped_down = False
+
+    def position(self, now: float) -> Position:
+        """Returns how far its log goes."""
+        seen = 0
+        for at, _, _ in self.log:
+            if self.is_primary or at + self.lag_s <= now:
+                seen += 1
+        return Position(self.term, seen)
+
+
+class ServerLink:
+    """A connection to a fake server, as the server sees it."""
+
+    def __init__(self, server: FakeServer, workspace: str):
+        self.server = server
+        self.workspace = workspace
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, statements.Shape] = {}
+        self.phase = Phase.IDLE
+        self.read_only = False
+        self.writes: list[str] = []
+        self.free_at = 0.0
+
+
+class Caller:
+    """What a test's caller was told.
+
+    Attributes:
+      answers: The answers, in order.
+      is_open: Whether its session is open.
+      refusal: Why it was turned away, or None.
+    """
+
+    def __init__(self, instance: "Instance", session: int):
+        self.instance = instance
+        self.session = session
+        self.answers: list[Answer] = []
+        self.times: list[float] = []
+        self.is_open = False
+        self.is_closed = False
+        self.refusal: Failure | None = None
+        self.told: Callable[[Answer], None] | None = None
+
+    def say(self, statement: Any) -> None:
+        """Sends a statement."""
+        now = self.instance.world.now
+        self.instance.happen(
+            events.StatementArrived(now, self.session, statement)
+        )
+
+    def leave(self) -> None:
+        """Closes the connection."""
+        now = self.instance.world.now
+        self.instance.happen(events.CallerLeft(now, self.session))
+
+    def reasons(self) -> list[Reason | None]:
+        """Returns the failures of all answers."""
+        found = []
+        for answer in self.answers:
+            failure = answer.failure
+            found.append(failure.reason if failure is not None else None)
+        return found
+
+
+class Instance:
+    """One instance and what its effects did."""
+
+    def __init__(self, world: "World", name: str, zone: str, boot: str):
+        self.world = world
+        self.name = name
+        self.state = state.State(name, zone, world.limits)
+        self.state.boot = boot
+        self.state.entropy = b"secret"
+        self.state.peer_host = name
+        self.state.peer_port = 1
+        self.callers: dict[int, Caller] = {}
+        self.links: dict[int, ServerLink] = {}
+        self.notes: list[effects.Note] = []
+        self.is_alive = True
+        self.is_cut = False
+        self.has_store = True
+        self.timer_at = float("inf")
+
+    def happen(self, event: Any) -> None:
+        """Takes in an event and carries its effects out."""
+        if not self.is_alive:
+            return
+        for effect in reducer.reduce(self.state, event):
+            self.world.carry(self, effect)
+        self._set_timer()
+
+    def caller(self, database: str = "db", key: str = "key") -> Caller:
+        """Returns a caller that has named its database."""
+        session = len(self.callers) + 1
+        caller = self.callers[session] = Caller(self, session)
+        self.happen(
+            events.CallerArrived(self.world.now, session, database, key)
+        )
+        return caller
+
+    def noted(self, event: str) -> list[dict[str, Any]]:
+        """Returns the fields of the log lines of one kind."""
+        return [note.fields for note in self.notes if note.event == event]
+
+    def _set_timer(self) -> None:
+        timers = self.state.timers
+        if not timers or timers[0].due_at >= self.timer_at:
+            return
+        self.timer_at = timers[0].due_at
+        delay_s = max(0.0, self.timer_at - self.world.now)
+        self.world.at(delay_s, self._time_passed)
+
+    def _time_passed(self) -> None:
+        timers = self.state.timers
+        self.timer_at = float("inf")
+        if timers and timers[0].due_at <= self.world.now:
+            self.happen(events.TimePassed(self.world.now))
+        else:
+            self._set_timer()
+
+
+class World:
+    """Everything, and the time.
+
+    Attributes:
+      promoted: The orders that were carried out: service, server, fence.
+    """
+
+    def __init__(
+        self,
+        names: tuple[str, ...] = ("a",),
+        servers: tuple[FakeServer, ...] = (),
+        seed: int = 1,
+        limits_: limits.Limits = limits.DEFAULTS,
+        config: catalog.Catalog | None = None,
+    ):
+        self.now = 100.0
+        self.limits = limits_
+        self.random = random.Random(seed)
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.store = FakeStore(self)
+        self.config = config or make_catalog()
+        self.servers = {server.name: server for server in servers}
+        self.entries: dict[str, catalog.ServerEntry] = {}
+        self.instances: dict[str, Instance] = {}
+        self.promoted: list[tuple[str, str, int]] = []
+        self.promote_answers = True
+        self.promote_s = 0.6
+        self.boots = 0
+        self.cut_pairs: set[tuple[str, str]] = set()
+        for server in servers:
+            self.announce(server)
+        for name in names:
+            self.start(name)
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Does something after a while."""
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + delay_s, self.count, action))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            at, _, action = heapq.heappop(self.heap)
+            self.now = max(self.now, at)
+            action()
+        self.now = end
+
+    def start(self, name: str) -> Instance:
+        """Starts an instance, or starts it again."""
+        self.boots += 1
+        instance = Instance(self, name, "z1", f"boot{self.boots}")
+        self.instances[name] = instance
+        self.at(0.01, lambda: self._read_all(instance))
+        return instance
+
+    def kill(self, name: str) -> None:
+        """Ends an instance without a word."""
+        instance = self.instances[name]
+        instance.is_alive = False
+        for link in instance.links.values():
+            link.phase = Phase.IDLE
+
+    def configure(self, config: catalog.Catalog) -> None:
+        """Puts a configuration into the store."""
+        self.config = config
+        for instance in self.instances.values():
+            self._tell(instance, events.CatalogSeen(self.now, config))
+
+    def announce(self, server: FakeServer, **changes: Any) -> None:
+        """Writes a server's entry."""
+        self.store.revision += 1
+        entry = catalog.ServerEntry(
+            server=server.name,
+            born_ms=1,
+            service="s",
+            host=server.name,
+            port=1,
+            zone=server.zone,
+            slots=server.slots,
+            is_leaving=False,
+            is_primary=server.is_primary,
+            cold_s=0.0,
+            revision=self.store.revision,
+        )._replace(**changes)
+        self.entries[server.name] = entry
+        for instance in self.instances.values():
+            self._tell(instance, events.ServerSeen(self.now, entry))
+
+    def withdraw(self, server: FakeServer) -> None:
+        """Removes a server's entry."""
+        self.entries.pop(server.name, None)
+        for instance in self.instances.values():
+            self._tell(instance, events.ServerGone(self.now, server.name))
+
+    def tell_shared(
+        self, name: str, value: bytes | None, revision: int
+    ) -> None:
+        """Tells every instance of a shared value."""
+        for instance in self.instances.values():
+            event = events.SharedValueSeen(self.now, name, value, revision)
+            self._tell(instance, event)
+
+    def set_store(self, is_up: bool) -> None:
+        """Has the store answer, or not."""
+        self.store.is_up = is_up
+        for instance in self.instances.values():
+            if is_up:
+                self._read_all(instance)
+            else:
+                instance.happen(events.StoreHeard(self.now, False, "test"))
+
+    def carry(self, instance: Instance, effect: Any) -> None:
+        """Carries an effect out."""
+        handler = _CARRIERS.get(type(effect))
+        if handler is not None:
+            handler(self, instance, effect)
+
+    def _tell(self, instance: Instance, event: Any) -> None:
+        """Has an instance see a change of the store."""
+
+        def tell() -> None:
+            if self.store.is_up and instance.has_store:
+                instance.happen(event._replace(now=self.now))
+
+        self.at(STORE_S, tell)
+
+    def _read_all(self, instance: Instance) -> None:
+        """Has an instance read the whole store."""
+        if not self.store.is_up or not instance.has_store:
+            return
+        now = self.now
+        instance.happen(events.CatalogSeen(now, self.config))
+        for entry in self.entries.values():
+            instance.happen(events.ServerSeen(now, entry))
+        for name, held in sorted(self.store.values.items()):
+            instance.happen(
+                events.SharedValueSeen(now, name, held.value, held.revision)
+            )
+        instance.happen(
+            events.SnapshotRead(
+                now,
+                frozenset(self.entries),
+                frozenset(),
+                frozenset(self.store.values),
+            )
+        )
+        instance.happen(events.StoreHeard(now, True, ""))
+
+    # What follows carries out one kind of effect each.
+
+    def _welcome(self, instance: Instance, effect: effects.Welcome) -> None:
+        instance.callers[effect.session].is_open = True
+
+    def _turn_away(self, instance: Instance, effect: effects.TurnAway) -> None:
+        instance.callers[effect.session].refusal = effect.failure
+
+    def _reply(self, instance: Instance, effect: effects.Reply) -> None:
+        caller = instance.callers[effect.session]
+        caller.answers.append(effect.answer)
+        caller.times.append(self.now)
+        if caller.told is not None:
+            caller.told(effect.answer)
+
+    def _close_caller(
+        self, instance: Instance, effect: effects.CloseCaller
+    ) -> None:
+        instance.callers[effect.session].is_closed = True
+
+    def _note(self, instance: Instance, effect: effects.Note) -> None:
+        instance.notes.append(effect)
+
+    def _say(self, instance: Instance, effect: effects.Say) -> None:
+        def deliver() -> None:
+            peer = self.instances.get(effect.instance)
+            pair = (instance.name, effect.instance)
+            if peer is None or peer.is_cut or instance.is_cut:
+                return
+            if pair in self.cut_pairs:
+                return
+            peer.happen(
+                events.PeerSaid(self.now, instance.name, effect.message)
+            )
+
+        self.at(LINK_S, deliver)
+
+    def _swap(self, instance: Instance, effect: effects.SwapValues) -> None:
+        sent_at = self.now
+
+        def answer() -> None:
+            revision: int | None = None
+            if self.store.is_up and instance.has_store:
+                revision = self.store.swap(effect)
+                if self.store.lost_answers:
+                    self.store.lost_answers -= 1
+                    revision = None
+            instance.happen(
+                events.SwapRan(self.now, effect.number, sent_at, revision)
+            )
+
+        self.at(STORE_S, answer)
+
+    def _grant(self, instance: Instance, effect: effects.GrantLease) -> None:
+        sent_at = self.now
+
+        def answer() -> None:
+            lease = 0
+            ttl_s: float | None = None
+            if self.store.is_up and instance.has_store:
+                lease = self.store.grant(effect.ttl_s)
+                ttl_s = effect.ttl_s
+            instance.happen(events.LeaseRan(self.now, lease, sent_at, ttl_s))
+
+        self.at(STORE_S, answer)
+
+    def _keep(self, instance: Instance, effect: effects.KeepLease) -> None:
+        sent_at = self.now
+
+        def answer() -> None:
+            ttl_s: float | None = None
+            if self.store.is_up and instance.has_store:
+                ttl_s = 0.0
+                if effect.lease in self.store.leases:
+                    ttl_s = self.store.keep(effect.lease)
+            instance.happen(
+                events.LeaseRan(self.now, effect.lease, sent_at, ttl_s)
+            )
+
+        self.at(STORE_S, answer)
+
+    def _end_lease(self, instance: Instance, effect: effects.EndLease) -> None:
+        self.at(STORE_S, lambda: self.store.end(effect.lease))
+
+    def _promote(self, instance: Instance, effect: effects.Promote) -> None:
+        def lead() -> None:
+            chosen = self.servers[effect.server]
+            if chosen.is_dark:
+                return
+            term = 1 + max(each.term for each in self.servers.values())
+            for server in self.servers.values():
+                if server.is_primary and server is not chosen:
+                    server.is_primary = False
+                    if server.name in self.entries:
+                        self.announce(server)
+            kept = chosen.position(self.now).number
+            for server in self.servers.values():
+                del server.log[kept:]
+                server.term = term
+            chosen.is_primary = True
+            self.promoted.append((effect.service, effect.server, effect.fence))
+            self.announce(chosen)
+
+        def answer() -> None:
+            done = self.servers[effect.server].is_primary
+            refused = self.servers[effect.server].is_dark
+            outcome = events.PromotionOutcome(done, refused)
+            if not self.promote_answers:
+                outcome = events.PromotionOutcome(False, False)
+            instance.happen(
+                events.PromotionRan(
+                    self.now,
+                    effect.service,
+                    effect.server,
+                    effect.fence,
+                    outcome,
+                )
+            )
+
+        self.at(self.promote_s, lead)
+        self.at(self.promote_s + LINK_S, answer)
+
+    def _open(self, instance: Instance, effect: effects.OpenConnection) -> None:
+        server = self.servers[effect.server]
+
+        def opened() -> None:
+            pair = (instance.name, server.name)
+            if server.is_dark or pair in self.cut_pairs:
+                return
+            link = ServerLink(server, effect.workspace)
+            instance.links[effect.connection] = link
+            instance.happen(
+                events.ConnectionOpened(self.now, effect.connection)
+            )
+
+        self.at(0.012, opened)
+
+    def _close(
+        self, instance: Instance, effect: effects.CloseConnection
+    ) -> None:
+        instance.links.pop(effect.connection, None)
+
+    def _send(self, instance: Instance, effect: effects.SendCommands) -> None:
+        link = instance.links.get(effect.connection)
+        if link is None:
+            return
+
+        def arrive() -> None:
+            pair = (instance.name, link.server.name)
+            if link.server.is_dark or pair in self.cut_pairs:
+                return
+            for command in effect.commands:
+                self._serve(instance, effect.connection, link, command)
+
+        self.at(LINK_S, arrive)
+
+    def _serve(
+        self, instance: Instance, number: int, link: ServerLink, command: Any
+    ) -> None:
+        """Has a server run one command."""
+        server = link.server
+        start = max(self.now, link.free_at)
+        is_statement = isinstance(
+            command, (commands.Forward, commands.ForwardExecute)
+        )
+        if is_statement:
+            index = server.busy_until.index(min(server.busy_until))
+            waiting = [at for at in server.busy_until if at > self.now]
+            start = max(start, server.busy_until[index])
+            del waiting
+            start += server.service_s * self.random.uniform(0.5, 1.5)
+            server.busy_until[index] = start
+        link.free_at = start
+
+        def answer() -> None:
+            if server.is_dark or instance.links.get(number) is not link:
+                return
+            found = run_command(self, link, command)
+            if is_statement and server.lose_answers:
+                server.lose_answers -= 1
+                return
+            self.at(
+                LINK_S,
+                lambda: instance.happen(
+                    events.CommandAnswered(self.now, number, found)
+                ),
+            )
+
+        self.at(start - self.now, answer)
+
+
+_CARRIERS: dict[type, Any] = {
+    effects.Welcome: World._welcome,
+    effects.TurnAway: World._turn_away,
+    effects.Reply: World._reply,
+    effects.CloseCaller: World._close_caller,
+    effects.Note: World._note,
+    effects.Say: World._say,
+    effects.SwapValues: World._swap,
+    effects.GrantLease: World._grant,
+    effects.KeepLease: World._keep,
+    effects.EndLease: World._end_lease,
+    effects.Promote: World._promote,
+    effects.OpenConnection: World._open,
+    effects.CloseConnection: World._close,
+    effects.SendCommands: World._send,
+}
+
+
+def run_command(world: World, link: ServerLink, command: Any) -> Answer:
+    """Returns what a server answers to a command."""
+    after = getattr(command, "after", None)
+    if after is not None and link.server.position(world.now) < after:
+        return _fail(world, link, Reason.BEHIND)
+    return _run(command, world, link)
+
+
+def _fail(world: World, link: ServerLink, reason: Reason) -> Answer:
+    if link.phase is not Phase.IDLE:
+        link.phase = Phase.FAILED
+    place = link.server.position(world.now)
+    return Answer((), "", Failure(reason, "test"), link.phase, place)
+
+
+def _succeed(world: World, link: ServerLink) -> Answer:
+    place = link.server.position(world.now)
+    return Answer((), "", None, link.phase, place)
+
+
+@functools.singledispatch
+def _run(command: Any, world: World, link: ServerLink) -> Answer:
+    """Returns what a server answers to a caller's statement."""
+    server = link.server
+    statement = command.statement
+    is_write = isinstance(statement, statements.Write)
+    if isinstance(command, commands.ForwardExecute):
+        shape = link.prepared.get(command.name)
+        if shape is None:
+            return _fail(world, link, Reason.UNKNOWN_STATEMENT)
+        is_write = shape.writes
+    if link.phase is Phase.FAILED:
+        return _fail(world, link, Reason.MALFORMED)
+    is_commit = isinstance(statement, statements.Commit)
+    if not server.is_primary and _needs_lead(link, is_write, is_commit):
+        return _fail(world, link, Reason.NOT_PRIMARY)
+    server.ran.append((statement.request, statement.text, world.now))
+    if is_write:
+        link.writes.append(statement.request)
+    if is_commit or link.phase is Phase.IDLE:
+        for request in link.writes:
+            for other in world.servers.values():
+                other.log.append((world.now, request, server.term))
+        link.writes = []
+        link.phase = Phase.IDLE
+        link.read_only = False
+    answer = _succeed(world, link)
+    rows = (f"row of {statement.request}",)
+    return answer._replace(rows=rows, proof=f"proof {server.name}")
+
+
+def _needs_lead(link: ServerLink, is_write: bool, is_commit: bool) -> bool:
+    """Returns whether only a primary may run a statement."""
+    if is_write:
+        return True
+    if link.phase is not Phase.OPEN or link.read_only:
+        return False
+    return not is_commit or bool(link.writes)
+
+
+@_run.register
+def _(
+    command: commands.ResetConnection, world: World, link: ServerLink
+) -> Answer:
+    link.values = {}
+    link.prepared = {}
+    return _succeed(world, link)
+
+
+@_run.register
+def _(command: commands.AssignValue, world: World, link: ServerLink) -> Answer:
+    link.values[command.name] = command.value
+    return _succeed(world, link)
+
+
+@_run.register
+def _(command: commands.PrepareShape, world: World, link: ServerLink) -> Answer:
+    link.prepared[command.name] = command.shape
+    return _succeed(world, link)
+
+
+@_run.register
+def _(
+    command: commands.OpenTransaction, world: World, link: ServerLink
+) -> Answer:
+    if not command.read_only and not link.server.is_primary:
+        return _fail(world, link, Reason.NOT_PRIMARY)
+    link.phase = Phase.OPEN
+    link.read_only = command.read_only
+    return _succeed(world, link)
+
+
+@_run.register
+def _(
+    command: commands.EndTransaction, world: World, link: ServerLink
+) -> Answer:
+    link.phase = Phase.IDLE
+    link.writes = []
+    return _succeed(world, link)
+
+
+@_run.register
+def _(command: commands.AskStatus, world: World, link: ServerLink) -> Answer:
+    return _status(world, link)
+
+
+@_run.register
+def _(command: commands.StepDown, world: World, link: ServerLink) -> Answer:
+    server = link.server
+    if command.term > server.term and server.is_primary:
+        server.is_primary = False
+        server.stepped_down = True
+    return _status(world, link)
+
+
+def _status(world: World, link: ServerLink) -> Answer:
+    server = link.server
+    place = server.position(world.now)
+    status = answers.Status(server.is_primary, server.term, place)
+    return _succeed(world, link)._replace(status=status)
--- /dev/null
+++ b/tests/test_direct_quotas.py
@@ -0,0 +1,163 @@
+"""Rates of direct service, under the loads that they are meant for."""
+
+import unittest
+
+from cuminwall.direct import answers, statements
+from tests import direct_world, naive_bucket
+
+NAMES = ("a", "b", "c", "d", "e", "f", "g", "h", "i")
+REFUSED_PART = 0.01  # The stated target for requests within the rate.
+WARM_S = 4.0  # Until the instances know each other.
+
+
+class Load:
+    """Callers of one workspace, who each send reads at random times."""
+
+    def __init__(
+        self, world: direct_world.World, weights: dict[str, float], rate: float
+    ):
+        self.world = world
+        self.weights = weights
+        self.rate = rate
+        self.count = 0
+        self.outcomes: list[tuple[float, bool]] = []
+        self.callers: dict[str, direct_world.Caller] = {}
+        self.until = world.now
+
+    def run(self, seconds: float) -> None:
+        """Sends for a while."""
+        self.until = self.world.now + seconds
+        self._plan()
+        self.world.run(seconds + 1.0)
+
+    def refused_part(self) -> float:
+        """Returns the part of the requests that was refused."""
+        refused = [at for at, ok in self.outcomes if not ok]
+        return len(refused) / max(1, len(self.outcomes))
+
+    def _plan(self) -> None:
+        delay_s = self.world.random.expovariate(self.rate)
+        if self.world.now + delay_s < self.until:
+            self.world.at(delay_s, self._send)
+
+    def _send(self) -> None:
+        names = list(self.weights)
+        weights = list(self.weights.values())
+        name = self.world.random.choices(names, weights)[0]
+        instance = self.world.instances[name]
+        self.count += 1
+        request = f"r{self.count}"
+        caller = instance.caller("aged")
+
+        def told(answer: answers.Answer) -> None:
+            ok = answer.failure is None
+            self.outcomes.append((self.world.now, ok))
+            caller.leave()
+
+        caller.told = told
+        caller.say(statements.Read(request, "READ 1"))
+        self._plan()
+
+
+def make_world(
+    rate: float, burst: float, seed: int = 1, **options: object
+) -> direct_world.World:
+    """Returns nine instances before three fast servers."""
+    servers = []
+    for name in ("p", "q", "r"):
+        server = direct_world.FakeServer(name)
+        server.service_s = 0.002
+        server.is_primary = name == "p"
+        servers.append(server)
+    config = direct_world.make_catalog(1, rate, burst)
+    world = direct_world.World(NAMES, tuple(servers), seed, config=config)
+    world.run(WARM_S)
+    return world
+
+
+def admitted_times(world: direct_world.World) -> list[float]:
+    """Returns when servers ran the requests, in order."""
+    times = []
+    for server in world.servers.values():
+        times.extend(at for _, _, at in server.ran)
+    return sorted(times)
+
+
+class WithinRateTest(unittest.TestCase):
+    """What a workspace asks within its rate is served."""
+
+    def test_small_workspace_spread_over_all(self) -> None:
+        # Nine instances and about one request a second at each: a fixed part
+        # of the burst would not even hold one token.
+        world = make_world(18.0, 18.0)
+        even = dict.fromkeys(NAMES, 1.0)
+        load = Load(world, even, 9.0)
+        load.run(30.0)
+        self.assertGreater(load.count, 200)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
+    def test_uneven_spread(self) -> None:
+        world = make_world(40.0, 40.0, 2)
+        weights = dict(zip(NAMES, (9, 5, 3, 2, 1, 1, 1, 1, 1), strict=True))
+        load = Load(world, weights, 28.0)
+        load.run(30.0)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
+    def test_moved_load(self) -> None:
+        # An instance ends; its callers come back at two others.
+        world = make_world(40.0, 40.0, 3)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 26.0)
+        load.run(10.0)
+        load.outcomes.clear()
+        weights = dict.fromkeys(NAMES[1:], 1.0)
+        weights["b"] = weights["c"] = 3.0
+        load.weights = weights
+        load.run(10.0)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
+
+class BoundTest(unittest.TestCase):
+    """No workspace gets more than one bucket with its whole limit allows."""
+
+    def check(
+        self, world: direct_world.World, rate: float, burst: float
+    ) -> None:
+        times = admitted_times(world)
+        slack = 1.0 + rate * 2 * (0.05 + direct_world.LINK_S)
+        naive = naive_bucket.NaiveBucket(rate, burst + slack, times[0])
+        refused = [at for at in times if not naive.take(at)]
+        self.assertEqual(refused, [])
+
+    def test_hot_workspace(self) -> None:
+        # It sends 7.5 times its usual; what is beyond its rate is refused.
+        world = make_world(20.0, 20.0, 4)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
+        load.run(20.0)
+        self.check(world, 20.0, 20.0)
+        served = len(admitted_times(world))
+        self.assertGreaterEqual(served, 0.9 * 20.0 * 20.0)
+
+    def test_hot_while_the_coordinator_dies(self) -> None:
+        world = make_world(20.0, 20.0, 5)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
+        holder = ""
+        for name, instance in world.instances.items():
+            if instance.state.hold.epoch:
+                holder = name
+        world.at(5.0, lambda: world.kill(holder))
+        load.weights.pop(holder)
+        load.run(20.0)
+        self.check(world, 20.0, 20.0)
+
+    def test_hot_while_all_start_again(self) -> None:
+        world = make_world(20.0, 20.0, 6)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
+
+        def restart() -> None:
+            for name in NAMES:
+                world.kill(name)
+                world.start(name)
+
+        world.at(5.0, restart)
+        load.run(20.0)
+        self.check(world, 20.0, 20.0)
