--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -284,16 +284,25 @@
       read_only: Whether its caller opened it only to read.
       route: The route in force when it began.
       connection: Where it runs; None before its first statement.
+      proves_lead: Whether its server runs it only while it leads.
       wrote: Whether it has run a write.
       opened_at: When its caller opened it.
     """
 
-    __slots__ = ("read_only", "route", "connection", "wrote", "opened_at")
+    __slots__ = (
+        "read_only",
+        "route",
+        "connection",
+        "proves_lead",
+        "wrote",
+        "opened_at",
+    )
 
     def __init__(self, read_only: bool, route: catalog.Route, now: float):
         self.read_only = read_only
         self.route = route
         self.connection: Connection | None = None
+        self.proves_lead = False
         self.wrote = False
         self.opened_at = now
 
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -139,7 +139,8 @@
         work.connection = None
         _offer_failed(state, connection, work, answer.failure, out)
         return
-    _note_lead(state, connection, work, answer, out)
+    if work.after is None:
+        _note_lead(state, connection, answer, out)
     if work.stage is Stage.OVER:
         # Its caller has left meanwhile.
         connections.roll_back(state, connection, out)
@@ -149,6 +150,7 @@
     flight = [(_command(work), Expected.STATEMENT)]
     if session.transaction is not None:
         session.transaction.connection = connection
+        session.transaction.proves_lead = work.after is None
         connection.holder = session
     else:
         flight.append((EndTransaction(), Expected.END))
@@ -453,7 +455,8 @@
         return
     if answer.failure is None:
         transaction.wrote = transaction.wrote or work.writes
-        _note_lead(state, connection, work, answer, out)
+        if transaction.proves_lead:
+            _note_lead(state, connection, answer, out)
         connection.use = Use.RESTING
         connection.work = None
         finish(state, work, answer._replace(phase=Phase.OPEN), out)
@@ -501,19 +504,13 @@
         floor = session.floor
         if floor is None or answer.position > floor:
             session.floor = answer.position
-    _note_lead(state, connection, work, answer, out)
+    _note_lead(state, connection, answer, out)
 
 
 def _note_lead(
-    state: State,
-    connection: Connection,
-    work: Work,
-    answer: Answer,
-    out: list[Effect],
+    state: State, connection: Connection, answer: Answer, out: list[Effect]
 ) -> None:
-    """Takes in an answer that only a primary gives, if it is one."""
-    if work.after is not None:
-        return
+    """Takes in an answer that only a primary gives."""
     server = connection.server
     group = groups.find(state, server.entry.service)
     marks.note(state, group, connection.asked_at, answer.position)
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -16,6 +16,9 @@
 
 READ_BYTES = 65536
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# A packet that opens a connection and is lost is sent again after a second
+# and then ever later; a fresh try is sooner there.
+CONNECT_S = 0.7
 MAX_IDLE = 4  # Unused connections that a client keeps.
 REQUEST_TIMEOUT_S = 5.0  # How long a server waits for a request's rest.
 # A peer that is gone without a word is noticed after about three seconds.
@@ -180,7 +183,8 @@
 
 
 async def _connect(host: str, port: int) -> _Exchange:
-    reader, writer = await asyncio.open_connection(host, port)
+    async with asyncio.timeout(CONNECT_S):
+        reader, writer = await asyncio.open_connection(host, port)
     keep_alive(writer.transport)
     return _Exchange(reader, writer)
 
--- /dev/null
+++ b/tests/test_plainhttp.py
@@ -0,0 +1,78 @@
+"""HTTP in small: calls, their limits, and a server."""
+
+import asyncio
+import time
+import unittest
+
+from cuminwall import exceptions, plainhttp
+
+HOST = "127.0.0.1"
+
+
+async def echo(request: plainhttp.Request) -> plainhttp.Response:
+    """Answers with what was asked."""
+    text = f"{request.method} {request.path}"
+    return plainhttp.Response(200, text.encode())
+
+
+async def open_port(
+    handler: plainhttp.Handler,
+) -> tuple[asyncio.Server, int]:
+    """Returns a server and its port."""
+    server = await plainhttp.serve(HOST, 0, handler)
+    return server, server.sockets[0].getsockname()[1]
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    """Calls on one address."""
+
+    async def test_answers_on_one_connection(self) -> None:
+        server, port = await open_port(echo)
+        client = plainhttp.Client(HOST, port)
+        for path in ("/a", "/b"):
+            response = await client.call("GET", path, 2.0)
+            self.assertEqual(response.body, f"GET {path}".encode())
+            self.assertEqual(len(client.idle), 1)
+        client.close_idle()
+        server.close()
+
+    async def test_timeout(self) -> None:
+        async def never(request: plainhttp.Request) -> plainhttp.Response:
+            await asyncio.sleep(30)
+            return plainhttp.Response(200, b"")
+
+        server, port = await open_port(never)
+        client = plainhttp.Client(HOST, port)
+        with self.assertRaises(exceptions.AnswerTimeoutError):
+            await client.call("GET", "/", 0.1)
+        self.assertEqual(client.idle, [])
+        server.close()
+
+    async def test_refused(self) -> None:
+        server, port = await open_port(echo)
+        server.close()
+        await server.wait_closed()
+        with self.assertRaises(exceptions.ConnectionLostError):
+            await plainhttp.Client(HOST, port).call("GET", "/", 1.0)
+
+    async def test_connecting_does_not_use_up_a_long_wait(self) -> None:
+        # Nobody accepts and the queue is full, so the opening packet of one
+        # more connection gets no answer, as with an address out of reach.
+        listener = await asyncio.start_server(
+            lambda reader, writer: None, HOST, 0, backlog=0, start_serving=False
+        )
+        sock = listener.sockets[0]
+        sock.listen(0)
+        port = sock.getsockname()[1]
+        fillers = []
+        for _ in range(8):
+            opening = asyncio.open_connection(HOST, port)
+            fillers.append(asyncio.create_task(opening))
+        await asyncio.sleep(0.1)
+        begun = time.monotonic()
+        with self.assertRaises(exceptions.AnswerTimeoutError):
+            await plainhttp.Client(HOST, port).call("GET", "/", 30.0)
+        self.assertLess(time.monotonic() - begun, 2.0)
+        for filler in fillers:
+            filler.cancel()
+        listener.close()
