Never let the follower of the store end on a closed transport

Ruled out: slow connecting alone, bounded before without effect. Test: test_plainhttp, failed first.

--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -29,6 +29,8 @@
 
 PART = "engine"
 
+RERUN_S = 0.5  # Until something that failed is run again.
+
 
 def boot_clock() -> float:
     """Returns the seconds since the machine started, suspended or not."""
@@ -96,6 +98,17 @@
         self.tasks.add(task)
         task.add_done_callback(self._finished)
 
+    async def keep_running(
+        self, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Runs something that must not end, again whenever it fails."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                logger.error("{}: {!r}", PART, error)
+            await asyncio.sleep(RERUN_S)
+
     def _finished(self, task: asyncio.Task[None]) -> None:
         """Takes in the end of what ran beside the events."""
         self.tasks.discard(task)
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -105,7 +105,12 @@
             _abort(exchange)
             text = f"{path}: no answer for {timeout_s:g} s"
             raise exceptions.AnswerTimeoutError(text) from error
-        except (OSError, EOFError, h11.RemoteProtocolError) as error:
+        except (
+            OSError,
+            EOFError,
+            RuntimeError,  # What uvloop raises on a transport that is closed.
+            h11.RemoteProtocolError,
+        ) as error:
             _abort(exchange)
             text = f"{path}: {error!r}"
             raise exceptions.ConnectionLostError(text) from error
--- a/tests/test_direct_marks.py
+++ b/tests/test_direct_marks.py
@@ -3,7 +3,6 @@
 import unittest
 
 from cuminwall.direct import statements
-
 from tests import direct_world
 
 
--- a/tests/test_plainhttp.py
+++ b/tests/test_plainhttp.py
@@ -1,8 +1,10 @@
 """HTTP in small: calls, their limits, and a server."""
 
 import asyncio
+import socket
 import time
 import unittest
+from unittest import mock
 
 from cuminwall import exceptions, plainhttp
 
@@ -48,6 +50,21 @@
         self.assertEqual(client.idle, [])
         server.close()
 
+    async def test_closed_transport_counts_as_lost(self) -> None:
+        # uvloop raises RuntimeError on a transport that is closed meanwhile;
+        # once it ended the task that follows the store.
+        server, port = await open_port(echo)
+        client = plainhttp.Client(HOST, port)
+        await client.call("GET", "/", 2.0)
+
+        def write(data: bytes) -> None:
+            raise RuntimeError("the handler is closed")
+
+        with mock.patch.object(client.idle[0].writer, "write", write):
+            with self.assertRaises(exceptions.ConnectionLostError):
+                await client.call("GET", "/", 2.0)
+        server.close()
+
     async def test_refused(self) -> None:
         server, port = await open_port(echo)
         server.close()
@@ -58,12 +75,8 @@
     async def test_connecting_does_not_use_up_a_long_wait(self) -> None:
         # Nobody accepts and the queue is full, so the opening packet of one
         # more connection gets no answer, as with an address out of reach.
-        listener = await asyncio.start_server(
-            lambda reader, writer: None, HOST, 0, backlog=0, start_serving=False
-        )
-        sock = listener.sockets[0]
-        sock.listen(0)
-        port = sock.getsockname()[1]
+        listener = socket.create_server((HOST, 0), backlog=0)
+        port = listener.getsockname()[1]
         fillers = []
         for _ in range(8):
             opening = asyncio.open_connection(HOST, port)
