Bound one holder's part of a rate; refuse at once what has no hope

Causes: after a restart of all, what a machine that is gone for good might hold kept every rate unlent for 8 s (the whole was taken as its); work waited 1.2 s for a primary that could not be back in time. Now one holder has at most a quarter, so one unheard holder blocks at most a quarter and its floor; a lost primary has a time by which its successor should lead.

Ruled out for the refusals: the load of the servers (0.1 of a core, p50 50 ms).

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -193,7 +193,7 @@
     """
     if not len(server.waiting):
         return None
-    if not groups.is_usable(state, server):
+    if not groups.may_still_lead(state, server):
         state.unplaced.extend(server.waiting.drain())
         return None
     has_idle = any(each.use is Use.IDLE for each in server.connections)
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -98,7 +98,10 @@
         )
     )
     group.primary = server
+    if not server:
+        _expect(state, group, state.limits.handover_s)
     if server:
+        group.back_at = None
         state.servers[server].replica_until = leases.NEVER
         state.unplaced.extend(group.waiting.drain())
 
@@ -115,6 +118,7 @@
     """Takes in that a server ran what only a primary runs."""
     group = find(state, server.entry.service)
     if group.primary == server.entry.server:
+        group.back_at = None
         return
     if state.is_store_up and group.primary:
         return
@@ -133,6 +137,9 @@
     server.suspect_until = now + state.limits.suspect_s
     if server.missed_at is None:
         server.missed_at = now
+    group = find(state, server.entry.service)
+    if group.primary == server.entry.server:
+        _expect(state, group, state.limits.failover_s)
     out.append(
         Note(
             PART,
@@ -153,6 +160,25 @@
     return server.entry.zone not in state.out_zones
 
 
+def may_still_lead(state: State, server: Server) -> bool:
+    """Returns whether a primary may get work that only it can run.
+
+    One that is to be replaced goes on for a moment, until its successor
+    leads, so that callers notice little of the change.
+    """
+    if is_usable(state, server):
+        return True
+    if server.is_gone or server.unwanted_at is None:
+        return False
+    return state.now < server.unwanted_at + state.limits.last_lead_s
+
+
+def _expect(state: State, group: Group, within_s: float) -> None:
+    """Notes by when a lost primary should be replaced."""
+    if group.back_at is None:
+        group.back_at = state.now + within_s
+
+
 def zone_changed(
     state: State, zone: str, is_out: bool, out: list[Effect]
 ) -> None:
@@ -174,7 +200,10 @@
 ) -> None:
     """Closes the free connections to a server that gets no new work."""
     if is_usable(state, server):
+        server.unwanted_at = None
         return
+    if server.unwanted_at is None:
+        server.unwanted_at = state.now
     state.unplaced.extend(server.waiting.drain())
     for connection in list(server.connections):
         if connection.use is not Use.IDLE:
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -17,6 +17,7 @@
 LENDABLE = (0.9, 0.9)  # The rest stays for sudden needs.
 FLOOR_PART = 0.2  # Of the whole, for all that lose touch.
 FLOOR_LEAST = (0.0, 0.5)
+MOST_PART = 0.25  # Of the whole, for one holder; more comes token by token.
 DRIFT_S = 1.0  # Added before a silent process counts as without any loan.
 
 
@@ -26,6 +27,7 @@
     for member in state.members.values():
         if member.instance != state.instance:
             lent.unheard[member.instance] = member.boot
+    lent.unheard_part = _unheard_part(lent)
 
 
 def give_up(state: State) -> None:
@@ -71,6 +73,11 @@
     limits = state.limits
     quiet_s = limits.share_lease_s + limits.share_floor_s + DRIFT_S
     if lent.unheard and state.now < lent.since + quiet_s:
+        part = _unheard_part(lent)
+        if part != lent.unheard_part:
+            lent.unheard_part = part
+            for limit in lent.limits.values():
+                lending.bound_unclaimed(limit, part, state.now)
         return
     lent.is_settled = True
     for limit in lent.limits.values():
@@ -88,6 +95,12 @@
     )
 
 
+def _unheard_part(lent: Lender) -> float:
+    """Returns how much of a limit those may have that were not heard."""
+    one = MOST_PART + FLOOR_PART
+    return min(1.0, len(lent.unheard) * one)
+
+
 def _find(state: State, lent: Lender, name: str) -> lending.Limit | None:
     """Returns a limit with its present whole; None if there is none."""
     entry = state.catalog.workspaces.get(name.removeprefix(RATE_PREFIX))
@@ -109,10 +122,13 @@
         floor_least=FLOOR_LEAST,
         is_whole=False,
         has_level=True,
+        most_part=MOST_PART,
     )
     limit = lending.Limit(whole, policy, lent.epoch == 1, lent.since)
     if lent.is_settled:
         lending.all_heard(limit, state.now)
+    else:
+        lending.bound_unclaimed(limit, lent.unheard_part, state.now)
     lent.limits[name] = limit
     return limit
 
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -25,6 +25,10 @@
       max_attempts: How many servers one statement is offered to.
       token_wait_s: How long work may wait for its workspace's tokens.
       revoked_s: How long an open transaction of a withdrawn key may rest.
+      handover_s: How long a planned change of primary should take.
+      failover_s: How long the change of a lost primary should take.
+      overdue_s: How much longer a change may take before work is refused.
+      last_lead_s: How long a primary that is to be replaced still gets work.
       instance_lease_s: Time to live of the coordinator's lease.
       lease_renew_s: Between two renewals of it.
       ask_s: Between two asks for shares.
@@ -53,8 +57,12 @@
     max_attempts: int = 4
     token_wait_s: float = 0.15
     revoked_s: float = 1.0
-    instance_lease_s: float = 3.0
-    lease_renew_s: float = 0.8
+    handover_s: float = 1.0
+    failover_s: float = 2.2
+    overdue_s: float = 0.8
+    last_lead_s: float = 2.0
+    instance_lease_s: float = 1.5
+    lease_renew_s: float = 0.4
     ask_s: float = 0.4
     share_lease_s: float = 6.0
     share_floor_s: float = 30.0
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -1,6 +1,7 @@
 """One instance of direct service, from its settings to its end."""
 
 import asyncio
+import os
 import secrets
 import signal
 from collections.abc import Callable
@@ -30,6 +31,7 @@
 EXIT_BAD_SETTINGS = 2
 ENTROPY_BYTES = 32
 BOOT_BYTES = 8
+LAST_WORDS_S = 0.1  # Until the last answers have left.
 
 
 class Address(NamedTuple):
@@ -134,7 +136,10 @@
         await self.engine.callers.listen(*own.callers)
         await self.engine.ended.wait()
         self.journal.add(PART, "stop", {})
+        await asyncio.sleep(LAST_WORDS_S)
         self.journal.flush()
+        # Links to peers would take their time to close; all is said.
+        os._exit(0)
 
     def shut_down(self) -> None:
         """Begins to end."""
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -35,9 +35,9 @@
     """
     server = group.servers.get(group.primary)
     if server is not None:
-        if not groups.is_usable(state, server):
+        if not groups.may_still_lead(state, server):
             return None
-        if state.now < server.suspect_until and work.offers:
+        if state.now < max(server.suspect_until, server.replica_until):
             return None
         return server
     if state.is_store_up:
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -189,9 +189,11 @@
     That is so when the coordinator has just answered that it has none.
     """
     line = bucket.line
+    rate, _ = shares.usable(line, state.now)
+    if state.coordinator is None and rate <= 0:
+        return True
     if not line.is_answered or line.pause_s <= shares.FIRST_PAUSE_S:
         return False
-    rate, _ = shares.usable(line, state.now)
     needed = len(bucket.waiting) + 1.0 - bucket.level
     return needed > rate * state.limits.token_wait_s
 
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -136,6 +136,7 @@
       limits: The shared limits by name.
       unheard: The processes that may hold what an earlier one has lent.
       heard_at: When each instance asked last.
+      unheard_part: The part of each limit that they may have at most.
       is_settled: Whether no earlier loan can be left.
     """
 
@@ -145,6 +146,7 @@
         "limits",
         "unheard",
         "heard_at",
+        "unheard_part",
         "is_settled",
     )
 
@@ -154,6 +156,7 @@
         self.limits: dict[str, lending.Limit] = {}
         self.unheard: dict[str, str] = {}
         self.heard_at: dict[str, float] = {}
+        self.unheard_part = 1.0
         self.is_settled = False
 
 
@@ -481,6 +484,7 @@
     Attributes:
       entry: What it says of itself.
       is_gone: Whether it has no entry any more.
+      unwanted_at: Since when it should get no new work, or None.
       connections: Those of this instance.
       waiting: Work that waits for one of them.
       suspect_until: Until when it is left alone, since it was out of reach.
@@ -499,6 +503,7 @@
     __slots__ = (
         "entry",
         "is_gone",
+        "unwanted_at",
         "connections",
         "waiting",
         "suspect_until",
@@ -515,6 +520,7 @@
     def __init__(self, entry: catalog.ServerEntry):
         self.entry = entry
         self.is_gone = False
+        self.unwanted_at: float | None = None
         self.connections: list[Connection] = []
         self.waiting: waiting.Room[Work] = waiting.Room()
         self.suspect_until = leases.NEVER
@@ -569,6 +575,7 @@
       servers: By id.
       primary: The id of the server that leads, or "".
       primary_revision: The store's revision that says so.
+      back_at: By when a lost primary should be replaced, or None.
       marks: Positions of the primary, oldest first.
       waiting: Work that waits for a primary.
     """
@@ -578,6 +585,7 @@
         "servers",
         "primary",
         "primary_revision",
+        "back_at",
         "marks",
         "waiting",
     )
@@ -587,6 +595,7 @@
         self.servers: dict[str, Server] = {}
         self.primary = ""
         self.primary_revision = 0
+        self.back_at: float | None = None
         self.marks: deque[Mark] = deque()
         self.waiting: waiting.Room[Work] = waiting.Room()
 
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -35,6 +35,7 @@
 from cuminwall.direct.state import (
     Connection,
     Expected,
+    Group,
     Session,
     Stage,
     State,
@@ -369,17 +370,29 @@
     """Lets work wait for a primary, if one may lead in time."""
     until = work.came_at + state.limits.primary_wait_s
     until = min(until, work.came_at + work.route.timeout_s)
-    if state.now >= until or state.is_leaving:
+    group = groups.find(state, work.route.service)
+    if state.is_leaving or _is_hopeless(state, group, until):
         refuse(state, work, "no primary", out)
         return
     work.stage = Stage.ROOM
     work.wait_until = until
-    group = groups.find(state, work.route.service)
     target_at = work.came_at + work.route.target_s
     group.waiting.push(work.route.priority, target_at, work)
     _set_timer(state, work, until)
 
 
+def _is_hopeless(state: State, group: Group, until: float) -> bool:
+    """Returns whether no primary can be expected by a time."""
+    if state.now >= until:
+        return True
+    back_at = group.back_at
+    if back_at is None:
+        return False
+    if state.now > back_at + state.limits.overdue_s:
+        return True
+    return back_at > until
+
+
 def _set_room_timer(state: State, work: Work) -> None:
     """Bounds how long work waits for a connection."""
     _set_timer(state, work, work.wait_until)
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -29,6 +29,7 @@
       floor_least: The least amounts that are of use as a floor.
       is_whole: Whether amounts are whole numbers.
       has_level: Whether the last component is a burst, with tokens.
+      most_part: The part of the whole that one holder may have at most.
     """
 
     lease_s: float
@@ -40,6 +41,7 @@
     floor_least: Amounts
     is_whole: bool
     has_level: bool
+    most_part: float = 1.0
 
 
 class Loan:
@@ -222,6 +224,20 @@
     limit.divided_at = leases.NEVER
 
 
+def bound_unclaimed(limit: Limit, part: float, now: float) -> None:
+    """Takes in how much of the whole unheard holders may have at most.
+
+    Args:
+      limit: The limit.
+      part: The part of the whole.
+      now: The time, in seconds.
+    """
+    settle(limit, now)
+    most = tuple(whole * part for whole in limit.whole)
+    limit.unclaimed = _least(limit.unclaimed, most)
+    limit.unheard_floors = _least(limit.unheard_floors, limit.unclaimed)
+
+
 def free(limit: Limit) -> Amounts:
     """Returns what nobody holds; negative after the whole was reduced."""
     found = []
@@ -424,7 +440,8 @@
         for loan in limit.loans.values():
             if loan.is_open:
                 wants.append(_want_of(limit, loan, place))
-        ceilings.append(water_level(wants, lendable))
+        most = whole * limit.policy.most_part
+        ceilings.append(min(most, water_level(wants, lendable)))
     limit.ceilings = tuple(ceilings)
     if limit.policy.is_whole:
         _divide_rest(limit)
--- a/tests/test_plainhttp.py
+++ b/tests/test_plainhttp.py
@@ -60,9 +60,10 @@
         def write(data: bytes) -> None:
             raise RuntimeError("the handler is closed")
 
-        with mock.patch.object(client.idle[0].writer, "write", write):
-            with self.assertRaises(exceptions.ConnectionLostError):
-                await client.call("GET", "/", 2.0)
+        broken = mock.patch.object(client.idle[0].writer, "write", write)
+        lost = self.assertRaises(exceptions.ConnectionLostError)
+        with broken, lost:
+            await client.call("GET", "/", 2.0)
         server.close()
 
     async def test_refused(self) -> None:
