Go on lending without the store, serve until the end, keep to the servers' caps

Now the lender goes on while most instances ask it; a leaving instance gives back at its end; a full server is tried again after a growing pause, and an instance that has just gone still counts.

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -6,7 +6,7 @@
 of another.
 """
 
-from cuminwall.direct import groups
+from cuminwall.direct import groups, membership
 from cuminwall.direct.commands import (
     AssignValue,
     Command,
@@ -32,6 +32,7 @@
 )
 from cuminwall.direct.statements import Shape
 
+RESERVED = 2  # Connections to a server that are kept for its coordinator.
 MAX_PREPARED = 200  # Prepared statements that one connection keeps.
 
 
@@ -40,7 +41,8 @@
     service = state.catalog.services.get(server.entry.service)
     if service is None:
         return 1
-    return max(1, service.connections // max(1, len(state.members)))
+    count = max(1, membership.count_members(state))
+    return max(1, (service.connections - RESERVED) // count)
 
 
 def acquire(
@@ -65,6 +67,9 @@
     state: State, server: Server, workspace: str, out: list[Effect]
 ) -> None:
     """Opens a connection for a workspace, if there is room for one more."""
+    if server.refusals and state.now < server.full_until:
+        state.remind(server.full_until, Subject.SERVER, server.entry.server)
+        return
     if len(server.connections) >= allowed(state, server):
         if not _close_least_used(state, server, out):
             return
--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -62,9 +62,10 @@
     """Renews the lease, or tries to take over where nobody coordinates."""
     hold = state.hold
     if hold.epoch:
-        if state.now >= hold.until:
-            _lose(state, "the lease lapsed", out)
-            return
+        if state.now >= hold.until and not hold.is_lapsed:
+            hold.is_lapsed = True
+            out.append(Note(PART, "lease_lapsed", {"epoch": hold.epoch}))
+            failover.give_up(state, out)
         if state.now >= hold.renew_at and not hold.is_asking:
             hold.is_asking = True
             hold.renew_at = state.now + state.limits.lease_renew_s
@@ -104,6 +105,10 @@
         return
     hold.lease = lease
     hold.until = max(hold.until, sent_at + ttl_s - MARGIN_S)
+    if hold.is_lapsed and state.now < hold.until:
+        hold.is_lapsed = False
+        out.append(Note(PART, "lease_renewed", {"epoch": hold.epoch}))
+        failover.take_up(state)
     if hold.epoch:
         state.remind(hold.until, Subject.COORDINATOR)
         return
@@ -186,6 +191,7 @@
     hold.lease = 0
     hold.until = 0.0
     hold.is_asking = False
+    hold.is_lapsed = False
     lender.give_up(state)
     failover.give_up(state, out)
     _plan_try(state)
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -1,5 +1,9 @@
 """What the coordinator lends of the workspaces' rates.
 
+When the store does not answer, the coordinator's lease can't be renewed. It
+goes on lending as long as most instances ask it, and nobody else: whoever
+takes over meanwhile lends little until it has heard most of them itself.
+
 A new coordinator does not know what its predecessor has lent. It lends only
 what it is given back, until every process that was there before it has told
 what it holds, has been replaced by a later process of its instance, or has
@@ -18,6 +22,7 @@
 FLOOR_PART = 0.1  # Of the whole, for all that lose touch.
 FLOOR_LEAST = (0.0, 0.5)
 MOST_PART = 0.25  # Of the whole, for one holder; more comes token by token.
+MAJORITY_S = 0.6  # How long an ask shows that its sender has no other lender.
 DRIFT_S = 1.0  # Added before a silent process counts as without any loan.
 
 
@@ -27,7 +32,7 @@
     for member in state.members.values():
         if member.instance != state.instance:
             lent.unheard[member.instance] = member.boot
-    lent.unheard_part = _unheard_part(lent)
+    lent.unheard_part = 1.0
 
 
 def give_up(state: State) -> None:
@@ -46,6 +51,8 @@
     if member is None or member.boot != ask.boot:
         return None
     lent.heard_at[sender] = state.now
+    if not _may_lend(state, lent):
+        return None
     holder = f"{sender}@{ask.boot}"
     grants = []
     for line in ask.lines:
@@ -70,10 +77,13 @@
         member = state.members.get(instance)
         if member is None or member.boot != boot:
             del lent.unheard[instance]
+    if state.now < lent.since + MAJORITY_S:
+        if lent.unheard:
+            return
     limits = state.limits
     quiet_s = limits.share_lease_s + limits.share_floor_s + DRIFT_S
     if lent.unheard and state.now < lent.since + quiet_s:
-        part = _unheard_part(lent)
+        part = _unheard_part(state, lent)
         if part != lent.unheard_part:
             lent.unheard_part = part
             for limit in lent.limits.values():
@@ -95,8 +105,21 @@
     )
 
 
-def _unheard_part(lent: Lender) -> float:
-    """Returns how much of a limit those may have that were not heard."""
+def _may_lend(state: State, lent: Lender) -> bool:
+    """Returns whether nobody else can have become the lender of most."""
+    if state.now < state.hold.until and state.hold.epoch == lent.epoch:
+        return True
+    heard = heard_lately(state, MAJORITY_S)
+    return 2 * (heard + 1) > len(state.members)
+
+
+def _unheard_part(state: State, lent: Lender) -> float:
+    """Returns how much of a limit those may have that were not heard.
+
+    While they are half of all or more, their lender may still lend the whole.
+    """
+    if 2 * len(lent.unheard) >= len(state.members):
+        return 1.0
     one = MOST_PART + FLOOR_PART
     return min(1.0, len(lent.unheard) * one)
 
@@ -140,7 +163,9 @@
     if lent is None:
         return 0
     count = 0
-    for heard_at in lent.heard_at.values():
+    for instance, heard_at in lent.heard_at.items():
+        if instance == state.instance:
+            continue
         if state.now - heard_at <= within_s:
             count += 1
     return count
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -15,6 +15,7 @@
 
 PREFIX = "instances/"
 SECRET_NAME = "secret"
+COUNT_KEPT_S = 30.0  # How long a higher number of instances counts.
 RETRY_S = 0.3  # Between two tries to write the line.
 
 
@@ -59,6 +60,7 @@
         return
     known = state.members.get(instance)
     state.members[instance] = member
+    count_members(state)
     if known is None or known.boot != member.boot:
         out.append(
             Note(
@@ -74,6 +76,20 @@
         )
 
 
+def count_members(state: State) -> int:
+    """Returns how many instances to reckon with.
+
+    One that has just gone may still be counted by the servers, and is often
+    back soon; so the most of the last while counts.
+    """
+    count = len(state.members)
+    is_old = state.now - state.most_members_at > COUNT_KEPT_S
+    if count >= state.most_members or is_old:
+        state.most_members = count
+        state.most_members_at = state.now
+    return state.most_members
+
+
 def secret_seen(state: State, value: bytes | None, out: list[Effect]) -> None:
     """Takes in the secret by which instances know each other."""
     if value is None or value == state.secret:
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -5,7 +5,7 @@
 """
 
 from cuminwall import buckets, shares
-from cuminwall.direct import coordination, lender, messages, works
+from cuminwall.direct import lender, messages, works
 from cuminwall.direct.effects import Effect, Note, Say
 from cuminwall.direct.state import Stage, State, Subject, Work
 from cuminwall.messages import ShareLine
@@ -49,6 +49,9 @@
     wait_s = state.limits.token_wait_s
     if state.coordinator is None:
         wait_s = min(work.route.timeout_s, state.limits.vacant_wait_s)
+    elif _is_out_of_touch(state, bucket):
+        # What is held here goes on, and is all there is.
+        wait_s = max(wait_s, work.route.target_s)
     work.wait_until = state.now + wait_s
     state.remind(work.wait_until, Subject.WORK, work.number)
     bucket.waiting.append((work.number, state.now))
@@ -91,6 +94,14 @@
     ask(state, list(state.buckets.values()), True, out)
 
 
+def give_back_all(state: State, out: list[Effect]) -> None:
+    """Gives every share back, since no operation comes any more."""
+    state.asked_tokens_at.clear()
+    for bucket in state.buckets.values():
+        bucket.waiting.clear()
+    ask(state, list(state.buckets.values()), True, out)
+
+
 def ask_now(state: State, bucket: buckets.Bucket, out: list[Effect]) -> None:
     """Asks for one workspace's tokens, unless an ask is on its way."""
     if shares.may_ask_now(bucket.line, state.now):
@@ -132,14 +143,17 @@
     if coordinator.instance != state.instance:
         out.append(Say(coordinator.instance, message))
         return
-    if coordination.is_held(state):
+    if state.lender is not None:
         grants = lender.asked(state, state.instance, message, out)
         if grants is not None:
             granted(state, grants)
 
 
 def granted(state: State, grants: messages.Grants) -> None:
-    """Takes in the coordinator's answer."""
+    """Takes in the coordinator's answer; one of an earlier epoch is void."""
+    coordinator = state.coordinator
+    if coordinator is None or coordinator.epoch != grants.epoch:
+        return
     for grant in grants.grants:
         workspace = grant.name.removeprefix(lender.RATE_PREFIX)
         bucket = state.buckets.get(workspace)
@@ -158,8 +172,7 @@
 def _state_line(state: State, bucket: buckets.Bucket) -> ShareLine:
     """Returns what is stated of one workspace; an unused share goes back."""
     asked_at = state.asked_tokens_at.get(bucket.workspace, 0.0)
-    is_unused = state.now - asked_at > IDLE_S and not bucket.waiting
-    if is_unused or state.is_leaving and not bucket.waiting:
+    if state.now - asked_at > IDLE_S and not bucket.waiting:
         del state.buckets[bucket.workspace]
         return buckets.give_back(bucket, state.now)
     return buckets.state_line(bucket, state.now)
@@ -187,6 +200,14 @@
     return bucket
 
 
+def _is_out_of_touch(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether the coordinator leaves asks unanswered."""
+    line = bucket.line
+    if line.is_answered:
+        return False
+    return state.now - line.asked_at > shares.ASK_TIMEOUT_S
+
+
 def _is_hopeless(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether no token can come in the time that work may wait.
 
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -87,6 +87,7 @@
     if connection is None:
         return
     groups.reached(connection.server, state.now)
+    connection.server.refusals = 0
     connections.set_idle(state, connection)
     works.wake(state, connection, out)
 
@@ -226,7 +227,7 @@
 @handle.register
 def _(event: events.PeerSaid, state: State, out: list[Effect]) -> None:
     if isinstance(event.message, messages.Ask):
-        if coordination.is_held(state):
+        if state.lender is not None:
             failover.reported(state, event.sender, event.message.missed)
             grants = lender.asked(state, event.sender, event.message, out)
             if grants is not None:
--- a/src/cuminwall/direct/shutdown.py
+++ b/src/cuminwall/direct/shutdown.py
@@ -25,9 +25,7 @@
     state.is_leaving = True
     state.leaving_since = state.now
     out.append(Note(PART, "begun", {"sessions": len(state.sessions)}))
-    quotas.ask(state, list(state.buckets.values()), True, out)
     coordination.leave(state, out)
-    membership.leave(state, out)
     tick(state, out)
 
 
@@ -41,16 +39,25 @@
     if passed_s >= TRANSACTION_PART * grace_s:
         _end_transactions(state, out)
     if not state.sessions and passed_s >= NOT_READY_S:
-        out.append(Note(PART, "done", {"after_s": round(passed_s, 3)}))
-        out.append(EndProcess())
+        _finish(state, "done", passed_s, out)
         return
     if passed_s >= END_PART * grace_s:
-        out.append(Note(PART, "cut", {"sessions": len(state.sessions)}))
-        out.append(EndProcess())
+        _finish(state, "cut", passed_s, out)
         return
     state.remind(state.now + state.limits.close_lot_s, Subject.SHUTDOWN)
 
 
+def _finish(
+    state: State, outcome: str, passed_s: float, out: list[Effect]
+) -> None:
+    """Gives back what was lent, takes leave and ends."""
+    fields = {"after_s": round(passed_s, 3), "sessions": len(state.sessions)}
+    out.append(Note(PART, outcome, fields))
+    quotas.give_back_all(state, out)
+    membership.leave(state, out)
+    out.append(EndProcess())
+
+
 def _close_lot(
     state: State, passed_s: float, grace_s: float, out: list[Effect]
 ) -> None:
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -40,6 +40,7 @@
     CONNECTION = enum.auto()
     SESSION = enum.auto()
     TOKENS = enum.auto()
+    SERVER = enum.auto()
     INQUIRY = enum.auto()
     MEMBERSHIP = enum.auto()
     COORDINATOR = enum.auto()
@@ -114,9 +115,18 @@
       renew_at: When the lease is renewed next.
       try_at: When it may try to take over.
       is_asking: Whether a call about the lease is on its way.
+      is_lapsed: Whether the lease may have lapsed unnoticed.
     """
 
-    __slots__ = ("lease", "until", "epoch", "renew_at", "try_at", "is_asking")
+    __slots__ = (
+        "lease",
+        "until",
+        "epoch",
+        "renew_at",
+        "try_at",
+        "is_asking",
+        "is_lapsed",
+    )
 
     def __init__(self) -> None:
         self.lease = 0
@@ -125,6 +135,7 @@
         self.renew_at = 0.0
         self.try_at = 0.0
         self.is_asking = False
+        self.is_lapsed = False
 
 
 class Lender:
@@ -493,6 +504,7 @@
       full_until: Until when it is left alone, since it took no more work.
       replica_until: Until when it is not asked to act as primary, since it
         said that it is none.
+      refusals: How many connections it refused since it took one.
       reached_at: When it last answered.
       missed_at: When it was first out of reach since then, or None.
       status: What it answered last to the coordinator, or None.
@@ -510,6 +522,7 @@
         "lagging_until",
         "full_until",
         "replica_until",
+        "refusals",
         "reached_at",
         "missed_at",
         "status",
@@ -527,6 +540,7 @@
         self.lagging_until = leases.NEVER
         self.full_until = leases.NEVER
         self.replica_until = leases.NEVER
+        self.refusals = 0
         self.reached_at = leases.NEVER
         self.missed_at: float | None = None
         self.status: Status | None = None
@@ -626,6 +640,8 @@
       peer_port: On which port.
       secret: By which instances know each other; empty until it is read.
       members: The instances of the system, by name.
+      most_members: The most instances that there were lately.
+      most_members_at: When there were so many.
       shared_revisions: The store's revision of each shared value.
       swaps: The conditional writes on their way, by number.
       coordinator: Who coordinates, or None.
@@ -676,6 +692,8 @@
         self.peer_port = 0
         self.secret = b""
         self.members: dict[str, Member] = {}
+        self.most_members = 0
+        self.most_members_at = leases.NEVER
         self.shared_revisions: dict[str, int] = {}
         self.swaps: dict[int, Swap] = {}
         self.coordinator: Coordinator | None = None
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -35,6 +35,10 @@
         works.connection_due(state, connection, out)
 
 
+def _server(state: State, key: Any, out: list[Effect]) -> None:
+    works.server_due(state, key, out)
+
+
 def _tokens(state: State, key: Any, out: list[Effect]) -> None:
     quotas.due(state, key, out)
 
@@ -70,6 +74,7 @@
     Subject.WORK: _work,
     Subject.CONNECTION: _connection,
     Subject.SESSION: sessions.due,
+    Subject.SERVER: _server,
     Subject.TOKENS: _tokens,
     Subject.INQUIRY: inquiries.due,
     Subject.MEMBERSHIP: _membership,
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -36,6 +36,7 @@
     Connection,
     Expected,
     Group,
+    Server,
     Session,
     Stage,
     State,
@@ -47,6 +48,8 @@
 
 PART = "work"
 
+MAX_DOUBLED = 2  # How often the pause after a refused connection doubles.
+
 
 def make(
     state: State, session: Session, statement: Any, writes: bool
@@ -660,7 +663,9 @@
     if failure is None:
         groups.missed(state, server, "no connection", out)
     else:
-        server.full_until = state.now + state.limits.full_s
+        pause_s = state.limits.full_s * 2 ** min(server.refusals, MAX_DOUBLED)
+        server.refusals += 1
+        server.full_until = state.now + pause_s
         out.append(
             Note(
                 PART,
@@ -674,24 +679,52 @@
         )
         if failure.reason is Reason.WRONG_SERVER:
             server.suspect_until = state.now + state.limits.suspect_s
-    if failure is not None and _has_open(server):
+    if failure is None or failure.reason is Reason.WRONG_SERVER:
+        _offer_waiting_elsewhere(state, server, True)
+        return
+    # Its connections are used up, by those of processes that have ended too.
+    _offer_waiting_elsewhere(state, server, False)
+    if len(server.waiting):
+        due_at = server.full_until
+        state.remind(due_at, Subject.SERVER, server.entry.server)
+
+
+def server_due(state: State, name: str, out: list[Effect]) -> None:
+    """Tries again to connect to a server that took no more connections."""
+    server = state.servers.get(name)
+    if server is None or not len(server.waiting):
+        return
+    work = server.waiting.pop(state.now)
+    if work.stage is not Stage.OVER:
+        state.unplaced.append(work)
         return
+    server_due(state, name, out)
+
+
+def _offer_waiting_elsewhere(
+    state: State, server: Server, is_lost: bool
+) -> None:
+    """Offers what waits for a server to others.
+
+    Args:
+      state: The state.
+      server: The server.
+      is_lost: Whether the server was out of reach; else what only the primary
+        can run goes on waiting for it.
+    """
     for work in server.waiting.drain():
         if work.stage is Stage.OVER:
             continue
+        if not is_lost and (work.needs_primary or work.after is None):
+            target_at = work.came_at + work.route.target_s
+            server.waiting.push(work.route.priority, target_at, work)
+            continue
         work.tried.add(server.entry.server)
-        work.offers += 1
+        if is_lost:
+            work.offers += 1
         state.unplaced.append(work)
 
 
-def _has_open(server: Any) -> bool:
-    """Returns whether some connection will be free for what waits."""
-    for connection in server.connections:
-        if connection.use is not Use.OPENING:
-            return True
-    return False
-
-
 def _note_of(
     state: State, work: Work, answer: Answer, kind: str, outcome: str
 ) -> Note:
--- /dev/null
+++ b/tests/test_direct_connections.py
@@ -0,0 +1,105 @@
+"""Connections to backend servers, shared by all instances."""
+
+import unittest
+
+from cuminwall.direct import connections, events, statements
+from cuminwall.direct.answers import Failure, Reason
+from tests import direct_world
+
+
+def make_world(names: tuple[str, ...]) -> direct_world.World:
+    """Returns instances before one primary."""
+    primary = direct_world.FakeServer("p")
+    primary.is_primary = True
+    world = direct_world.World(names, (primary,))
+    world.run(4.0)
+    return world
+
+
+class ShareTest(unittest.TestCase):
+    """How many connections an instance may have."""
+
+    def test_even_part(self) -> None:
+        world = make_world(("a", "b", "c"))
+        known = world.instances["a"].state
+        self.assertEqual(connections.allowed(known, known.servers["p"]), 19)
+
+    def test_part_stays_while_an_instance_starts_again(self) -> None:
+        # The servers still count the connections of one that has just gone.
+        world = make_world(("a", "b", "c"))
+        world.instances["c"].happen(events.ShutdownOrdered(world.now))
+        world.run(2.0)
+        known = world.instances["a"].state
+        self.assertEqual(len(known.members), 2, known.members)
+        self.assertEqual(connections.allowed(known, known.servers["p"]), 19)
+
+
+class FullTest(unittest.TestCase):
+    """A server that takes no more connections."""
+
+    def test_work_waits_until_there_is_room(self) -> None:
+        # After a loss of power the servers count dead connections for 3 s.
+        world = make_world(("a",))
+        instance = world.instances["a"]
+        opened_at = world.now + 0.08
+
+        def refuse_or_open(
+            world_: direct_world.World,
+            instance_: direct_world.Instance,
+            effect: object,
+        ) -> None:
+            if world_.now >= opened_at:
+                direct_world.World._open(world_, instance_, effect)
+                return
+            failure = Failure(Reason.TOO_MANY_CONNECTIONS, "test")
+            number = effect.connection
+            world_.at(
+                0.01,
+                lambda: instance_.happen(
+                    events.ConnectionEnded(world_.now, number, failure, True)
+                ),
+            )
+
+        carriers = direct_world._CARRIERS
+        kind = direct_world.effects.OpenConnection
+        plain = carriers[kind]
+        carriers[kind] = refuse_or_open
+        try:
+            caller = instance.caller("db")
+            caller.say(statements.Write("w", "WRITE 1 x"))
+            world.run(0.6)
+        finally:
+            carriers[kind] = plain
+        self.assertEqual(caller.reasons(), [None])
+
+
+class WorkspaceTest(unittest.TestCase):
+    """A connection serves the workspace for which it was opened."""
+
+    def test_connection_of_another_workspace_makes_room(self) -> None:
+        config = direct_world.make_catalog()
+        workspaces = dict(config.workspaces)
+        workspaces["v"] = config.workspaces["w"]._replace(name="v")
+        config = config._replace(
+            workspaces=workspaces,
+            keys={"key": "w", "other": "v"},
+            services={"s": config.services["s"]._replace(connections=3)},
+        )
+        primary = direct_world.FakeServer("p")
+        primary.is_primary = True
+        world = direct_world.World(("a",), (primary,), config=config)
+        world.run(4.0)
+        instance = world.instances["a"]
+        for number in range(6):
+            key = "key" if number % 2 else "other"
+            caller = instance.caller("db", key)
+            caller.say(statements.Write(f"w{number}", "WRITE 1 x"))
+            world.run(0.4)
+            self.assertEqual(caller.reasons(), [None])
+            kept = instance.state.connections.values()
+            workspace = "w" if number % 2 else "v"
+            self.assertEqual([each.workspace for each in kept], [workspace])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cuminwall.direct import answers, statements
+from cuminwall.direct import answers, events, statements
 from tests import direct_world, naive_bucket
 
 NAMES = ("a", "b", "c", "d", "e", "f", "g", "h", "i")
@@ -115,6 +115,31 @@
         load.run(10.0)
         self.assertLessEqual(load.refused_part(), REFUSED_PART)
 
+    def test_store_down(self) -> None:
+        # Nobody can take over, so the lender goes on.
+        world = make_world(40.0, 40.0, 7)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 24.0)
+        load.run(4.0)
+        load.outcomes.clear()
+        world.at(0.5, lambda: world.set_store(False))
+        load.run(8.0)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
+    def test_leaving_instance_serves_until_its_end(self) -> None:
+        world = make_world(40.0, 40.0, 8)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 24.0)
+        load.run(4.0)
+        load.outcomes.clear()
+        leaving = world.instances["c"]
+        # A session that stays open, as in a transaction, keeps it going.
+        load.weights = {"c": 1.0}
+        load.rate = 6.0
+        leaving.caller("db").say(statements.Begin("b", "BEGIN", False))
+        leaving.happen(events.ShutdownOrdered(world.now))
+        load.run(2.0)
+        self.assertGreater(len(load.outcomes), 5)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
 
 class BoundTest(unittest.TestCase):
     """No workspace gets more than one bucket with its whole limit allows."""
@@ -149,6 +174,32 @@
         load.run(20.0)
         self.check(world, 20.0, 20.0)
 
+    def test_hot_while_the_coordinator_alone_lacks_the_store(self) -> None:
+        # It can't know whether another has taken over.
+        world = make_world(20.0, 20.0, 9)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
+        for instance in world.instances.values():
+            if instance.state.hold.epoch:
+                cut = instance
+        world.at(5.0, lambda: setattr(cut, "has_store", False))
+        load.run(20.0)
+        self.check(world, 20.0, 20.0)
+
+    def test_hot_while_the_coordinator_is_cut_off(self) -> None:
+        world = make_world(20.0, 20.0, 10)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
+        for instance in world.instances.values():
+            if instance.state.hold.epoch:
+                cut = instance
+
+        def cut_off() -> None:
+            cut.has_store = False
+            cut.is_cut = True
+
+        world.at(5.0, cut_off)
+        load.run(20.0)
+        self.check(world, 20.0, 20.0)
+
     def test_hot_while_all_start_again(self) -> None:
         world = make_world(20.0, 20.0, 6)
         load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
