Remove silent instances, refuse the hopeless at once, bound cold servers; tests of the adapter

Causes: the line of a machine that was gone for good kept a third of every rate unlent after each change of coordinator, for 40 s; operations of a hot workspace waited 150 ms behind a queue that already took all that came. Cold servers get each instance's even part of their rate, in turns.

--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -35,6 +35,7 @@
         find(state, entry.service).servers[entry.server] = known
     known.entry = entry
     known.is_gone = False
+    known.cold_until = state.now + entry.cold_s
     if is_new:
         known.suspect_until = leases.NEVER
         known.missed_at = None
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -11,7 +11,7 @@
 """
 
 from cuminwall import lending
-from cuminwall.direct import messages
+from cuminwall.direct import membership, messages
 from cuminwall.direct.effects import Effect, Note
 from cuminwall.direct.state import Coordinator, Lender, State
 
@@ -21,8 +21,9 @@
 LENDABLE = (0.7, 0.4)  # The rest is fetched token by token.
 FLOOR_PART = 0.1  # Of the whole, for all that lose touch.
 FLOOR_LEAST = (0.0, 0.5)
-MOST_PART = 0.25  # Of the whole, for one holder; more comes token by token.
+MOST_PART = 0.2  # Of the whole, for one holder; more comes token by token.
 MAJORITY_S = 0.6  # How long an ask shows that its sender has no other lender.
+PRUNE_S = 2.0  # Between two looks for silent instances.
 DRIFT_S = 1.0  # Added before a silent process counts as without any loan.
 
 
@@ -80,9 +81,7 @@
     if state.now < lent.since + MAJORITY_S:
         if lent.unheard:
             return
-    limits = state.limits
-    quiet_s = limits.share_lease_s + limits.share_floor_s + DRIFT_S
-    if lent.unheard and state.now < lent.since + quiet_s:
+    if lent.unheard and state.now < lent.since + _quiet_s(state):
         part = _unheard_part(state, lent)
         if part != lent.unheard_part:
             lent.unheard_part = part
@@ -105,6 +104,26 @@
     )
 
 
+def prune(state: State, out: list[Effect]) -> None:
+    """Removes the lines of instances that have been silent for long."""
+    lent = state.lender
+    if lent is None or state.now < lent.prune_at:
+        return
+    lent.prune_at = state.now + PRUNE_S
+    silent = []
+    for instance in state.members:
+        heard_at = lent.heard_at.get(instance, lent.since)
+        if state.now - heard_at > _quiet_s(state):
+            silent.append(instance)
+    membership.remove(state, silent, out)
+
+
+def _quiet_s(state: State) -> float:
+    """Returns for how long a silent process may use what it was lent."""
+    limits = state.limits
+    return limits.share_lease_s + limits.share_floor_s + DRIFT_S
+
+
 def _may_lend(state: State, lent: Lender) -> bool:
     """Returns whether nobody else can have become the lender of most."""
     if state.now < state.hold.until and state.hold.epoch == lent.epoch:
@@ -120,8 +139,7 @@
     """
     if 2 * len(lent.unheard) >= len(state.members):
         return 1.0
-    one = MOST_PART + FLOOR_PART
-    return min(1.0, len(lent.unheard) * one)
+    return min(1.0, len(lent.unheard) * MOST_PART + FLOOR_PART)
 
 
 def _find(state: State, lent: Lender, name: str) -> lending.Limit | None:
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -67,7 +67,7 @@
     lease_renew_s: float = 0.3
     ask_s: float = 0.4
     share_lease_s: float = 6.0
-    share_floor_s: float = 30.0
+    share_floor_s: float = 9.0
     grace_s: float = 6.0
     close_lot_s: float = 0.05
     catch_up_s: float = 1.0
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -100,20 +100,28 @@
 
 def leave(state: State, out: list[Effect]) -> None:
     """Removes this process's line."""
-    name = name_of(state.instance)
+    out.extend(_removal(state, name_of(state.instance)))
+
+
+def remove(state: State, instances: list[str], out: list[Effect]) -> None:
+    """Removes the lines of other instances."""
+    for instance in instances:
+        name = name_of(instance)
+        if instance == state.instance:
+            continue
+        out.append(Note(PART, "silent_instance_removed", {"peer": instance}))
+        out.extend(_removal(state, name))
+
+
+def _removal(state: State, name: str) -> list[Effect]:
+    """Returns what removes a line, if it stands as it was seen."""
     revision = state.shared_revisions.get(name, 0)
     if not revision:
-        return
-    out.append(
-        SwapValues(
-            state.next_number(),
-            {name: revision},
-            {},
-            frozenset(),
-            0,
-            frozenset({name}),
-        )
-    )
+        return []
+    expected = {name: revision}
+    number = state.next_number()
+    removed = frozenset({name})
+    return [SwapValues(number, expected, {}, frozenset(), 0, removed)]
 
 
 def _line(state: State) -> bytes:
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -5,7 +5,7 @@
 goes to the primary.
 """
 
-from cuminwall.direct import groups, marks
+from cuminwall.direct import groups, marks, warmups
 from cuminwall.direct.answers import Position
 from cuminwall.direct.catalog import Freshness
 from cuminwall.direct.state import Group, Server, State, Use, Work
@@ -39,6 +39,8 @@
             return None
         if state.now < max(server.suspect_until, server.replica_until):
             return None
+        if state.now < warmups.open_at(state, server):
+            return None
         return server
     if state.is_store_up:
         return None
@@ -96,7 +98,7 @@
     if server.entry.server in work.tried:
         return False
     until = max(server.suspect_until, server.lagging_until, server.full_until)
-    return state.now >= until
+    return state.now >= max(until, warmups.open_at(state, server))
 
 
 def _weight(state: State, group: Group, server: Server) -> float:
@@ -106,6 +108,6 @@
         weight += DISTANCE / max(1, server.entry.slots)
     if server.entry.server == group.primary:
         weight += PRIMARY_WEIGHT / max(1, server.entry.slots)
-    if server.entry.cold_s > 0:
+    if state.now < server.cold_until:
         weight += 1.0
     return weight
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -7,7 +7,7 @@
 from cuminwall import buckets, shares
 from cuminwall.direct import lender, messages, works
 from cuminwall.direct.effects import Effect, Note, Say
-from cuminwall.direct.state import Stage, State, Subject, Work
+from cuminwall.direct.state import Flow, Stage, State, Subject, Work
 from cuminwall.messages import ShareLine
 
 PART = "quotas"
@@ -25,6 +25,8 @@
 LOOK_S = 0.02  # How often waiting work is looked at, at least.
 LEAST_LOOK_S = 0.002  # And at most.
 VACANT_S = 1.0  # By when somebody should coordinate again.
+FLOW_S = 0.5  # Over which the coming of tokens is measured.
+MOST_AHEAD = 1  # Operations that may wait beyond what came lately.
 MAX_WAITING = 50  # Operations of a workspace that wait for a token.
 
 
@@ -39,6 +41,7 @@
     buckets.settle(bucket, state.now)
     if not bucket.waiting and bucket.level >= 1.0:
         bucket.level -= 1.0
+        _count(state, bucket)
         works.admit(state, work)
         return
     if len(bucket.waiting) >= MAX_WAITING or _is_hopeless(state, bucket):
@@ -72,6 +75,7 @@
             return
         bucket.level -= 1.0
         bucket.waiting.popleft()
+        _count(state, bucket)
         works.admit(state, work)
 
 
@@ -218,12 +222,36 @@
     if state.coordinator is None and rate <= 0:
         vacant_s = state.now - state.vacant_since
         return vacant_s > VACANT_S
+    if bucket.waiting and _is_queue_too_long(state, bucket):
+        return True
     if not line.is_answered or line.pause_s <= shares.FIRST_PAUSE_S:
         return False
     needed = len(bucket.waiting) + 1.0 - bucket.level
     return needed > rate * state.limits.token_wait_s
 
 
+def _is_queue_too_long(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether those who wait already will take all that comes."""
+    flow = state.flows.get(bucket.workspace)
+    if flow is None:
+        return False
+    coming = max(1.0, flow.rate * state.limits.token_wait_s)
+    return len(bucket.waiting) + 1 > coming + MOST_AHEAD
+
+
+def _count(state: State, bucket: buckets.Bucket) -> None:
+    """Counts a token, and measures how fast they come."""
+    flow = state.flows.get(bucket.workspace)
+    if flow is None:
+        flow = state.flows[bucket.workspace] = Flow(state.now)
+    flow.count += 1
+    passed_s = state.now - flow.since
+    if passed_s >= FLOW_S:
+        flow.rate = flow.count / passed_s
+        flow.count = 0
+        flow.since = state.now
+
+
 def _look_again(state: State, bucket: buckets.Bucket) -> None:
     """Looks at the waiting operations when the next token is due."""
     rate, _ = shares.usable(bucket.line, state.now)
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -17,6 +17,23 @@
 from cuminwall.direct.statements import Shape, Statement
 
 
+class Flow:
+    """How fast a workspace's operations get tokens here.
+
+    Attributes:
+      rate: Tokens a second, over the last while.
+      count: Tokens since `since`.
+      since: When counting began.
+    """
+
+    __slots__ = ("rate", "count", "since")
+
+    def __init__(self, now: float):
+        self.rate = 0.0
+        self.count = 0
+        self.since = now
+
+
 class Timer(NamedTuple):
     """Something to look at when its time has come.
 
@@ -149,6 +166,7 @@
       heard_at: When each instance asked last.
       unheard_part: The part of each limit that they may have at most.
       is_settled: Whether no earlier loan can be left.
+      prune_at: When silent instances are looked for next.
     """
 
     __slots__ = (
@@ -159,6 +177,7 @@
         "heard_at",
         "unheard_part",
         "is_settled",
+        "prune_at",
     )
 
     def __init__(self, epoch: int, now: float):
@@ -169,6 +188,7 @@
         self.heard_at: dict[str, float] = {}
         self.unheard_part = 1.0
         self.is_settled = False
+        self.prune_at = now
 
 
 class Step(enum.Enum):
@@ -495,6 +515,8 @@
     Attributes:
       entry: What it says of itself.
       is_gone: Whether it has no entry any more.
+      cold_until: Until when it is slow after its start.
+      cold_open_at: When it may next be offered work while it is cold.
       unwanted_at: Since when it should get no new work, or None.
       connections: Those of this instance.
       waiting: Work that waits for one of them.
@@ -515,6 +537,8 @@
     __slots__ = (
         "entry",
         "is_gone",
+        "cold_until",
+        "cold_open_at",
         "unwanted_at",
         "connections",
         "waiting",
@@ -533,6 +557,8 @@
     def __init__(self, entry: catalog.ServerEntry):
         self.entry = entry
         self.is_gone = False
+        self.cold_until = leases.NEVER
+        self.cold_open_at: float | None = None
         self.unwanted_at: float | None = None
         self.connections: list[Connection] = []
         self.waiting: waiting.Room[Work] = waiting.Room()
@@ -655,6 +681,7 @@
         and since when.
       inquiries: Questions to servers, by number.
       ask_at: When the coordinator is asked next.
+      flows: How fast each workspace gets tokens here.
       asked_tokens_at: When a workspace last asked for a token here.
       leaving_since: Since when this instance is about to end.
       is_store_up: Whether the store answers.
@@ -706,6 +733,7 @@
         self.missed_by: dict[str, dict[str, tuple[float, float]]] = {}
         self.inquiries: dict[int, Inquiry] = {}
         self.ask_at = leases.NEVER
+        self.flows: dict[str, Flow] = {}
         self.asked_tokens_at: dict[str, float] = {}
         self.leaving_since = 0.0
         self.is_store_up = False
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -63,6 +63,7 @@
     if coordination.is_held(state):
         failover.tick(state, out)
         lender.settle_claims(state, out)
+        lender.prune(state, out)
 
 
 def _shutdown(state: State, key: Any, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -14,6 +14,7 @@
     marks,
     placing,
     statements,
+    warmups,
 )
 from cuminwall.direct.answers import (
     NOT_RUN,
@@ -93,6 +94,7 @@
     if server is None:
         _wait_for_primary(state, work, out)
         return
+    warmups.note_offer(state, server)
     work.server = server.entry.server
     connection = connections.acquire(state, server, work, out)
     if connection is not None:
@@ -260,7 +262,9 @@
         return
     if work.stage in (Stage.TOKENS, Stage.ROOM):
         if state.now >= work.wait_until:
-            refuse(state, work, "no room in time", out)
+            wants_token = work.stage is Stage.TOKENS
+            missing = "token" if wants_token else "room"
+            refuse(state, work, f"no {missing} in time", out)
         elif work.resume_at is not None and state.now >= work.resume_at:
             work.resume_at = None
             state.unplaced.append(work)
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -201,11 +200,12 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         keep_alive(writer.transport)
-        with contextlib.suppress(
-            OSError, TimeoutError, h11.RemoteProtocolError
-        ):
+        try:
             await _answer_all(reader, writer, handler)
-        writer.transport.abort()
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            logger.debug("http: a connection ended: {!r}", error)
+        finally:
+            writer.transport.abort()
 
     return await asyncio.start_server(talk, host, port)
 
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,65 @@
+"""Log lines: bounded, and never blocking."""
+
+import json
+import os
+import unittest
+
+from cuminwall.direct import journal
+
+
+class JournalTest(unittest.TestCase):
+    """Lines on a pipe."""
+
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.writer, False)
+        os.set_blocking(self.reader, False)
+        self.now = 1000.0
+        self.later: list[object] = []
+        self.journal = journal.Journal(
+            "a",
+            self.writer,
+            lambda delay, action: self.later.append(action),
+            lambda: self.now,
+        )
+
+    def tearDown(self) -> None:
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def lines(self) -> list[dict]:
+        data = os.read(self.reader, 1 << 24)
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_line(self) -> None:
+        self.journal.add("work", "answered", {"request": "5c"})
+        self.journal.flush()
+        (line,) = self.lines()
+        self.assertEqual(line["request"], "5c")
+        self.assertEqual(line["instance"], "a")
+
+    def test_rate_of_one_part(self) -> None:
+        for _ in range(journal.MAX_LINES_PER_S + 50):
+            self.journal.add("work", "answered", {})
+        self.journal.add("store", "lost", {})
+        self.now += 1.0
+        self.journal.add("work", "answered", {})
+        self.journal.flush()
+        lines = self.lines()
+        dropped = [each for each in lines if each["event"] == "lines_dropped"]
+        self.assertEqual([each["count"] for each in dropped], [50])
+        self.assertIn("lost", [each["event"] for each in lines])
+
+    def test_reader_that_does_not_read(self) -> None:
+        for _ in range(60):
+            self.now += 1.0
+            for _ in range(journal.MAX_LINES_PER_S):
+                self.journal.add("work", "answered", {"text": "x" * 100})
+            self.journal.flush()
+        limit = journal.MAX_PENDING_BYTES
+        self.assertLessEqual(len(self.journal.pending), limit)
+        self.assertGreater(self.journal.totals["unread"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,382 @@
+"""The adapter of the users' platform: wire, settings, store, provider."""
+
+import asyncio
+import base64
+import json
+import pathlib
+import sys
+import unittest
+
+from cuminwall import exceptions, plainhttp
+from cuminwall.direct import (
+    commands,
+    effects,
+    events,
+    follower,
+    ports,
+    statements,
+)
+from cuminwall.direct.answers import (
+    Answer,
+    Failure,
+    Phase,
+    Position,
+    Reason,
+    Status,
+)
+from cuminwall.direct.catalog import Freshness
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# A folder named `platform` can't be a package beside the standard library's.
+sys.path.insert(0, str(ROOT / "platform"))
+
+from fleet import facts, lines, provider, settings, store  # noqa: E402
+
+SETTINGS = """
+NodeName = "edge-1"
+Ip = "10.1.0.26"
+Zone = "sediu"
+PortRange = [7560, 7575]
+Unknown = "ignored"
+[ListenAddrs]
+Frontend = "10.1.0.26:8465"
+Ready = "10.1.0.26:8460"
+[Bounds]
+GracePeriodS = 9
+[platform]
+Address = "10.200.1.7:8466"
+[Provider]
+Address = "10.200.0.2:8467"
+"""
+ENTRY = {
+    "Service": "s",
+    "Address": "10.128.0.9:8080",
+    "Zone": "sediu",
+    "Version": "v1",
+    "Capacity": 3,
+    "State": "ready",
+    "WarmupLeftMs": 1500,
+    "DbRole": "replica",
+    "Sequence": 4,
+    "born": 1700000000000,
+}
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r",
+            "Host": "db",
+            "Kind": "own",
+            "TimeoutMs": 800,
+            "TargetLatencyMs": 250,
+            "Priority": 2,
+            "Service": "s",
+            "MaxStalenessMs": 2500,
+            "Public": False,
+        }
+    ],
+    "Services": [{"Name": "s", "MaxConns": 22, "WarmupPerS": 0.0}],
+    "Limits": {"TxIdleMs": 3000},
+    "Tenants": [
+        {"Name": "t", "ApiKeys": ["k1", "k2"], "RatePerS": 66, "Burst": 5}
+    ],
+}
+
+
+class CallerLinesTest(unittest.TestCase):
+    """The side towards callers."""
+
+    def test_each_statement(self) -> None:
+        shape = statements.Shape(True, "q2c")
+        expected = {
+            "BEGIN": statements.Begin("1", "BEGIN", False),
+            "BEGIN READ": statements.Begin("1", "BEGIN READ", True),
+            "COMMIT": statements.Commit("1", "COMMIT"),
+            "ROLLBACK": statements.Rollback("1", "ROLLBACK"),
+            "READ 1a4": statements.Read("1", "READ 1a4"),
+            "WRITE 1a4 a b": statements.Write("1", "WRITE 1a4 a b"),
+            "SET n a b": statements.Assign("1", "SET n a b", "n", "a b"),
+            "PREPARE s1 WRITE q2c": statements.Prepare(
+                "1", "PREPARE s1 WRITE q2c", "s1", shape
+            ),
+            "EXECUTE s1 1a4 x": statements.Execute(
+                "1", "EXECUTE s1 1a4 x", "s1", "1a4 x"
+            ),
+            "DEALLOCATE s1": statements.Deallocate("1", "DEALLOCATE s1", "s1"),
+        }
+        for text, statement in expected.items():
+            with self.subTest(text):
+                self.assertEqual(lines.parse_statement("1", text), statement)
+
+    def test_malformed_statements(self) -> None:
+        for text in ("", "read 1", "BEGIN WRITE", "SET n", "PREPARE s READ"):
+            with self.subTest(text):
+                found = lines.parse_statement("1", text)
+                self.assertIsInstance(found, statements.Malformed)
+
+    def test_bytes_in_any_pieces(self) -> None:
+        data = b"STARTUP db key\r\nQUERY 1 WRITE 1 \xff\xfe x\r\nTERMINATE\r\n"
+        whole = lines.CallerLines().feed(data)
+        codec = lines.CallerLines()
+        pieces = []
+        for place in range(len(data)):
+            pieces.extend(codec.feed(data[place : place + 1]))
+        self.assertEqual(whole, pieces)
+        self.assertEqual(whole[0], ports.Login("db", "key"))
+        command = commands.Forward(whole[1], None)
+        sent = lines.ServerLines().command(command)
+        self.assertEqual(sent, b"QUERY 1 WRITE 1 \xff\xfe x\r\n")
+
+    def test_endless_line(self) -> None:
+        with self.assertRaises(exceptions.ProtocolError):
+            lines.CallerLines().feed(b"x" * (lines.MAX_LINE_BYTES + 1))
+
+    def test_answers(self) -> None:
+        codec = lines.CallerLines()
+        good = Answer(("a b",), "7.1f3", None, Phase.OPEN, Position(3, 9))
+        self.assertEqual(
+            codec.answer(good), b"ROW a b\r\nCOMPLETE 7.1f3\r\nREADY T 3.9\r\n"
+        )
+        failure = Failure(Reason.OVERLOADED, "over the rate")
+        bad = Answer(("a",), "", failure, Phase.IDLE, None)
+        self.assertEqual(
+            codec.answer(bad), b"ERROR BUSY over the rate\r\nREADY I -\r\n"
+        )
+
+
+class ServerLinesTest(unittest.TestCase):
+    """The side towards backend servers."""
+
+    def open(self) -> lines.ServerLines:
+        codec = lines.ServerLines()
+        self.assertEqual(codec.login("s", "t", "i-7"), b"STARTUP s t i-7\r\n")
+        self.assertEqual(codec.feed(b"READY I 3.1\r\n"), [ports.Opened()])
+        return codec
+
+    def test_refused_connection(self) -> None:
+        codec = lines.ServerLines()
+        found = codec.feed(b"ERROR TOOMANY 22\r\n")
+        self.assertEqual(found, [Failure(Reason.TOO_MANY_CONNECTIONS, "22")])
+
+    def test_commands(self) -> None:
+        codec = self.open()
+        read = statements.Read("5c", "READ 1a4")
+        run = statements.Execute("6c", "EXECUTE s1 1a4 x", "s1", "1a4 x")
+        place = Position(3, 1207)
+        expected = [
+            (commands.Forward(read, place), b"5c AFTER 3.1207 READ 1a4"),
+            (commands.ForwardExecute(run, "w7", None), b"6c EXECUTE w7 1a4 x"),
+            (
+                commands.OpenTransaction(True, place),
+                b"- AFTER 3.1207 BEGIN READ",
+            ),
+            (commands.OpenTransaction(False, None), b"- BEGIN"),
+            (commands.EndTransaction(), b"- ROLLBACK"),
+            (commands.ResetConnection(), b"- RESET"),
+            (commands.AssignValue("n", "a b"), b"- SET n a b"),
+            (commands.AskStatus(), b"- STATUS"),
+            (commands.StepDown(4), b"- STEPDOWN 4"),
+        ]
+        for command, text in expected:
+            sent = codec.command(command)
+            self.assertEqual(sent, b"QUERY " + text + b"\r\n")
+
+    def test_answer_cut_off_is_no_answer(self) -> None:
+        codec = self.open()
+        codec.command(commands.AskStatus())
+        self.assertEqual(codec.feed(b"ROW a\r\nCOMPLETE 7\r\n"), [])
+        codec = self.open()
+        with self.assertRaises(exceptions.ProtocolError):
+            codec.feed(b"ROW a\r\nREADY I 3.1\r\n")
+
+    def test_status(self) -> None:
+        codec = self.open()
+        codec.command(commands.AskStatus())
+        found = codec.feed(
+            b"ROW replica 3 3.1209 5 12 2 17\r\nCOMPLETE -\r\nREADY I 3.1\r\n"
+        )
+        self.assertEqual(found[0].status, Status(False, 5, Position(3, 1209)))
+
+
+class FactsTest(unittest.TestCase):
+    """The items of the store."""
+
+    def decode(self, key: str, value: object) -> ports.Fact | None:
+        return facts.decode(key, json.dumps(value).encode(), 5)
+
+    def test_server(self) -> None:
+        entry = self.decode("servers/i-7", ENTRY).value
+        self.assertEqual((entry.host, entry.port), ("10.128.0.9", 8080))
+        self.assertEqual((entry.cold_s, entry.slots), (1.5, 3))
+        self.assertFalse(entry.is_primary)
+
+    def test_entries_of_another_writer_name_no_server(self) -> None:
+        for name in ENTRY:
+            if name in ("Version", "Sequence", "born"):
+                continue
+            for value in (None, [], {}, -1, True):
+                with self.subTest(f"{name} {value}"):
+                    fact = self.decode("servers/i-7", {**ENTRY, name: value})
+                    self.assertIsNone(fact.value)
+        self.assertIsNone(facts.decode("servers/i-7", b"\xff{", 5).value)
+        self.assertIsNone(self.decode("servers/i-7", [1]).value)
+
+    def test_catalog(self) -> None:
+        catalog = self.decode("op/config", CONFIG).value
+        route = catalog.routes["db"]
+        self.assertIs(route.freshness, Freshness.OWN)
+        self.assertEqual((route.max_age_s, route.timeout_s), (2.5, 0.8))
+        self.assertEqual(catalog.keys, {"k1": "t", "k2": "t"})
+
+    def test_malformed_catalog_changes_nothing(self) -> None:
+        self.assertIsNone(self.decode("op/config", {"Version": 8}))
+
+    def test_zone(self) -> None:
+        fact = facts.decode("op/evacuate/sediu", None, 5)
+        self.assertEqual((fact.name, fact.value), ("sediu", None))
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file."""
+
+    def test_read(self) -> None:
+        own = settings.read(SETTINGS)
+        self.assertEqual(own.callers, ("10.1.0.26", 8465))
+        self.assertEqual(own.peers, ("10.1.0.26", 7560))
+        self.assertEqual(own.limits.grace_s, 9.0)
+
+    def test_faults(self) -> None:
+        for text in ("", "x = ", SETTINGS.replace("Zone", "Zine")):
+            with self.assertRaises(exceptions.SettingsError):
+                settings.read(text)
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """What each answer of the store means."""
+
+    async def asyncSetUp(self) -> None:
+        self.answers: list[tuple[int, object]] = []
+        self.paths: list[str] = []
+
+        async def answer(request: plainhttp.Request) -> plainhttp.Response:
+            self.paths.append(request.path)
+            status, body = self.answers.pop(0)
+            return plainhttp.Response(status, json.dumps(body).encode())
+
+        self.server = await plainhttp.serve("127.0.0.1", 0, answer)
+        port = self.server.sockets[0].getsockname()[1]
+        self.store = store.Store("127.0.0.1", port)
+        self.provider = provider.Provider("127.0.0.1", port)
+
+    async def asyncTearDown(self) -> None:
+        self.server.close()
+
+    async def swap(self) -> int:
+        return await self.store.swap(
+            effects.SwapValues(
+                1, {"a": 0}, {"a": b"v"}, frozenset(), 0, frozenset()
+            )
+        )
+
+    async def test_pages(self) -> None:
+        value = base64.b64encode(b"v").decode()
+        one = {"Key": "cuminwall/a", "Value": value, "Revision": 3}
+        two = {"Key": "cuminwall/b", "Value": value, "Revision": 4}
+        self.answers = [
+            (200, {"items": [one], "HasMore": True, "AsOf": 7}),
+            (200, {"items": [two], "HasMore": False, "AsOf": 9}),
+        ]
+        found = await self.store.read_all()
+        self.assertEqual([fact.name for fact in found.facts], ["a", "b"])
+        # Changes after the first page may be missing from it.
+        self.assertEqual(found.revision, 7)
+        self.assertIn("after=cuminwall%2Fa", self.paths[1])
+
+    async def test_swap(self) -> None:
+        self.answers = [(200, {"Revision": 412}), (412, {"items": []})]
+        self.assertEqual(await self.swap(), 412)
+        self.assertEqual(await self.swap(), 0)
+
+    async def test_lease_over(self) -> None:
+        self.answers = [(404, {}), (404, {})]
+        self.assertEqual(await self.swap(), 0)
+        self.assertEqual(await self.store.keep_lease(3), 0.0)
+
+    async def test_refused_calls(self) -> None:
+        self.answers = [(503, {}), (429, {})]
+        for _ in range(2):
+            with self.assertRaises(exceptions.StoreUnavailableError):
+                await self.swap()
+
+    async def test_lost_history(self) -> None:
+        self.answers = [(410, {})]
+        with self.assertRaises(ports.HistoryLostError):
+            await self.store.changes(3, 0.1)
+
+    async def test_tombstone(self) -> None:
+        event = {"Key": "servers/i-7", "Revision": 9, "Tombstone": True}
+        self.answers = [(200, {"events": [event], "AsOf": 9})]
+        found = await self.store.changes(3, 0.1)
+        self.assertEqual(found.facts[0].value, None)
+
+    async def test_promote(self) -> None:
+        self.answers = [(200, {}), (409, {}), (503, {})]
+        done = await self.provider.promote("a", "s", "i-7", 4)
+        refused = await self.provider.promote("a", "s", "i-7", 4)
+        self.assertTrue(done.is_done)
+        self.assertTrue(refused.is_refused)
+        with self.assertRaises(exceptions.StoreUnavailableError):
+            await self.provider.promote("a", "s", "i-7", 4)
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    """Following the store."""
+
+    async def test_lost_history_is_read_anew(self) -> None:
+        calls: list[str] = []
+        heard: list[object] = []
+
+        class Fake:
+            async def read_all(self) -> ports.Facts:
+                calls.append("all")
+                return ports.Facts([], 7)
+
+            async def changes(self, after: int, wait_s: float) -> ports.Facts:
+                calls.append(f"after {after}")
+                if len(calls) == 2:
+                    raise ports.HistoryLostError("gone")
+                if len(calls) == 4:
+                    raise exceptions.StoreUnavailableError("down")
+                await asyncio.sleep(30)
+                return ports.Facts([], 8)
+
+        follow = follower.Follower(Fake(), heard.append, lambda: 1.0)
+        task = asyncio.create_task(follow.follow())
+        await asyncio.sleep(0.3)
+        task.cancel()
+        wanted = ["all", "after 7", "all", "after 7", "after 7"]
+        self.assertEqual(calls, wanted)
+        downs = [e for e in heard if isinstance(e, events.StoreHeard)]
+        self.assertIn(False, [event.is_up for event in downs])
+
+
+class FolderTest(unittest.TestCase):
+    """Only the adapter knows the platform's names."""
+
+    NAMES = (
+        "kv-txn",
+        "MaxStalenessMs",
+        "X-Fencing-Token",
+        "MISROUTED",
+        "DbRole",
+    )
+
+    def test_names_stay_in_the_adapter(self) -> None:
+        for path in (ROOT / "src" / "cuminwall").rglob("*.py"):
+            text = path.read_text(encoding="utf-8")
+            for name in self.NAMES:
+                self.assertFalse(name in text, f"{name} in {path}")
+
+
+if __name__ == "__main__":
+    unittest.main()
