--- /dev/null
+++ b/src/cuminwall/direct/callers_state.py
@@ -0,0 +1,185 @@
+"""Callers, their transactions and their statements on the way."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from typing import TYPE_CHECKING
+
+from cuminwall.direct import catalog
+from cuminwall.direct.answers import Phase, Position
+from cuminwall.direct.statements import Shape, Statement
+
+if TYPE_CHECKING:
+    from cuminwall.direct.servers_state import Connection
+
+
+class Session:
+    """A caller.
+
+    Attributes:
+      number: Its number on this instance.
+      database: The database that it named.
+      key: The key that it showed.
+      workspace: The workspace of the key.
+      phase: What its caller was told last.
+      values: Its session values.
+      shapes: Its prepared statements by the caller's names.
+      floor: The newest position that it wrote, or None.
+      inbox: Statements that wait for the one in course.
+      work: The statement in course, or None.
+      transaction: Its open transaction, or None.
+      is_closing: Whether it is closed as soon as it is idle.
+      is_gone: Whether its caller has left.
+      acted_at: When it was last heard or answered.
+    """
+
+    __slots__ = (
+        "number",
+        "database",
+        "key",
+        "workspace",
+        "phase",
+        "values",
+        "shapes",
+        "floor",
+        "inbox",
+        "work",
+        "transaction",
+        "is_closing",
+        "is_gone",
+        "acted_at",
+    )
+
+    def __init__(self, number: int, database: str, key: str, workspace: str):
+        self.number = number
+        self.database = database
+        self.key = key
+        self.workspace = workspace
+        self.phase = Phase.IDLE
+        self.values: dict[str, str] = {}
+        self.shapes: dict[str, Shape] = {}
+        self.floor: Position | None = None
+        self.inbox: deque[Statement] = deque()
+        self.work: Work | None = None
+        self.transaction: Transaction | None = None
+        self.is_closing = False
+        self.is_gone = False
+        self.acted_at = 0.0
+
+
+class Transaction:
+    """A caller's open transaction.
+
+    Attributes:
+      read_only: Whether its caller opened it only to read.
+      route: The route in force when it began.
+      connection: Where it runs; None before its first statement.
+      proves_lead: Whether its server runs it only while it leads.
+      wrote: Whether it has run a write.
+      opened_at: When its caller opened it.
+    """
+
+    __slots__ = (
+        "read_only",
+        "route",
+        "connection",
+        "proves_lead",
+        "wrote",
+        "opened_at",
+    )
+
+    def __init__(self, read_only: bool, route: catalog.Route, now: float):
+        self.read_only = read_only
+        self.route = route
+        self.connection: Connection | None = None
+        self.proves_lead = False
+        self.wrote = False
+        self.opened_at = now
+
+
+class Stage(enum.Enum):
+    """How far a statement has come.
+
+    Attributes:
+      TOKENS: It waits for its workspace's tokens.
+      ROOM: It waits for a server or a connection.
+      OPENING: Its connection is being opened.
+      BEGINNING: The transaction that it needs is being opened.
+      SENT: It may have reached the server.
+      OVER: It is answered.
+    """
+
+    TOKENS = enum.auto()
+    ROOM = enum.auto()
+    OPENING = enum.auto()
+    BEGINNING = enum.auto()
+    SENT = enum.auto()
+    OVER = enum.auto()
+
+
+class Work:
+    """One statement on its way to a backend server and back.
+
+    Attributes:
+      number: Its number on this instance.
+      session: Whose it is.
+      statement: The statement.
+      route: The route in force when it came.
+      writes: Whether it writes.
+      needs_primary: Whether only the primary may run it.
+      stage: How far it has come.
+      came_at: When it came.
+      wait_until: Until when it may wait for room.
+      resume_at: When it is offered again to a full primary, or None.
+      sent_at: When it was sent.
+      after: The position that a replica must have, or None.
+      server: The server that it was offered to last, or "".
+      tried: The servers that refused it or failed it.
+      offers: How many times it was offered to a server.
+      connection: Where it runs, or None.
+    """
+
+    __slots__ = (
+        "number",
+        "session",
+        "statement",
+        "route",
+        "writes",
+        "needs_primary",
+        "stage",
+        "came_at",
+        "wait_until",
+        "resume_at",
+        "sent_at",
+        "after",
+        "server",
+        "tried",
+        "offers",
+        "connection",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        session: Session,
+        statement: Statement,
+        route: catalog.Route,
+        now: float,
+    ):
+        self.number = number
+        self.session = session
+        self.statement = statement
+        self.route = route
+        self.writes = False
+        self.needs_primary = True
+        self.stage = Stage.ROOM
+        self.came_at = now
+        self.wait_until = now
+        self.resume_at: float | None = None
+        self.sent_at = now
+        self.after: Position | None = None
+        self.server = ""
+        self.tried: set[str] = set()
+        self.offers = 0
+        self.connection: Connection | None = None
--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -7,6 +7,7 @@
 """
 
 from cuminwall.direct import groups, membership
+from cuminwall.direct.callers_state import Session, Work
 from cuminwall.direct.commands import (
     AssignValue,
     Command,
@@ -20,16 +21,8 @@
     OpenConnection,
     SendCommands,
 )
-from cuminwall.direct.state import (
-    Connection,
-    Expected,
-    Server,
-    Session,
-    State,
-    Subject,
-    Use,
-    Work,
-)
+from cuminwall.direct.servers_state import Connection, Expected, Server, Use
+from cuminwall.direct.state import State, Subject
 from cuminwall.direct.statements import Shape
 
 RESERVED = 2  # Connections to a server that are kept for its coordinator.
--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -16,7 +16,8 @@
     KeepLease,
     Note,
 )
-from cuminwall.direct.state import Coordinator, Purpose, State, Subject
+from cuminwall.direct.fleet_state import Coordinator
+from cuminwall.direct.state import Purpose, State, Subject
 
 PART = "coordination"
 
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -13,15 +13,9 @@
 from cuminwall.direct.answers import Position
 from cuminwall.direct.effects import Effect, Note, Promote
 from cuminwall.direct.events import PromotionOutcome
-from cuminwall.direct.state import (
-    Change,
-    Group,
-    Purpose,
-    Server,
-    State,
-    Step,
-    Subject,
-)
+from cuminwall.direct.fleet_state import Change, Step
+from cuminwall.direct.servers_state import Group, Server
+from cuminwall.direct.state import Purpose, State, Subject
 
 PART = "failover"
 
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -7,7 +7,8 @@
 from cuminwall import leases
 from cuminwall.direct.catalog import ServerEntry
 from cuminwall.direct.effects import CloseConnection, Effect, Note
-from cuminwall.direct.state import Group, Server, State, Use
+from cuminwall.direct.servers_state import Group, Server, Use
+from cuminwall.direct.state import State
 
 PART = "groups"
 
--- a/src/cuminwall/direct/inquiries.py
+++ b/src/cuminwall/direct/inquiries.py
@@ -14,7 +14,8 @@
     OpenConnection,
     SendCommands,
 )
-from cuminwall.direct.state import Inquiry, Server, State, Subject
+from cuminwall.direct.servers_state import Inquiry, Server
+from cuminwall.direct.state import State, Subject
 
 PART = "inquiries"
 
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -13,7 +13,8 @@
 from cuminwall import lending
 from cuminwall.direct import membership, messages
 from cuminwall.direct.effects import Effect, Note
-from cuminwall.direct.state import Coordinator, Lender, State
+from cuminwall.direct.fleet_state import Coordinator, Lender
+from cuminwall.direct.state import State
 
 PART = "lender"
 
--- /dev/null
+++ b/src/cuminwall/direct/losses.py
@@ -0,0 +1,229 @@
+"""What becomes of a statement whose answer does not come.
+
+A connection may end, refuse to open or stay silent. What surely has not run
+is offered again; what may have run is told as what is known of it.
+"""
+
+from cuminwall.direct import (
+    connections,
+    dispatch,
+    groups,
+    statements,
+    works,
+)
+from cuminwall.direct.answers import (
+    Failure,
+    Phase,
+    Reason,
+)
+from cuminwall.direct.callers_state import Stage, Work
+from cuminwall.direct.effects import Effect, Note
+from cuminwall.direct.servers_state import Connection, Server, Use
+from cuminwall.direct.state import State, Subject
+
+PART = "work"
+
+MAX_DOUBLED = 2  # How often the pause after a refused connection doubles.
+
+
+def ended(
+    state: State,
+    connection: Connection,
+    failure: Failure | None,
+    is_refused: bool,
+    out: list[Effect],
+) -> None:
+    """Takes in that a connection is over."""
+    server = connection.server
+    connections.forget(state, connection)
+    if is_refused:
+        _refused(state, connection, failure, out)
+        return
+    work = connection.work
+    if work is not None and work.stage is not Stage.OVER:
+        lost(state, work, connection, "the connection was lost", out)
+    elif connection.holder is not None:
+        session = connection.holder
+        if session.transaction is not None:
+            session.transaction.connection = None
+            session.phase = Phase.FAILED
+    if len(server.waiting):
+        state.unplaced.extend(server.waiting.drain())
+
+
+def lost(
+    state: State,
+    work: Work,
+    connection: Connection,
+    cause: str,
+    out: list[Effect],
+) -> None:
+    """Decides about a statement whose answer will not come."""
+    work.connection = None
+    transaction = work.session.transaction
+    if work.stage is not Stage.SENT:
+        _offer_again(state, work, connection, cause, out)
+        return
+    if transaction is None:
+        if work.writes:
+            works.finish_failed(state, work, Reason.OUTCOME_UNKNOWN, cause, out)
+            return
+        _offer_again(state, work, connection, cause, out)
+        return
+    transaction.connection = None
+    is_commit = isinstance(work.statement, statements.Commit)
+    if is_commit and transaction.wrote:
+        works.finish_failed(state, work, Reason.OUTCOME_UNKNOWN, cause, out)
+        return
+    works.finish_failed(state, work, Reason.ROLLED_BACK, cause, out)
+
+
+def due(state: State, work: Work, out: list[Effect]) -> None:
+    """Looks at a statement whose time has come."""
+    if work.stage is Stage.OVER:
+        return
+    if work.stage in (Stage.TOKENS, Stage.ROOM):
+        if state.now >= work.wait_until:
+            wants_token = work.stage is Stage.TOKENS
+            missing = "token" if wants_token else "room"
+            works.refuse(state, work, f"no {missing} in time", out)
+        elif work.resume_at is not None and state.now >= work.resume_at:
+            work.resume_at = None
+            state.unplaced.append(work)
+        return
+    connection = work.connection
+    if connection is None:
+        return
+    if work.stage is Stage.BEGINNING:
+        limit_s = dispatch.begin_limit_s(state, work)
+    else:
+        limit_s = work.route.timeout_s
+    if state.now < work.sent_at + limit_s:
+        return
+    groups.missed(state, connection.server, "no answer", out)
+    connections.drop(state, connection, out)
+    if work.stage is Stage.BEGINNING:
+        lost(state, work, connection, "no answer to begin", out)
+        return
+    _timed_out(state, work, out)
+
+
+def connection_due(
+    state: State, connection: Connection, out: list[Effect]
+) -> None:
+    """Looks at a connection that may hang or has long been unused."""
+    if connection.use is Use.IDLE:
+        connections.close_unused(state, connection, out)
+        return
+    if connection.use not in (Use.OPENING, Use.ENDING):
+        return
+    if state.now < connection.asked_at + state.limits.connect_s:
+        return
+    connections.drop(state, connection, out)
+    if connection.use is Use.OPENING:
+        _refused(state, connection, None, out)
+
+
+def _offer_again(
+    state: State,
+    work: Work,
+    connection: Connection,
+    cause: str,
+    out: list[Effect],
+) -> None:
+    """Offers a statement again whose connection failed it."""
+    work.stage = Stage.ROOM
+    work.tried.add(connection.server.entry.server)
+    if state.now >= work.came_at + work.route.timeout_s:
+        works.refuse(state, work, cause, out)
+        return
+    state.unplaced.append(work)
+
+
+def _timed_out(state: State, work: Work, out: list[Effect]) -> None:
+    """Answers a statement that a server has not answered in time."""
+    work.connection = None
+    transaction = work.session.transaction
+    if transaction is not None:
+        transaction.connection = None
+        is_commit = isinstance(work.statement, statements.Commit)
+        if not is_commit or not transaction.wrote:
+            works.finish_failed(state, work, Reason.ROLLED_BACK, "timeout", out)
+            return
+    if work.writes or transaction is not None:
+        works.finish_failed(state, work, Reason.OUTCOME_UNKNOWN, "timeout", out)
+        return
+    works.finish_failed(state, work, Reason.TIMED_OUT, "timeout", out)
+
+
+def _refused(
+    state: State,
+    connection: Connection,
+    failure: Failure | None,
+    out: list[Effect],
+) -> None:
+    """Takes in that a server did not take a connection."""
+    server = connection.server
+    if failure is None:
+        groups.missed(state, server, "no connection", out)
+    else:
+        pause_s = state.limits.full_s * 2 ** min(server.refusals, MAX_DOUBLED)
+        server.refusals += 1
+        server.full_until = state.now + pause_s
+        out.append(
+            Note(
+                PART,
+                "connection_refused",
+                {
+                    "server": server.entry.server,
+                    "reason": failure.reason.name.lower(),
+                    "connections": len(server.connections),
+                },
+            )
+        )
+        if failure.reason is Reason.WRONG_SERVER:
+            server.suspect_until = state.now + state.limits.suspect_s
+    if failure is None or failure.reason is Reason.WRONG_SERVER:
+        _offer_waiting_elsewhere(state, server, True)
+        return
+    # Its connections are used up, by those of processes that have ended too.
+    _offer_waiting_elsewhere(state, server, False)
+    if len(server.waiting):
+        due_at = server.full_until
+        state.remind(due_at, Subject.SERVER, server.entry.server)
+
+
+def server_due(state: State, name: str, out: list[Effect]) -> None:
+    """Tries again to connect to a server that took no more connections."""
+    server = state.servers.get(name)
+    if server is None or not len(server.waiting):
+        return
+    work = server.waiting.pop(state.now)
+    if work.stage is not Stage.OVER:
+        state.unplaced.append(work)
+        return
+    server_due(state, name, out)
+
+
+def _offer_waiting_elsewhere(
+    state: State, server: Server, is_lost: bool
+) -> None:
+    """Offers what waits for a server to others.
+
+    Args:
+      state: The state.
+      server: The server.
+      is_lost: Whether the server was out of reach; else what only the primary
+        can run goes on waiting for it.
+    """
+    for work in server.waiting.drain():
+        if work.stage is Stage.OVER:
+            continue
+        if not is_lost and (work.needs_primary or work.after is None):
+            target_at = work.came_at + work.route.target_s
+            server.waiting.push(work.route.priority, target_at, work)
+            continue
+        work.tried.add(server.entry.server)
+        if is_lost:
+            work.offers += 1
+        state.unplaced.append(work)
--- a/src/cuminwall/direct/marks.py
+++ b/src/cuminwall/direct/marks.py
@@ -7,7 +7,8 @@
 """
 
 from cuminwall.direct.answers import Position
-from cuminwall.direct.state import Group, Mark, State
+from cuminwall.direct.servers_state import Group, Mark
+from cuminwall.direct.state import State
 
 KEPT_S = 20.0  # Above every age that a route accepts.
 
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from cuminwall.direct.effects import Effect, JoinPeers, Note, SwapValues
-from cuminwall.direct.state import Member, Purpose, State, Subject
+from cuminwall.direct.fleet_state import Member
+from cuminwall.direct.state import Purpose, State, Subject
 
 PART = "membership"
 
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -7,8 +7,10 @@
 
 from cuminwall.direct import groups, marks, warmups
 from cuminwall.direct.answers import Position
+from cuminwall.direct.callers_state import Work
 from cuminwall.direct.catalog import Freshness
-from cuminwall.direct.state import Group, Server, State, Use, Work
+from cuminwall.direct.servers_state import Group, Server, Use
+from cuminwall.direct.state import State
 
 DISTANCE = 0.6  # Work that outweighs the way to another availability zone.
 PRIMARY_WEIGHT = 0.5  # Work that outweighs what only the primary can run.
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -6,8 +6,10 @@
 
 from cuminwall import buckets, shares
 from cuminwall.direct import lender, messages, works
+from cuminwall.direct.callers_state import Stage, Work
 from cuminwall.direct.effects import Effect, Note, Say
-from cuminwall.direct.state import Flow, Stage, State, Subject, Work
+from cuminwall.direct.fleet_state import Flow
+from cuminwall.direct.state import State, Subject
 from cuminwall.messages import ShareLine
 
 PART = "quotas"
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -11,27 +11,25 @@
 from cuminwall.direct import (
     connections,
     coordination,
+    dispatch,
     events,
     failover,
     groups,
     inquiries,
     lender,
+    losses,
     membership,
     messages,
     quotas,
+    results,
     sessions,
     shutdown,
     timers,
-    works,
 )
 from cuminwall.direct.answers import Answer
 from cuminwall.direct.effects import Effect, Note, Say
-from cuminwall.direct.state import (
-    Connection,
-    Expected,
-    Purpose,
-    State,
-)
+from cuminwall.direct.servers_state import Connection, Expected
+from cuminwall.direct.state import Purpose, State
 
 PART = "config"
 
@@ -51,7 +49,7 @@
     """Goes on with the work and the sessions that an event has freed."""
     while state.unplaced or state.ready:
         while state.unplaced:
-            works.place(state, state.unplaced.popleft(), out)
+            dispatch.place(state, state.unplaced.popleft(), out)
         if state.ready:
             sessions.advance(state, state.ready.popleft(), out)
 
@@ -89,7 +87,7 @@
     groups.reached(connection.server, state.now)
     connection.server.refusals = 0
     connections.set_idle(state, connection)
-    works.wake(state, connection, out)
+    dispatch.wake(state, connection, out)
 
 
 @handle.register
@@ -115,7 +113,7 @@
     connection = state.connections.get(event.connection)
     if connection is None:
         return
-    works.ended(state, connection, event.failure, event.is_refused, out)
+    losses.ended(state, connection, event.failure, event.is_refused, out)
 
 
 @handle.register
@@ -260,11 +258,11 @@
     if expected is Expected.PREPARATION:
         if answer.failure is not None:
             connections.drop(state, connection, out)
-            works.ended(state, connection, None, False, out)
+            losses.ended(state, connection, None, False, out)
         return
     if expected is Expected.BEGIN:
-        works.begun(state, connection, answer, out)
+        results.begun(state, connection, answer, out)
     elif expected is Expected.STATEMENT:
-        works.answered(state, connection, answer, out)
+        results.answered(state, connection, answer, out)
     elif expected is Expected.END:
-        works.transaction_ended(state, connection, answer, out)
+        results.transaction_ended(state, connection, answer, out)
--- /dev/null
+++ b/src/cuminwall/direct/servers_state.py
@@ -0,0 +1,225 @@
+"""Backend servers, their groups and the connections to them."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from typing import NamedTuple
+
+from cuminwall import leases
+from cuminwall.direct import catalog, waiting
+from cuminwall.direct.answers import Position, Status
+from cuminwall.direct.callers_state import Session, Work
+from cuminwall.direct.commands import Command
+
+
+class Use(enum.Enum):
+    """What a connection to a backend server is doing.
+
+    Attributes:
+      OPENING: It is being opened.
+      IDLE: It is free.
+      WORKING: It runs a statement, alone or in a transaction.
+      RESTING: It holds a transaction between two statements.
+      ENDING: It rolls a transaction back and is free then.
+    """
+
+    OPENING = enum.auto()
+    IDLE = enum.auto()
+    WORKING = enum.auto()
+    RESTING = enum.auto()
+    ENDING = enum.auto()
+
+
+class Expected(enum.Enum):
+    """What the answer to a command is for.
+
+    Attributes:
+      PREPARATION: The connection's values and prepared statements.
+      BEGIN: The transaction that a statement needs.
+      STATEMENT: The caller's statement.
+      END: The end of a transaction.
+      STATUS: A status query.
+    """
+
+    PREPARATION = enum.auto()
+    BEGIN = enum.auto()
+    STATEMENT = enum.auto()
+    END = enum.auto()
+    STATUS = enum.auto()
+
+
+class Connection:
+    """A connection to a backend server.
+
+    Attributes:
+      number: Its number on this instance.
+      server: The server.
+      workspace: For whom it was opened.
+      use: What it is doing.
+      work: The statement that it runs, or None.
+      holder: The session whose transaction it holds, or None.
+      expected: What the open answers are for, oldest first.
+      values: The session values in force on it.
+      prepared: The names of the prepared statements on it.
+      used_at: When it was last used.
+      asked_at: When its last command was sent.
+    """
+
+    __slots__ = (
+        "number",
+        "server",
+        "workspace",
+        "use",
+        "work",
+        "holder",
+        "expected",
+        "values",
+        "prepared",
+        "used_at",
+        "asked_at",
+    )
+
+    def __init__(self, number: int, server: Server, workspace: str):
+        self.number = number
+        self.server = server
+        self.workspace = workspace
+        self.use = Use.OPENING
+        self.work: Work | None = None
+        self.holder: Session | None = None
+        self.expected: deque[Expected] = deque()
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.used_at = 0.0
+        self.asked_at = 0.0
+
+
+class Inquiry:
+    """A question to a server on a connection of its own.
+
+    Attributes:
+      number: The connection's number.
+      server: The server.
+      command: What it is asked.
+      asked_at: When.
+    """
+
+    __slots__ = ("number", "server", "command", "asked_at")
+
+    def __init__(
+        self, number: int, server: Server, command: Command, now: float
+    ):
+        self.number = number
+        self.server = server
+        self.command = command
+        self.asked_at = now
+
+
+class Mark(NamedTuple):
+    """A position of the primary.
+
+    Attributes:
+      asked_at: Every commit acknowledged before this is at or below it.
+      position: The position.
+    """
+
+    asked_at: float
+    position: Position
+
+
+class Server:
+    """A backend server.
+
+    Attributes:
+      entry: What it says of itself.
+      is_gone: Whether it has no entry any more.
+      cold_until: Until when it is slow after its start.
+      cold_open_at: When it may next be offered work while it is cold.
+      unwanted_at: Since when it should get no new work, or None.
+      connections: Those of this instance.
+      waiting: Work that waits for one of them.
+      suspect_until: Until when it is left alone, since it was out of reach.
+      lagging_until: Until when reads leave it alone, since it lacked a
+        position.
+      full_until: Until when it is left alone, since it took no more work.
+      replica_until: Until when it is not asked to act as primary, since it
+        said that it is none.
+      refusals: How many connections it refused since it took one.
+      reached_at: When it last answered.
+      missed_at: When it was first out of reach since then, or None.
+      status: What it answered last to the coordinator, or None.
+      status_at: When that was, or when it failed to answer.
+      status_alive: Whether it answered at all.
+    """
+
+    __slots__ = (
+        "entry",
+        "is_gone",
+        "cold_until",
+        "cold_open_at",
+        "unwanted_at",
+        "connections",
+        "waiting",
+        "suspect_until",
+        "lagging_until",
+        "full_until",
+        "replica_until",
+        "refusals",
+        "reached_at",
+        "missed_at",
+        "status",
+        "status_at",
+        "status_alive",
+    )
+
+    def __init__(self, entry: catalog.ServerEntry):
+        self.entry = entry
+        self.is_gone = False
+        self.cold_until = leases.NEVER
+        self.cold_open_at: float | None = None
+        self.unwanted_at: float | None = None
+        self.connections: list[Connection] = []
+        self.waiting: waiting.Room[Work] = waiting.Room()
+        self.suspect_until = leases.NEVER
+        self.lagging_until = leases.NEVER
+        self.full_until = leases.NEVER
+        self.replica_until = leases.NEVER
+        self.refusals = 0
+        self.reached_at = leases.NEVER
+        self.missed_at: float | None = None
+        self.status: Status | None = None
+        self.status_at = leases.NEVER
+        self.status_alive = True
+
+
+class Group:
+    """The servers of one database service.
+
+    Attributes:
+      service: The service.
+      servers: By id.
+      primary: The id of the server that leads, or "".
+      primary_revision: The store's revision that says so.
+      back_at: By when a lost primary should be replaced, or None.
+      marks: Positions of the primary, oldest first.
+      waiting: Work that waits for a primary.
+    """
+
+    __slots__ = (
+        "service",
+        "servers",
+        "primary",
+        "primary_revision",
+        "back_at",
+        "marks",
+        "waiting",
+    )
+
+    def __init__(self, service: str):
+        self.service = service
+        self.servers: dict[str, Server] = {}
+        self.primary = ""
+        self.primary_revision = 0
+        self.back_at: float | None = None
+        self.marks: deque[Mark] = deque()
+        self.waiting: waiting.Room[Work] = waiting.Room()
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -8,8 +8,9 @@
 import functools
 from typing import Any
 
-from cuminwall.direct import connections, quotas, statements, works
+from cuminwall.direct import connections, dispatch, quotas, statements, works
 from cuminwall.direct.answers import Failure, Phase, Reason, done, failed
+from cuminwall.direct.callers_state import Session, Transaction
 from cuminwall.direct.effects import (
     CloseCaller,
     Effect,
@@ -18,7 +19,8 @@
     TurnAway,
     Welcome,
 )
-from cuminwall.direct.state import Session, State, Subject, Transaction, Use
+from cuminwall.direct.servers_state import Use
+from cuminwall.direct.state import State, Subject
 
 PART = "sessions"
 
@@ -405,7 +407,7 @@
         )
         return
     if transaction is not None and transaction.connection is not None:
-        works.run(state, work, transaction.connection, out)
+        dispatch.run(state, work, transaction.connection, out)
         return
     quotas.take(state, work, out)
 
--- a/src/cuminwall/direct/shutdown.py
+++ b/src/cuminwall/direct/shutdown.py
@@ -7,8 +7,9 @@
 
 from cuminwall.direct import coordination, membership, quotas, sessions
 from cuminwall.direct.answers import Phase
+from cuminwall.direct.callers_state import Session
 from cuminwall.direct.effects import Effect, EndProcess, Note
-from cuminwall.direct.state import Session, State, Subject
+from cuminwall.direct.state import State, Subject
 
 PART = "shutdown"
 
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -8,11 +8,11 @@
     failover,
     inquiries,
     lender,
+    losses,
     membership,
     quotas,
     sessions,
     shutdown,
-    works,
 )
 from cuminwall.direct.effects import Effect
 from cuminwall.direct.state import State, Subject, Timer
@@ -26,17 +26,17 @@
 def _work(state: State, key: Any, out: list[Effect]) -> None:
     work = state.works.get(key)
     if work is not None:
-        works.due(state, work, out)
+        losses.due(state, work, out)
 
 
 def _connection(state: State, key: Any, out: list[Effect]) -> None:
     connection = state.connections.get(key)
     if connection is not None:
-        works.connection_due(state, connection, out)
+        losses.connection_due(state, connection, out)
 
 
 def _server(state: State, key: Any, out: list[Effect]) -> None:
-    works.server_due(state, key, out)
+    losses.server_due(state, key, out)
 
 
 def _tokens(state: State, key: Any, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/warmups.py
+++ b/src/cuminwall/direct/warmups.py
@@ -7,7 +7,8 @@
 
 from cuminwall import placement
 from cuminwall.direct import membership
-from cuminwall.direct.state import Server, State
+from cuminwall.direct.servers_state import Server
+from cuminwall.direct.state import State
 
 
 def open_at(state: State, server: Server) -> float:
