Read the store again when a peer has had a newer configuration

Ruled out: a failed call (each leads to another read). Now asks and grants carry the version, and whoever is behind for 0.3 s reads the store again. Test: test_direct_sessions.ChangeTest.test_missed_change_is_found_by_a_peer.

--- a/src/cuminwall/direct/effects.py
+++ b/src/cuminwall/direct/effects.py
@@ -118,6 +118,10 @@
     secret: bytes
 
 
+class ReadStoreAgain(NamedTuple):
+    """Reads the whole store: some change in it was missed."""
+
+
 class Say(NamedTuple):
     """Sends a message to another instance."""
 
@@ -171,6 +175,7 @@
     | EndLease
     | Promote
     | JoinPeers
+    | ReadStoreAgain
     | Say
     | EndProcess
     | Note
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -49,6 +49,7 @@
       callers: The callers' connections.
       servers: The connections to backend servers.
       fleet: The links to the other instances.
+      read_again: Has the store read anew.
       ended: Set when nothing is left to do.
     """
 
@@ -70,6 +71,7 @@
         self.callers = callers.Callers(caller_codec, self.happen, boot_clock)
         self.servers = servers.Servers(server_codec, self.happen, boot_clock)
         self.fleet = fleet.Fleet(state_, self.happen, boot_clock)
+        self.read_again: Callable[[], None] = lambda: None
         self.ended = asyncio.Event()
         self.queue: collections.deque[events.Event] = collections.deque()
         self.is_running = False
@@ -277,6 +279,11 @@
     engine.start(engine.fleet.join(effect.secret))
 
 
+@carry.register
+def _(effect: effects.ReadStoreAgain, engine: Engine) -> None:
+    engine.read_again()
+
+
 @carry.register
 def _(effect: effects.Say, engine: Engine) -> None:
     engine.fleet.say(effect.instance, effect.message)
--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -26,6 +26,8 @@
       clock: Tells the time of events.
       revision: Up to which all changes were told; None to read all.
       pause_s: How long to wait after the next failure.
+      step: The call in course.
+      is_missing: Whether some change was missed.
     """
 
     def __init__(
@@ -39,15 +41,21 @@
         self.clock = clock
         self.revision: int | None = None
         self.pause_s = FIRST_PAUSE_S
+        self.step: asyncio.Future[None] | None = None
+        self.is_missing = False
 
     async def follow(self) -> None:
         """Follows the store until cancelled."""
         while True:
+            self.step = asyncio.ensure_future(self._next_step())
             try:
-                if self.revision is None:
-                    await self._read_all()
-                else:
-                    await self._read_changes()
+                await self.step
+            except asyncio.CancelledError:
+                if not self.is_missing:
+                    raise
+                self.is_missing = False
+                self.revision = None
+                continue
             except ports.HistoryLostError:
                 self.revision = None
                 continue
@@ -58,6 +66,20 @@
                 continue
             self._heard(True, "")
 
+    def read_again(self) -> None:
+        """Reads the whole store anew: some change in it was missed."""
+        if self.step is None or self.step.done() or self.revision is None:
+            return
+        self.is_missing = True
+        self.step.cancel()
+
+    async def _next_step(self) -> None:
+        """Reads the store, or waits for what changes in it."""
+        if self.revision is None:
+            await self._read_all()
+        else:
+            await self._read_changes()
+
     async def _read_all(self) -> None:
         """Reads the whole store."""
         found = await self.store.read_all()
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -67,7 +67,8 @@
     if ask.is_complete and lent.unheard.get(sender) == ask.boot:
         del lent.unheard[sender]
     settle_claims(state, out)
-    return messages.Grants(ask.number, ask.epoch, tuple(grants))
+    version = state.catalog.version
+    return messages.Grants(ask.number, ask.epoch, tuple(grants), version)
 
 
 def settle_claims(state: State, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -41,6 +41,8 @@
       order_retry_s: How long an order to promote may take before the next.
       doubt_s: How long a primary may be out of reach before it is replaced.
       status_s: How long a status query may take.
+      behind_s: How long a peer may have a newer configuration before the
+        store is read again.
       back_s: How long after an outage of the store an entry may be missing.
     """
 
@@ -74,6 +76,7 @@
     order_retry_s: float = 1.5
     doubt_s: float = 0.5
     status_s: float = 0.5
+    behind_s: float = 0.3
     back_s: float = 2.0
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -49,11 +49,13 @@
       number: The number of the ask.
       epoch: The coordinator's.
       grants: Shares.
+      config_version: The version of its configuration.
     """
 
     number: int
     epoch: int
     grants: tuple[ShareGrant, ...]
+    config_version: int
 
 
 TYPES: tuple[type, ...] = (ShareLine, ShareGrant, Missed, Ask, Grants)
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -130,6 +130,7 @@
         follow = follower.Follower(
             self.engine.store, self.engine.happen, engine.boot_clock
         )
+        self.engine.read_again = follow.read_again
         self.engine.start(self.engine.keep_running(follow.follow))
         await plainhttp.serve(*own.ready, self._answer_probe)
         await plainhttp.serve(*own.metrics, self._answer_metrics)
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -27,7 +27,7 @@
     timers,
 )
 from cuminwall.direct.answers import Answer
-from cuminwall.direct.effects import Effect, Note, Say
+from cuminwall.direct.effects import Effect, Note, ReadStoreAgain, Say
 from cuminwall.direct.servers_state import Connection, Expected
 from cuminwall.direct.state import Purpose, State
 
@@ -227,11 +227,13 @@
     if isinstance(event.message, messages.Ask):
         if state.lender is not None:
             failover.reported(state, event.sender, event.message.missed)
+            _compare(state, event.message.config_version, out)
             grants = lender.asked(state, event.sender, event.message, out)
             if grants is not None:
                 out.append(Say(event.sender, grants))
     elif isinstance(event.message, messages.Grants):
         quotas.granted(state, event.message)
+        _compare(state, event.message.config_version, out)
 
 
 @handle.register
@@ -247,6 +249,26 @@
         settle(state, out)
 
 
+def _compare(state: State, version: int, out: list[Effect]) -> None:
+    """Reads the store again when a peer has had a newer configuration.
+
+    A change that the store did not tell, as when it dropped its history or a
+    connection went silent, is found by this within a few asks.
+    """
+    if version <= state.catalog.version:
+        state.behind_since = None
+        return
+    if state.behind_since is None:
+        state.behind_since = state.now
+        return
+    if state.now - state.behind_since < state.limits.behind_s:
+        return
+    state.behind_since = None
+    fields = {"version": state.catalog.version, "newer": version}
+    out.append(Note(PART, "behind", fields))
+    out.append(ReadStoreAgain())
+
+
 def _answered(
     state: State,
     connection: Connection,
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -119,6 +119,7 @@
       ask_at: When the coordinator is asked next.
       flows: How fast each workspace gets tokens here.
       asked_tokens_at: When a workspace last asked for a token here.
+      behind_since: Since when a peer had a newer configuration, or None.
       leaving_since: Since when this instance is about to end.
       is_store_up: Whether the store answers.
       store_up_since: Since when it does.
@@ -171,6 +172,7 @@
         self.ask_at = leases.NEVER
         self.flows: dict[str, Flow] = {}
         self.asked_tokens_at: dict[str, float] = {}
+        self.behind_since: float | None = None
         self.leaving_since = 0.0
         self.is_store_up = False
         self.store_up_since = 0.0
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -454,6 +454,11 @@
     def _note(self, instance: Instance, effect: effects.Note) -> None:
         instance.notes.append(effect)
 
+    def _read_again(
+        self, instance: Instance, effect: effects.ReadStoreAgain
+    ) -> None:
+        self.at(STORE_S, lambda: self._read_all(instance))
+
     def _say(self, instance: Instance, effect: effects.Say) -> None:
         def deliver() -> None:
             peer = self.instances.get(effect.instance)
@@ -628,6 +633,7 @@
     effects.Reply: World._reply,
     effects.CloseCaller: World._close_caller,
     effects.Note: World._note,
+    effects.ReadStoreAgain: World._read_again,
     effects.Say: World._say,
     effects.SwapValues: World._swap,
     effects.GrantLease: World._grant,
--- a/tests/test_direct_sessions.py
+++ b/tests/test_direct_sessions.py
@@ -161,6 +161,23 @@
         self.assertTrue(caller.is_closed)
         self.assertEqual(world.servers["p"].log, [])
 
+    def test_missed_change_is_found_by_a_peer(self) -> None:
+        # The store told the others, and dropped its history before this one
+        # heard; no call of this one failed.
+        world = make_world(("a", "b", "c"))
+        deaf = next(
+            each
+            for each in world.instances.values()
+            if not each.state.hold.epoch
+        )
+        deaf.has_store = False
+        world.configure(direct_world.make_catalog(2)._replace(keys={}))
+        world.run(0.2)
+        deaf.has_store = True
+        self.assertEqual(deaf.state.catalog.version, 1)
+        world.run(1.5)
+        self.assertEqual(deaf.state.catalog.version, 2)
+
     def test_older_version_changes_nothing(self) -> None:
         world = make_world()
         world.configure(direct_world.make_catalog(5))
