Tidy direct service: one rule for lost answers, no dead branches

On a last reading: the timeout of a statement repeated what losses.lost decides; the target time of work was worked out in four places; opening a connection and asking the candidates each stood twice; a wrapper, a default set again, two unused fields and a branch that can't be reached are gone. Behaviour is meant to be the same: 99 tests of direct service, adapter and rates pass, with their assertions as they were.

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -77,7 +77,6 @@
       connection: Where it runs; None before its first statement.
       proves_lead: Whether its server runs it only while it leads.
       wrote: Whether it has run a write.
-      opened_at: When its caller opened it.
     """
 
     __slots__ = (
@@ -86,16 +85,14 @@
         "connection",
         "proves_lead",
         "wrote",
-        "opened_at",
     )
 
-    def __init__(self, read_only: bool, route: catalog.Route, now: float):
+    def __init__(self, read_only: bool, route: catalog.Route):
         self.read_only = read_only
         self.route = route
         self.connection: Connection | None = None
         self.proves_lead = False
         self.wrote = False
-        self.opened_at = now
 
 
 class Stage(enum.Enum):
@@ -130,6 +127,7 @@
       needs_primary: Whether only the primary may run it.
       stage: How far it has come.
       came_at: When it came.
+      target_at: When it should be answered.
       wait_until: Until when it may wait for room.
       resume_at: When it is offered again to a full primary, or None.
       sent_at: When it was sent.
@@ -149,6 +147,7 @@
         "needs_primary",
         "stage",
         "came_at",
+        "target_at",
         "wait_until",
         "resume_at",
         "sent_at",
@@ -175,6 +174,7 @@
         self.needs_primary = True
         self.stage = Stage.ROOM
         self.came_at = now
+        self.target_at = now + route.target_s
         self.wait_until = now
         self.resume_at: float | None = None
         self.sent_at = now
--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -50,8 +50,7 @@
     found = _find_idle(server, workspace, work.session)
     if found is not None:
         return found
-    target_at = work.came_at + work.route.target_s
-    server.waiting.push(work.route.priority, target_at, work)
+    server.waiting.push(work.route.priority, work.target_at, work)
     open_for(state, server, workspace, out)
     return None
 
@@ -71,21 +70,19 @@
     connection.asked_at = connection.used_at = state.now
     server.connections.append(connection)
     state.connections[number] = connection
-    entry = server.entry
-    out.append(
-        OpenConnection(
-            number,
-            entry.service,
-            entry.server,
-            entry.host,
-            entry.port,
-            workspace,
-        )
-    )
+    out.append(opening(number, server, workspace))
     due_at = state.now + state.limits.connect_s
     state.remind(due_at, Subject.CONNECTION, number)
 
 
+def opening(number: int, server: Server, workspace: str) -> OpenConnection:
+    """Returns what opens a connection to a server."""
+    entry = server.entry
+    return OpenConnection(
+        number, entry.service, entry.server, entry.host, entry.port, workspace
+    )
+
+
 def drop(state: State, connection: Connection, out: list[Effect]) -> None:
     """Closes a connection whose state is in doubt, or is not needed."""
     if state.connections.pop(connection.number, None) is None:
@@ -203,7 +200,7 @@
     if found is not None:
         return found, work
     # It goes first again when its connection is open.
-    server.waiting.push(-1, work.came_at + work.route.target_s, work)
+    server.waiting.push(-1, work.target_at, work)
     open_for(state, server, workspace, out)
     return None
 
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -46,7 +46,7 @@
     if connection is not None:
         run(state, work, connection, out)
         return
-    _set_room_timer(state, work)
+    works.set_timer(state, work, work.wait_until)
 
 
 def run(
@@ -102,8 +102,7 @@
         return
     work.stage = Stage.ROOM
     work.wait_until = until
-    target_at = work.came_at + work.route.target_s
-    group.waiting.push(work.route.priority, target_at, work)
+    group.waiting.push(work.route.priority, work.target_at, work)
     works.set_timer(state, work, until)
 
 
@@ -119,11 +118,6 @@
     return back_at > until
 
 
-def _set_room_timer(state: State, work: Work) -> None:
-    """Bounds how long work waits for a connection."""
-    works.set_timer(state, work, work.wait_until)
-
-
 def begin_limit_s(state: State, work: Work) -> float:
     """Returns how long the opening of a transaction may take."""
     return min(work.route.timeout_s, max(0.2, 2 * state.limits.silence_s))
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -216,11 +216,8 @@
 ) -> None:
     """Asks every candidate how far its log goes."""
     change.step = Step.ASKING
-    change.asked_at = state.now
     change.wait_until = state.now + state.limits.status_s
-    for server in group.servers.values():
-        if _may_lead(state, group, server):
-            inquiries.ask_status(state, server, out)
+    _ask_again(state, group, change, out)
 
 
 def _go_on(
--- a/src/cuminwall/direct/inquiries.py
+++ b/src/cuminwall/direct/inquiries.py
@@ -4,14 +4,13 @@
 open may have gone silent for good, so each question gets a fresh one.
 """
 
-from cuminwall.direct import groups
+from cuminwall.direct import connections, groups
 from cuminwall.direct.answers import Answer, Status
 from cuminwall.direct.commands import AskStatus, Command, StepDown
 from cuminwall.direct.effects import (
     CloseConnection,
     Effect,
     Note,
-    OpenConnection,
     SendCommands,
 )
 from cuminwall.direct.servers_state import Inquiry, Server
@@ -82,17 +81,8 @@
     number = state.next_number()
     inquiry = Inquiry(number, server, command, state.now)
     state.inquiries[number] = inquiry
-    entry = server.entry
-    out.append(
-        OpenConnection(
-            number,
-            entry.service,
-            entry.server,
-            entry.host,
-            entry.port,
-            next(iter(workspaces)),
-        )
-    )
+    workspace = next(iter(workspaces))
+    out.append(connections.opening(number, server, workspace))
     due_at = state.now + state.limits.status_s
     state.remind(due_at, Subject.INQUIRY, number)
 
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -34,7 +34,6 @@
     for member in state.members.values():
         if member.instance != state.instance:
             lent.unheard[member.instance] = member.boot
-    lent.unheard_part = 1.0
 
 
 def give_up(state: State) -> None:
@@ -80,9 +79,8 @@
         member = state.members.get(instance)
         if member is None or member.boot != boot:
             del lent.unheard[instance]
-    if state.now < lent.since + MAJORITY_S:
-        if lent.unheard:
-            return
+    if lent.unheard and state.now < lent.since + MAJORITY_S:
+        return
     if lent.unheard and state.now < lent.since + _quiet_s(state):
         part = _unheard_part(state, lent)
         if part != lent.unheard_part:
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -43,7 +43,6 @@
       status_s: How long a status query may take.
       behind_s: How long a peer may have a newer configuration before the
         store is read again.
-      back_s: How long after an outage of the store an entry may be missing.
     """
 
     mark_margin_s: float = 0.3
@@ -77,7 +76,6 @@
     doubt_s: float = 0.5
     status_s: float = 0.5
     behind_s: float = 0.3
-    back_s: float = 2.0
 
 
 DEFAULTS = Limits()
--- a/src/cuminwall/direct/losses.py
+++ b/src/cuminwall/direct/losses.py
@@ -105,7 +105,12 @@
     if work.stage is Stage.BEGINNING:
         lost(state, work, connection, "no answer to begin", out)
         return
-    _timed_out(state, work, out)
+    is_plain = work.session.transaction is None and not work.writes
+    if not is_plain:
+        lost(state, work, connection, "timeout", out)
+        return
+    work.connection = None
+    works.finish_failed(state, work, Reason.TIMED_OUT, "timeout", out)
 
 
 def connection_due(
@@ -140,22 +145,6 @@
     state.unplaced.append(work)
 
 
-def _timed_out(state: State, work: Work, out: list[Effect]) -> None:
-    """Answers a statement that a server has not answered in time."""
-    work.connection = None
-    transaction = work.session.transaction
-    if transaction is not None:
-        transaction.connection = None
-        is_commit = isinstance(work.statement, statements.Commit)
-        if not is_commit or not transaction.wrote:
-            works.finish_failed(state, work, Reason.ROLLED_BACK, "timeout", out)
-            return
-    if work.writes or transaction is not None:
-        works.finish_failed(state, work, Reason.OUTCOME_UNKNOWN, "timeout", out)
-        return
-    works.finish_failed(state, work, Reason.TIMED_OUT, "timeout", out)
-
-
 def _refused(
     state: State,
     connection: Connection,
@@ -220,8 +209,7 @@
         if work.stage is Stage.OVER:
             continue
         if not is_lost and (work.needs_primary or work.after is None):
-            target_at = work.came_at + work.route.target_s
-            server.waiting.push(work.route.priority, target_at, work)
+            server.waiting.push(work.route.priority, work.target_at, work)
             continue
         work.tried.add(server.entry.server)
         if is_lost:
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -81,12 +81,7 @@
         return
     if failure is None and work.writes:
         _note_write(state, connection, work, answer, out)
-    if connection.expected:
-        # The end of the transaction around a read is still to be answered.
-        connection.use = Use.ENDING
-        connection.work = None
-    else:
-        _free(state, connection, answer, out)
+    _release(state, connection, answer, out)
     works.finish(state, work, answer._replace(phase=Phase.IDLE), out)
 
 
@@ -177,6 +172,18 @@
     groups.proved_lead(state, server, out)
 
 
+def _release(
+    state: State, connection: Connection, answer: Answer, out: list[Effect]
+) -> None:
+    """Frees a connection, now or once the end of its transaction is told."""
+    if not connection.expected:
+        _free(state, connection, answer, out)
+        return
+    # The end of the transaction around a read is still to be answered.
+    connection.use = Use.ENDING
+    connection.work = None
+
+
 def _free(
     state: State, connection: Connection, answer: Answer, out: list[Effect]
 ) -> None:
@@ -192,12 +199,8 @@
     state: State, connection: Connection, answer: Answer, out: list[Effect]
 ) -> None:
     """Takes in the answer to a statement whose caller has left."""
-    if connection.expected:
-        connection.work = None
-        connection.use = Use.ENDING
-        return
-    if answer.phase is Phase.IDLE:
-        _free(state, connection, answer, out)
+    if connection.expected or answer.phase is Phase.IDLE:
+        _release(state, connection, answer, out)
         return
     connections.roll_back(state, connection, out)
 
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -247,7 +247,7 @@
         _fail(session, failure.reason, failure.detail, statement, state, out)
         return
     route = state.catalog.routes[session.database]
-    session.transaction = Transaction(statement.read_only, route, state.now)
+    session.transaction = Transaction(statement.read_only, route)
     _done(session, Phase.OPEN, out)
     due_at = state.now + state.catalog.transaction_idle_s
     state.remind(due_at, Subject.SESSION, session.number)
@@ -396,16 +396,6 @@
         _fail(session, reason, failure.detail, statement, state, out)
         return
     work = works.make(state, session, statement, writes)
-    if work is None:
-        _fail(
-            session,
-            Reason.NO_DATABASE,
-            "no such database",
-            statement,
-            state,
-            out,
-        )
-        return
     if transaction is not None and transaction.connection is not None:
         dispatch.run(state, work, transaction.connection, out)
         return
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -12,16 +12,13 @@
 PART = "work"
 
 
-def make(
-    state: State, session: Session, statement: Any, writes: bool
-) -> Work | None:
-    """Returns the work for a statement; None if its database has no route."""
+def make(state: State, session: Session, statement: Any, writes: bool) -> Work:
+    """Returns the work for a statement whose database has a route."""
     transaction = session.transaction
-    route = state.catalog.routes.get(session.database)
     if transaction is not None:
         route = transaction.route
-    if route is None:
-        return None
+    else:
+        route = state.catalog.routes[session.database]
     work = Work(state.next_number(), session, statement, route, state.now)
     work.writes = writes
     if transaction is None:
