--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -27,12 +27,15 @@
     timers,
 )
 from cuminwall.direct.answers import Answer
+from cuminwall.direct.catalog import Catalog
 from cuminwall.direct.effects import Effect, Note, ReadStoreAgain, Say
 from cuminwall.direct.servers_state import Connection, Expected
 from cuminwall.direct.state import Purpose, State
 
 PART = "config"
 
+MAX_LIMITS_TOLD = 100  # Workspaces in one log line.
+
 _NEWEST = 1 << 62  # A revision above all.
 
 
@@ -120,9 +123,13 @@
 def _(event: events.CatalogSeen, state: State, out: list[Effect]) -> None:
     if event.catalog.version <= state.catalog.version:
         return
-    before = state.catalog.version
+    before = state.catalog
     state.catalog = event.catalog
-    fields = {"version": event.catalog.version, "before": before}
+    fields = {
+        "version": event.catalog.version,
+        "before": before.version,
+        "limits": _changed_limits(before, event.catalog),
+    }
     out.append(Note(PART, "in_force", fields))
     sessions.catalog_seen(state, out)
 
@@ -249,6 +256,22 @@
         settle(state, out)
 
 
+def _changed_limits(
+    before: Catalog, after: Catalog
+) -> dict[str, tuple[float, float]]:
+    """Returns the rate and burst of workspaces whose limits have changed."""
+    changed: dict[str, tuple[float, float]] = {}
+    for name, workspace in after.workspaces.items():
+        known = before.workspaces.get(name)
+        if known is not None and known.rate == workspace.rate:
+            if known.burst == workspace.burst:
+                continue
+        if len(changed) >= MAX_LIMITS_TOLD:
+            break
+        changed[name] = (workspace.rate, workspace.burst)
+    return changed
+
+
 def _compare(state: State, version: int, out: list[Effect]) -> None:
     """Reads the store again when a peer has had a newer configuration.
 
