Keep connections for the workspace that has one, and open no second for one work

Work that waited for a connection of its workspace opened another each time any other became free, and a connection just opened was closed for the work that stood first, of another workspace. Reads also went to a server without a connection of their workspace while a free one stood elsewhere.

Now work waits by workspace: a free connection goes to its own workspace's work, and makes room for another when nothing waits for it or the other would miss its target; no more are opened than wait; reads weigh the opening of a connection. Work that ends while it waits leaves its place at once, and a server is looked at again when a connection to it ends.

Ruled out: RESERVED, time to live of idle connections (20 s, nothing closed).

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -26,6 +26,7 @@
 from cuminwall.direct.statements import Shape
 
 RESERVED = 2  # Connections to a server that are kept for its coordinator.
+SWITCH_S = 0.08  # Before its target, work gets another workspace's connection.
 MAX_PREPARED = 200  # Prepared statements that one connection keeps.
 
 
@@ -50,20 +51,43 @@
     found = _find_idle(server, workspace, work.session)
     if found is not None:
         return found
-    server.waiting.push(work.route.priority, work.target_at, work)
-    open_for(state, server, workspace, out)
+    wait_at(server, work)
+    if _wants_another(server, workspace):
+        open_for(state, server, workspace, False, out)
     return None
 
 
+def wait_at(server: Server, work: Work) -> None:
+    """Lets work wait for a connection to a server."""
+    workspace = work.session.workspace
+    priority = work.route.priority
+    server.waiting.push(priority, work.target_at, work, workspace)
+
+
 def open_for(
-    state: State, server: Server, workspace: str, out: list[Effect]
+    state: State,
+    server: Server,
+    workspace: str,
+    is_urgent: bool,
+    out: list[Effect],
 ) -> None:
-    """Opens a connection for a workspace, if there is room for one more."""
+    """Opens a connection for a workspace, if there is room for one more.
+
+    Args:
+      state: The state.
+      server: The server.
+      workspace: For whom.
+      is_urgent: Whether it may take the place of a free connection for which
+        work of another workspace waits.
+      out: The effects.
+    """
     if server.refusals and state.now < server.full_until:
         state.remind(server.full_until, Subject.SERVER, server.entry.server)
         return
     if len(server.connections) >= allowed(state, server):
-        if not _close_least_used(state, server, out):
+        if not is_urgent and not _is_short(server, workspace):
+            return
+        if not _close_least_used(state, server, is_urgent, out):
             return
     number = state.next_number()
     connection = Connection(number, server, workspace)
@@ -85,16 +109,20 @@
 
 def drop(state: State, connection: Connection, out: list[Effect]) -> None:
     """Closes a connection whose state is in doubt, or is not needed."""
-    if state.connections.pop(connection.number, None) is None:
+    if connection.number not in state.connections:
         return
-    connection.server.connections.remove(connection)
+    forget(state, connection)
     out.append(CloseConnection(connection.number))
 
 
 def forget(state: State, connection: Connection) -> None:
     """Takes in that a connection is over."""
-    if state.connections.pop(connection.number, None) is not None:
-        connection.server.connections.remove(connection)
+    if state.connections.pop(connection.number, None) is None:
+        return
+    server = connection.server
+    server.connections.remove(connection)
+    if len(server.waiting):
+        state.vacated.append(server)
 
 
 def set_idle(state: State, connection: Connection) -> None:
@@ -183,28 +211,62 @@
 ) -> tuple[Connection, Work] | None:
     """Returns who gets a free connection of a server, and which.
 
-    When only connections of other workspaces are free, one of them is closed
-    and another is opened in its place.
+    A free connection goes to work of its own workspace. It makes room for
+    one of another workspace when nothing waits for it, or when work of the
+    other would else miss its target.
     """
-    if not len(server.waiting):
+    room = server.waiting
+    if not len(room):
         return None
     if not groups.may_still_lead(state, server):
-        state.unplaced.extend(server.waiting.drain())
+        state.unplaced.extend(room.drain())
         return None
-    has_idle = any(each.use is Use.IDLE for each in server.connections)
-    if not has_idle:
-        return None
-    work = server.waiting.pop(state.now)
-    workspace = work.session.workspace
-    found = _find_idle(server, workspace, work.session)
-    if found is not None:
-        return found, work
-    # It goes first again when its connection is open.
-    server.waiting.push(-1, work.target_at, work)
-    open_for(state, server, workspace, out)
+    for workspace in room.kinds(state.now):
+        if has_idle(server, workspace):
+            work = room.pop_of(workspace, state.now)
+            found = _find_idle(server, workspace, work.session)
+            assert found is not None
+            return found, work
+        if not _wants_another(server, workspace):
+            continue
+        left_s = room.first_of(workspace, state.now).target_at - state.now
+        is_urgent = 0.0 < left_s <= SWITCH_S
+        open_for(state, server, workspace, is_urgent, out)
     return None
 
 
+def _wants_another(server: Server, workspace: str) -> bool:
+    """Returns whether more of a workspace waits than is being opened for."""
+    opening = 0
+    for connection in server.connections:
+        if connection.use is Use.OPENING and connection.workspace == workspace:
+            opening += 1
+    return server.waiting.count_of(workspace) > opening
+
+
+def _is_short(server: Server, workspace: str) -> bool:
+    """Returns whether more of a workspace waits than will soon have room.
+
+    Opening a connection takes as long as a statement, so what waits for one
+    that is about to be free is served sooner by that.
+    """
+    coming = 0
+    for connection in server.connections:
+        if connection.workspace != workspace:
+            continue
+        if connection.use in (Use.OPENING, Use.WORKING, Use.ENDING):
+            coming += 1
+    return server.waiting.count_of(workspace) > coming
+
+
+def has_idle(server: Server, workspace: str) -> bool:
+    """Returns whether a workspace's work could begin at a server at once."""
+    for connection in server.connections:
+        if connection.use is Use.IDLE and connection.workspace == workspace:
+            return True
+    return False
+
+
 def _find_idle(
     server: Server, workspace: str, session: Session
 ) -> Connection | None:
@@ -221,12 +283,16 @@
     return best
 
 
-def _close_least_used(state: State, server: Server, out: list[Effect]) -> bool:
+def _close_least_used(
+    state: State, server: Server, is_urgent: bool, out: list[Effect]
+) -> bool:
     """Closes the free connection that was not used for longest."""
     oldest = None
     for connection in server.connections:
         if connection.use is not Use.IDLE:
             continue
+        if not is_urgent and server.waiting.count_of(connection.workspace):
+            continue
         if oldest is None or connection.used_at < oldest.used_at:
             oldest = connection
     if oldest is None:
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -24,7 +24,13 @@
     OpenTransaction,
 )
 from cuminwall.direct.effects import Effect
-from cuminwall.direct.servers_state import Connection, Expected, Group, Use
+from cuminwall.direct.servers_state import (
+    Connection,
+    Expected,
+    Group,
+    Server,
+    Use,
+)
 from cuminwall.direct.state import State
 
 
@@ -79,9 +85,8 @@
     connections.send(state, connection, flight, out)
 
 
-def wake(state: State, connection: Connection, out: list[Effect]) -> None:
+def wake(state: State, server: Server, out: list[Effect]) -> None:
     """Gives free connections of a server to the work that waits there."""
-    server = connection.server
     while True:
         found = connections.next_waiting(state, server, out)
         if found is None:
--- a/src/cuminwall/direct/losses.py
+++ b/src/cuminwall/direct/losses.py
@@ -209,7 +209,7 @@
         if work.stage is Stage.OVER:
             continue
         if not is_lost and (work.needs_primary or work.after is None):
-            server.waiting.push(work.route.priority, work.target_at, work)
+            connections.wait_at(server, work)
             continue
         work.tried.add(server.entry.server)
         if is_lost:
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -1,11 +1,12 @@
 """Which backend server a statement is offered to.
 
 Nothing is refused while a server that may run it is free. Reads go where the
-least work of this instance is, close by first; what must see every commit
-goes to the primary.
+least work of this instance is: first to a server with a free connection for
+their workspace, since opening one takes the server as long as a statement,
+and then close by. What must see every commit goes to the primary.
 """
 
-from cuminwall.direct import groups, marks, warmups
+from cuminwall.direct import connections, groups, marks, warmups
 from cuminwall.direct.answers import Position
 from cuminwall.direct.callers_state import Work
 from cuminwall.direct.catalog import Freshness
@@ -14,6 +15,7 @@
 
 DISTANCE = 0.6  # Work that outweighs the way to another availability zone.
 PRIMARY_WEIGHT = 0.5  # Work that outweighs what only the primary can run.
+OPENING_WEIGHT = 1.5  # Work that outweighs the opening of a connection.
 
 
 def choose(state: State, group: Group, work: Work) -> Server | None:
@@ -73,7 +75,7 @@
     for server in group.servers.values():
         if not _may_read(state, server, work):
             continue
-        weight = _weight(state, group, server)
+        weight = _weight(state, group, server, work.session.workspace)
         if best is None or weight < best_weight:
             best = server
             best_weight = weight
@@ -103,13 +105,18 @@
     return state.now >= max(until, warmups.open_at(state, server))
 
 
-def _weight(state: State, group: Group, server: Server) -> float:
-    """Returns how much speaks against a server."""
-    weight = load(server) / max(1, server.entry.slots)
+def _weight(
+    state: State, group: Group, server: Server, workspace: str
+) -> float:
+    """Returns how much speaks against a server for a workspace's read."""
+    work = float(load(server))
+    if not connections.has_idle(server, workspace):
+        work += OPENING_WEIGHT
     if server.entry.zone != state.zone:
-        weight += DISTANCE / max(1, server.entry.slots)
+        work += DISTANCE
     if server.entry.server == group.primary:
-        weight += PRIMARY_WEIGHT / max(1, server.entry.slots)
+        work += PRIMARY_WEIGHT
+    weight = work / max(1, server.entry.slots)
     if state.now < server.cold_until:
         weight += 1.0
     return weight
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -50,9 +50,11 @@
 
 def settle(state: State, out: list[Effect]) -> None:
     """Goes on with the work and the sessions that an event has freed."""
-    while state.unplaced or state.ready:
+    while state.unplaced or state.ready or state.vacated:
         while state.unplaced:
             dispatch.place(state, state.unplaced.popleft(), out)
+        while state.vacated:
+            dispatch.wake(state, state.vacated.pop(), out)
         if state.ready:
             sessions.advance(state, state.ready.popleft(), out)
 
@@ -90,7 +92,7 @@
     groups.reached(connection.server, state.now)
     connection.server.refusals = 0
     connections.set_idle(state, connection)
-    dispatch.wake(state, connection, out)
+    dispatch.wake(state, connection.server, out)
 
 
 @handle.register
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -142,7 +142,7 @@
         connections.drop(state, connection, out)
     else:
         connections.set_idle(state, connection)
-        dispatch.wake(state, connection, out)
+        dispatch.wake(state, connection.server, out)
     works.finish(state, work, answer._replace(phase=Phase.IDLE), out)
 
 
@@ -192,7 +192,7 @@
         connections.drop(state, connection, out)
         return
     connections.set_idle(state, connection)
-    dispatch.wake(state, connection, out)
+    dispatch.wake(state, connection.server, out)
 
 
 def _settle_orphan(
@@ -219,7 +219,7 @@
         connections.drop(state, connection, out)
     else:
         connections.set_idle(state, connection)
-        dispatch.wake(state, connection, out)
+        dispatch.wake(state, connection.server, out)
     out.append(
         Note(
             PART,
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -95,6 +95,7 @@
       timers: What to look at when.
       ready: Sessions that may go on with their next statement.
       unplaced: Work for which a server is to be chosen.
+      vacated: Servers to which a connection has ended while work waits there.
       early: Callers that came before the first configuration.
       boot: Tells this process from earlier ones of the instance.
       entropy: Random bytes of this process.
@@ -149,6 +150,7 @@
         self.timers: list[Timer] = []
         self.ready: deque[Session] = deque()
         self.unplaced: deque[Work] = deque()
+        self.vacated: list[Server] = []
         self.early: list[Session] = []
         self.boot = ""
         self.entropy = b""
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -63,9 +63,7 @@
 def finish(state: State, work: Work, answer: Answer, out: list[Effect]) -> None:
     """Answers a statement; its session may go on with the next."""
     session = work.session
-    work.stage = Stage.OVER
-    state.works.pop(work.number, None)
-    session.work = None
+    _end(state, work)
     session.phase = answer.phase
     if answer.phase is Phase.IDLE:
         session.transaction = None
@@ -85,9 +83,7 @@
 def abandon(state: State, work: Work, out: list[Effect]) -> None:
     """Takes in that the caller of a statement has left."""
     was_sent = work.connection is not None
-    work.stage = Stage.OVER
-    state.works.pop(work.number, None)
-    work.session.work = None
+    _end(state, work)
     out.append(
         Note(
             PART,
@@ -97,6 +93,20 @@
     )
 
 
+def _end(state: State, work: Work) -> None:
+    """Takes a statement off the tables, and out of where it waits."""
+    if work.stage is Stage.ROOM:
+        server = state.servers.get(work.server)
+        if server is not None:
+            server.waiting.discard(work, work.session.workspace)
+        group = state.groups.get(work.route.service)
+        if group is not None:
+            group.waiting.discard(work)
+    work.stage = Stage.OVER
+    state.works.pop(work.number, None)
+    work.session.work = None
+
+
 def _note_of(
     state: State, work: Work, answer: Answer, kind: str, outcome: str
 ) -> Note:
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -222,7 +222,11 @@
 
 
 class Instance:
-    """One instance and what its effects did."""
+    """One instance and what its effects did.
+
+    Attributes:
+      opened: How many connections to servers it has begun to open.
+    """
 
     def __init__(self, world: "World", name: str, zone: str, boot: str):
         self.world = world
@@ -235,6 +239,7 @@
         self.callers: dict[int, Caller] = {}
         self.links: dict[int, ServerLink] = {}
         self.notes: list[effects.Note] = []
+        self.opened = 0
         self.is_alive = True
         self.is_cut = False
         self.has_store = True
@@ -560,6 +565,7 @@
 
     def _open(self, instance: Instance, effect: effects.OpenConnection) -> None:
         server = self.servers[effect.server]
+        instance.opened += 1
 
         def opened() -> None:
             pair = (instance.name, server.name)
