Renew the lease whether or not the last renewal was answered; end a busy loop

Cause: with a renewal unanswered when the next was due, the coordinator set its timer for a time in the past, and the reducer ran due timers until none was left: the process hung for good. A renewal that got no answer also blocked the next for 1.5 s, longer than the lease.

Rates, with it: a share follows 1.5 times the demand, lapses after 12 s instead of 6, keeps fewer idle tokens, and is not divided below 1.5 tokens. A hole closed on the way: a coordinator that most instances ask without the store went on lending while its successor took them for gone after 16 s. It now ends after 60 s, and the successor waits as long when most are unheard (test_hot_while_most_lack_the_store_with_the_coordinator, failed before).

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -67,8 +67,8 @@
             hold.is_lapsed = True
             out.append(Note(PART, "lease_lapsed", {"epoch": hold.epoch}))
             failover.give_up(state, out)
-        if state.now >= hold.renew_at and not hold.is_asking:
-            hold.is_asking = True
+        if state.now >= hold.renew_at:
+            # Whether or not an earlier one is answered: answers may be lost.
             hold.renew_at = state.now + state.limits.lease_renew_s
             out.append(KeepLease(hold.lease))
         state.remind(hold.renew_at, Subject.COORDINATOR)
@@ -95,6 +95,9 @@
 ) -> None:
     """Takes in the answer to a call about the lease."""
     hold = state.hold
+    if not hold.is_asking and lease != hold.lease:
+        # It is about a lease that was given up meanwhile.
+        return
     hold.is_asking = False
     if ttl_s is None:
         _plan_try(state)
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -52,7 +52,7 @@
       epoch: The epoch in which it coordinates, or 0.
       renew_at: When the lease is renewed next.
       try_at: When it may try to take over.
-      is_asking: Whether a call about the lease is on its way.
+      is_asking: Whether a call for a lease is on its way.
       is_lapsed: Whether the lease may have lapsed unnoticed.
     """
 
@@ -99,6 +99,7 @@
     Attributes:
       epoch: Its epoch.
       since: Since when it lends.
+      quiet_since: Since when no earlier lender has had most of the instances.
       limits: The shared limits by name.
       unheard: The processes that may hold what an earlier one has lent.
       heard_at: When each instance asked last.
@@ -110,6 +111,7 @@
     __slots__ = (
         "epoch",
         "since",
+        "quiet_since",
         "limits",
         "unheard",
         "heard_at",
@@ -121,6 +123,7 @@
     def __init__(self, epoch: int, now: float):
         self.epoch = epoch
         self.since = now
+        self.quiet_since = now
         self.limits: dict[str, lending.Limit] = {}
         self.unheard: dict[str, str] = {}
         self.heard_at: dict[str, float] = {}
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -1,8 +1,9 @@
 """What the coordinator lends of the workspaces' rates.
 
 When the store does not answer, the coordinator's lease can't be renewed. It
-goes on lending as long as most instances ask it, and nobody else: whoever
-takes over meanwhile lends little until it has heard most of them itself.
+goes on lending for a time as long as most instances ask it, and nobody else:
+whoever takes over meanwhile lends little until it has heard most of them
+itself, or that time is over.
 
 A new coordinator does not know what its predecessor has lent. It lends only
 what it is given back, until every process that was there before it has told
@@ -19,10 +20,11 @@
 PART = "lender"
 
 RATE_PREFIX = "rate:"
-LENDABLE = (0.7, 0.4)  # The rest is fetched token by token.
-FLOOR_PART = 0.1  # Of the whole, for all that lose touch.
+LENDABLE = (0.8, 0.6)  # The rest is fetched token by token.
+FLOOR_PART = 0.05  # Of the whole, for all that lose touch.
 FLOOR_LEAST = (0.0, 0.5)
 MOST_PART = 0.2  # Of the whole, for one holder; more comes token by token.
+LEAST_LEVEL = 1.5  # Tokens; a share of less room loses much of its rate.
 MAJORITY_S = 0.6  # How long an ask shows that its sender has no other lender.
 PRUNE_S = 2.0  # Between two looks for silent instances.
 DRIFT_S = 1.0  # Added before a silent process counts as without any loan.
@@ -79,9 +81,13 @@
         member = state.members.get(instance)
         if member is None or member.boot != boot:
             del lent.unheard[instance]
+    if _may_have_another(state, lent, len(lent.unheard)):
+        lent.quiet_since = state.now
+        for limit in lent.limits.values():
+            lending.count_quiet_from(limit, state.now + MAJORITY_S)
     if lent.unheard and state.now < lent.since + MAJORITY_S:
         return
-    if lent.unheard and state.now < lent.since + _quiet_s(state):
+    if lent.unheard and state.now < lent.quiet_since + _quiet_s(state):
         part = _unheard_part(state, lent)
         if part != lent.unheard_part:
             lent.unheard_part = part
@@ -115,28 +121,43 @@
         heard_at = lent.heard_at.get(instance, lent.since)
         if state.now - heard_at > _quiet_s(state):
             silent.append(instance)
-    membership.remove(state, silent, out)
+    if not _may_have_another(state, lent, len(silent)):
+        membership.remove(state, silent, out)
 
 
 def _quiet_s(state: State) -> float:
-    """Returns for how long a silent process may use what it was lent."""
+    """Returns for how long a silent process may use what it was lent.
+
+    An earlier lender goes on for a moment after most have turned from it.
+    """
     limits = state.limits
-    return limits.share_lease_s + limits.share_floor_s + DRIFT_S
+    longest_s = max(limits.share_lease_s, limits.share_floor_s)
+    return MAJORITY_S + longest_s + DRIFT_S
+
+
+def _may_have_another(state: State, lent: Lender, count: int) -> bool:
+    """Returns whether so many silent instances may have an earlier lender.
+
+    It goes on without the store for a time, as long as most ask it.
+    """
+    if 2 * count < len(state.members):
+        return False
+    return state.now < lent.since + state.limits.unled_s
 
 
 def _may_lend(state: State, lent: Lender) -> bool:
     """Returns whether nobody else can have become the lender of most."""
-    if state.now < state.hold.until and state.hold.epoch == lent.epoch:
+    hold = state.hold
+    if state.now < hold.until and hold.epoch == lent.epoch:
         return True
+    if state.now >= hold.until + state.limits.unled_s:
+        return False
     heard = heard_lately(state, MAJORITY_S)
     return 2 * (heard + 1) > len(state.members)
 
 
 def _unheard_part(state: State, lent: Lender) -> float:
-    """Returns how much of a limit those may have that were not heard.
-
-    While they are half of all or more, their lender may still lend the whole.
-    """
+    """Returns how much of a limit those may have that were not heard."""
     if 2 * len(lent.unheard) >= len(state.members):
         return 1.0
     return min(1.0, len(lent.unheard) * MOST_PART + FLOOR_PART)
@@ -164,12 +185,13 @@
         is_whole=False,
         has_level=True,
         most_part=MOST_PART,
-        least_level=1.0,
+        least_level=LEAST_LEVEL,
     )
     limit = lending.Limit(whole, policy, lent.epoch == 1, lent.since)
     if lent.is_settled:
         lending.all_heard(limit, state.now)
     else:
+        lending.count_quiet_from(limit, lent.quiet_since + MAJORITY_S)
         lending.bound_unclaimed(limit, lent.unheard_part, state.now)
     lent.limits[name] = limit
     return limit
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -35,6 +35,7 @@
       ask_s: Between two asks for shares.
       share_lease_s: How long a share is lent.
       share_floor_s: How long the floor of a share is lent.
+      unled_s: How long the coordinator lends on without its lease.
       grace_s: From the order to end to the kill.
       close_lot_s: Between two lots of sessions that are closed.
       catch_up_s: How long a planned promotion waits for a replica.
@@ -65,10 +66,11 @@
     overdue_s: float = 0.8
     last_lead_s: float = 2.0
     instance_lease_s: float = 1.0
-    lease_renew_s: float = 0.3
+    lease_renew_s: float = 0.2
     ask_s: float = 0.4
-    share_lease_s: float = 6.0
-    share_floor_s: float = 9.0
+    share_lease_s: float = 12.0
+    share_floor_s: float = 13.0
+    unled_s: float = 60.0
     grace_s: float = 6.0
     close_lot_s: float = 0.05
     catch_up_s: float = 1.0
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -15,13 +15,13 @@
 PART = "quotas"
 
 APPETITE = buckets.Appetite(
-    demand_time_s=2.0,
-    own_part=1.0,
+    demand_time_s=4.0,
+    own_part=1.5,
     stock_s=0.0,
     kept_s=0.2,
-    room_s=0.1,
+    room_s=0.6,
     least_demand=0.0,
-    spare=1.0,
+    spare=0.5,
 )
 IDLE_S = 8.0  # After so long without an operation a share is given back.
 LOOK_S = 0.02  # How often waiting work is looked at, at least.
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -252,8 +252,11 @@
 
 @handle.register
 def _(event: events.TimePassed, state: State, out: list[Effect]) -> None:
+    due = []
+    # One that is set again for a time in the past waits for the next event.
     while state.timers and state.timers[0].due_at <= state.now:
-        timer = heapq.heappop(state.timers)
+        due.append(heapq.heappop(state.timers))
+    for timer in due:
         timers.due(state, timer, out)
         settle(state, out)
 
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -241,6 +241,23 @@
     limit.unheard_floors = _least(limit.unheard_floors, limit.unclaimed)
 
 
+def count_quiet_from(limit: Limit, since: float) -> None:
+    """Takes in that an earlier lender may have lent until a time.
+
+    Args:
+      limit: The limit, with unheard holders.
+      since: The time, in seconds.
+    """
+    if limit.floor_quiet_until <= limit.level_at:
+        return
+    policy = limit.policy
+    quiet_until = _lapses_at(policy, since, policy.lease_s)
+    if limit.quiet_until > limit.level_at:
+        limit.quiet_until = max(limit.quiet_until, quiet_until)
+    floor_quiet_until = _lapses_at(policy, since, policy.floor_s)
+    limit.floor_quiet_until = max(limit.floor_quiet_until, floor_quiet_until)
+
+
 def free(limit: Limit) -> Amounts:
     """Returns what nobody holds; negative after the whole was reduced."""
     found = []
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -26,6 +26,7 @@
 
 LINK_S = 0.002
 STORE_S = 0.004
+LOST_S = 0.5  # Until an answer that was lost is given up.
 ROUTE_AGE_S = 1.5
 
 
@@ -77,6 +78,7 @@
         self.revision = 1
         self.is_up = True
         self.lost_answers = 0
+        self.lost_renewals = 0
 
     def swap(self, call: effects.SwapValues) -> int:
         """Writes values under a condition."""
@@ -512,10 +514,18 @@
 
         def answer() -> None:
             ttl_s: float | None = None
+            if self.store.lost_renewals:
+                self.store.lost_renewals -= 1
+                self.store.keep(effect.lease)
+                self.at(LOST_S, lambda: tell(None))
+                return
             if self.store.is_up and instance.has_store:
                 ttl_s = 0.0
                 if effect.lease in self.store.leases:
                     ttl_s = self.store.keep(effect.lease)
+            tell(ttl_s)
+
+        def tell(ttl_s: float | None) -> None:
             instance.happen(
                 events.LeaseRan(self.now, effect.lease, sent_at, ttl_s)
             )
--- /dev/null
+++ b/tests/test_direct_coordination.py
@@ -0,0 +1,30 @@
+"""Who coordinates, while the store loses answers."""
+
+import unittest
+
+from tests import direct_world
+
+NAMES = ("a", "b", "c", "d", "e")
+
+
+class RenewalTest(unittest.TestCase):
+    """The coordinator keeps its lease."""
+
+    def test_lost_answers_in_a_row(self) -> None:
+        # The store carries renewals out and loses their answers.
+        world = direct_world.World(NAMES)
+        world.run(4.0)
+        epochs = []
+        for _ in range(5):
+            world.store.lost_renewals = 3
+            world.run(2.0)
+            for instance in world.instances.values():
+                if instance.state.hold.epoch:
+                    epochs.append(instance.state.hold.epoch)
+        self.assertEqual(epochs, [1] * 5)
+        for instance in world.instances.values():
+            self.assertEqual(instance.noted("lease_lapsed"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_direct_marks.py
+++ b/tests/test_direct_marks.py
@@ -25,7 +25,11 @@
         writer = instance.caller("db")
         writer.say(statements.Write("w1", "WRITE 1 x"))
         world.run(0.2)
-        # The replica is preferred, since the primary is kept for writes.
+        # Its transaction holds the primary's connection. The replica is then
+        # preferred, since the primary is kept for writes.
+        writer.say(statements.Begin("b0", "BEGIN", False))
+        writer.say(statements.Write("w2", "WRITE 1 x"))
+        world.run(0.2)
         reader = instance.caller("aged")
         reader.say(statements.Begin("b1", "BEGIN READ", True))
         reader.say(statements.Read("r1", "READ 1"))
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -7,6 +7,7 @@
 
 NAMES = ("a", "b", "c", "d", "e", "f", "g", "h", "i")
 REFUSED_PART = 0.01  # The stated target for requests within the rate.
+CUT_REFUSED_PART = 0.1  # The same while some instances are cut off.
 WARM_S = 4.0  # Until the instances know each other.
 
 
@@ -60,9 +61,9 @@
 
 
 def make_world(
-    rate: float, burst: float, seed: int = 1, **options: object
+    rate: float, burst: float, seed: int = 1, names: tuple[str, ...] = NAMES
 ) -> direct_world.World:
-    """Returns nine instances before three fast servers."""
+    """Returns instances before three fast servers."""
     servers = []
     for name in ("p", "q", "r"):
         server = direct_world.FakeServer(name)
@@ -70,7 +71,7 @@
         server.is_primary = name == "p"
         servers.append(server)
     config = direct_world.make_catalog(1, rate, burst)
-    world = direct_world.World(NAMES, tuple(servers), seed, config=config)
+    world = direct_world.World(names, tuple(servers), seed, config=config)
     world.run(WARM_S)
     return world
 
@@ -103,6 +104,14 @@
         load.run(30.0)
         self.assertLessEqual(load.refused_part(), REFUSED_PART)
 
+    def test_uneven_spread_close_to_the_rate(self) -> None:
+        # A token that one instance does not use must reach the others.
+        world = make_world(28.0, 28.0, 3)
+        weights = dict(zip(NAMES, (6, 2, 4, 2, 1, 2, 4, 1, 2), strict=True))
+        load = Load(world, weights, 22.0)
+        load.run(20.0)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
     def test_moved_load(self) -> None:
         # An instance ends; its callers come back at two others.
         world = make_world(40.0, 40.0, 3)
@@ -141,6 +150,54 @@
         self.assertLessEqual(load.refused_part(), REFUSED_PART)
 
 
+class OutOfTouchTest(unittest.TestCase):
+    """Instances that reach neither the others nor the store go on.
+
+    The usual load of a workspace is its rate divided by 1.6, and a cut lasts
+    twelve seconds. What comes at the instances that are cut off is within the
+    rate, so it should be served from what they hold.
+    """
+
+    SEVEN = NAMES[:7]
+    CUT_S = 12.0
+
+    def check(self, rate: float, cut: tuple[str, ...], seed: int) -> None:
+        world = make_world(rate, rate, seed, names=self.SEVEN)
+        load = Load(world, dict.fromkeys(self.SEVEN, 1.0), rate / 1.6)
+        load.run(6.0)
+        for name in cut:
+            world.instances[name].is_cut = True
+            world.instances[name].has_store = False
+        load.outcomes.clear()
+        load.run(self.CUT_S)
+        self.assertLessEqual(load.refused_part(), CUT_REFUSED_PART)
+
+    def coordinator(self, rate: float, seed: int) -> str:
+        """Returns who coordinates in the world of a seed."""
+        world = make_world(rate, rate, seed, names=self.SEVEN)
+        for name, instance in world.instances.items():
+            if instance.state.hold.epoch:
+                return name
+        raise AssertionError("nobody coordinates")
+
+    def others(self, rate: float, seed: int) -> list[str]:
+        """Returns the instances that do not coordinate."""
+        holder = self.coordinator(rate, seed)
+        return [name for name in self.SEVEN if name != holder]
+
+    def test_two_of_seven(self) -> None:
+        cut = self.others(70.0, 11)[:2]
+        self.check(70.0, tuple(cut), 11)
+
+    def test_two_of_seven_of_a_small_workspace(self) -> None:
+        cut = self.others(22.0, 12)[:2]
+        self.check(22.0, tuple(cut), 12)
+
+    def test_three_of_seven_with_the_coordinator(self) -> None:
+        cut = self.others(70.0, 13)[:2]
+        self.check(70.0, (self.coordinator(70.0, 13), *cut), 13)
+
+
 class BoundTest(unittest.TestCase):
     """No workspace gets more than one bucket with its whole limit allows."""
 
@@ -200,6 +257,24 @@
         load.run(20.0)
         self.check(world, 20.0, 20.0)
 
+    def test_hot_while_most_lack_the_store_with_the_coordinator(self) -> None:
+        # It goes on for most instances; another takes over for the rest.
+        world = make_world(20.0, 20.0, 11)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
+        holder = ""
+        for name, instance in world.instances.items():
+            if instance.state.hold.epoch:
+                holder = name
+        most = [holder, *(name for name in NAMES if name != holder)][:5]
+
+        def cut_off() -> None:
+            for name in most:
+                world.instances[name].has_store = False
+
+        world.at(5.0, cut_off)
+        load.run(30.0)
+        self.check(world, 20.0, 20.0)
+
     def test_hot_while_all_start_again(self) -> None:
         world = make_world(20.0, 20.0, 6)
         load = Load(world, dict.fromkeys(NAMES, 1.0), 95.0)
