--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -184,6 +184,8 @@
     )
     lender.take_up(state, found)
     failover.take_up(state)
+    first_look = state.now + failover.TICK_S
+    state.remind(first_look, Subject.FAILOVER, hold.epoch)
     state.remind(hold.renew_at, Subject.COORDINATOR)
 
 
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -15,7 +15,7 @@
 from cuminwall.direct.events import PromotionOutcome
 from cuminwall.direct.fleet_state import Change, Step
 from cuminwall.direct.servers_state import Group, Server
-from cuminwall.direct.state import Purpose, State, Subject
+from cuminwall.direct.state import Purpose, State
 
 PART = "failover"
 
@@ -31,7 +31,6 @@
     """Begins to watch over the services."""
     state.changes.clear()
     state.unknown_since.clear()
-    state.remind(state.now + TICK_S, Subject.FAILOVER)
 
 
 def give_up(state: State, out: list[Effect]) -> None:
@@ -54,7 +53,6 @@
 
 def tick(state: State, out: list[Effect]) -> None:
     """Looks at every service, and goes on with the changes in course."""
-    state.remind(state.now + TICK_S, Subject.FAILOVER)
     for service in state.catalog.services:
         group = state.groups.get(service)
         if group is None:
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -59,7 +59,9 @@
 
 
 def _failover(state: State, key: Any, out: list[Effect]) -> None:
-    del key
+    if key != state.hold.epoch:
+        return
+    state.remind(state.now + failover.TICK_S, Subject.FAILOVER, key)
     if coordination.is_held(state):
         failover.tick(state, out)
         lender.settle_claims(state, out)
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -102,6 +102,10 @@
                 response = await exchange.run(request, body)
         except TimeoutError as error:
             _abort(exchange)
+            if error.errno is not None:
+                # The kernel's: the far end has not answered its probes.
+                text = f"{path}: {error!r}"
+                raise exceptions.ConnectionLostError(text) from error
             text = f"{path}: no answer for {timeout_s:g} s"
             raise exceptions.AnswerTimeoutError(text) from error
         except (
