Succeed a coordinator at once when its process was replaced; register after reading all

Where a later process of its instance stands in the store, it has ended, so another may take its place; it writes over the value it has seen. - a starting process wrote its line when it saw the first instance, before it knew its own earlier line, failed, and tried again 0.3 s later. - an operation that got its token after its target time was refused for want of room without being offered; it now has 0.15 s for that. - before the first coordinator is seen, the time without one counted from the start of the clock, so that everything was refused as hopeless.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -38,9 +38,27 @@
 def seen(
     state: State, value: bytes | None, revision: int, out: list[Effect]
 ) -> None:
-    """Takes in who coordinates."""
-    found = _decode(value, revision)
-    if found is None and state.coordinator is not None:
+    """Takes in who coordinates, as the store says."""
+    state.claimed = _decode(value, revision)
+    _judge(state, out)
+
+
+def member_seen(state: State, out: list[Effect]) -> None:
+    """Takes in an instance's line: it may tell that the coordinator ended."""
+    claimed = state.claimed
+    is_ended = claimed is not None and _has_ended(state, claimed)
+    if is_ended == (state.coordinator is not None):
+        _judge(state, out)
+
+
+def _judge(state: State, out: list[Effect]) -> None:
+    """Works out who coordinates."""
+    found = state.claimed
+    if found is not None and _has_ended(state, found):
+        fields = {"coordinator": found.instance, "epoch": found.epoch}
+        out.append(Note(PART, "coordinator_ended", fields))
+        found = None
+    if found is None and (state.coordinator or state.vacant_since is None):
         state.vacant_since = state.now
     state.coordinator = found
     hold = state.hold
@@ -59,6 +77,12 @@
         _plan_try(state)
 
 
+def is_registered(state: State) -> bool:
+    """Returns whether this process stands in the store."""
+    own = state.members.get(state.instance)
+    return own is not None and own.boot == state.boot
+
+
 def tick(state: State, out: list[Effect]) -> None:
     """Renews the lease, or tries to take over where nobody coordinates."""
     hold = state.hold
@@ -77,6 +101,10 @@
         return
     if state.now < hold.try_at or not state.is_store_up:
         return
+    if not is_registered(state):
+        # The others would take it for an earlier process that has ended.
+        _plan_try(state)
+        return
     if hold.is_asking or state.pending_swap(Purpose.COORDINATE):
         return
     if hold.lease and state.now < hold.until:
@@ -139,7 +167,8 @@
     state.swap(
         Purpose.COORDINATE,
         {
-            NAME: 0,
+            # That of one whose process has ended, while its lease still holds.
+            NAME: state.shared_revisions.get(NAME, 0),
             EPOCH_NAME: state.shared_revisions.get(EPOCH_NAME, 0),
         },
         {
@@ -203,6 +232,12 @@
     _plan_try(state)
 
 
+def _has_ended(state: State, found: Coordinator) -> bool:
+    """Returns whether a later process of the coordinator's instance runs."""
+    member = state.members.get(found.instance)
+    return member is not None and member.boot != found.boot
+
+
 def _decode(value: bytes | None, revision: int) -> Coordinator | None:
     """Returns the coordinator that a value names."""
     if value is None:
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -17,7 +17,8 @@
       full_s: How long a server that took no more work is left alone.
       connect_s: How long opening a connection may take.
       idle_connection_s: How long an unused connection is kept.
-      least_wait_s: The least time that work may wait for room.
+      least_wait_s: The least time that work may wait for room once it has
+        its token.
       wait_part: The part of a route's target that work may wait for room.
       primary_wait_s: How long work may wait for a new primary.
       silence_s: How long a server may be silent to a read before the read
@@ -53,7 +54,7 @@
     full_s: float = 0.1
     connect_s: float = 0.6
     idle_connection_s: float = 20.0
-    least_wait_s: float = 0.05
+    least_wait_s: float = 0.15
     wait_part: float = 1.0
     primary_wait_s: float = 1.2
     silence_s: float = 0.3
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -29,6 +29,9 @@
     """Writes this process's line, and the fleet's secret if there is none."""
     if state.is_leaving or state.pending_swap(Purpose.REGISTER):
         return
+    if not state.snapshots:
+        # What stands in its place is not known yet.
+        return
     own = state.members.get(state.instance)
     if own is not None and own.boot == state.boot and state.secret:
         return
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -5,7 +5,7 @@
 """
 
 from cuminwall import buckets, shares
-from cuminwall.direct import lender, messages, works
+from cuminwall.direct import coordination, lender, messages, works
 from cuminwall.direct.callers_state import Stage, Work
 from cuminwall.direct.effects import Effect, Note, Say
 from cuminwall.direct.fleet_state import Flow
@@ -52,7 +52,7 @@
         return
     work.stage = Stage.TOKENS
     wait_s = state.limits.token_wait_s
-    if state.coordinator is None:
+    if state.coordinator is None or not coordination.is_registered(state):
         wait_s = min(work.route.timeout_s, state.limits.vacant_wait_s)
     elif _is_out_of_touch(state, bucket):
         # What is held here goes on, and is all there is.
@@ -122,8 +122,7 @@
 ) -> None:
     """Tells the coordinator what is held, needed and seen here."""
     coordinator = state.coordinator
-    own = state.members.get(state.instance)
-    if coordinator is None or own is None or own.boot != state.boot:
+    if coordinator is None or not coordination.is_registered(state):
         # Whoever takes over next must know of all that may hold a share.
         return
     number = state.next_number()
@@ -222,8 +221,8 @@
     line = bucket.line
     rate, _ = shares.usable(line, state.now)
     if state.coordinator is None and rate <= 0:
-        vacant_s = state.now - state.vacant_since
-        return vacant_s > VACANT_S
+        since = state.vacant_since
+        return since is not None and state.now - since > VACANT_S
     if bucket.waiting and _is_queue_too_long(state, bucket):
         return True
     if not line.is_answered or line.pause_s <= shares.FIRST_PAUSE_S:
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -194,6 +194,7 @@
         state.shared_revisions.pop(event.name)
     if event.name.startswith(membership.PREFIX):
         membership.seen(state, event.name, event.value, event.revision, out)
+        coordination.member_seen(state, out)
         lender.settle_claims(state, out)
         membership.register(state, out)
     elif event.name == membership.SECRET_NAME:
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -107,6 +107,7 @@
       most_members_at: When there were so many.
       shared_revisions: The store's revision of each shared value.
       swaps: The conditional writes on their way, by number.
+      claimed: Who coordinates by the value in the store, or None.
       coordinator: Who coordinates, or None.
       vacant_since: Since when nobody coordinates, if so.
       epoch: The highest epoch that was seen.
@@ -162,8 +163,9 @@
         self.most_members_at = leases.NEVER
         self.shared_revisions: dict[str, int] = {}
         self.swaps: dict[int, Swap] = {}
+        self.claimed: Coordinator | None = None
         self.coordinator: Coordinator | None = None
-        self.vacant_since = 0.0
+        self.vacant_since: float | None = None
         self.epoch = 0
         self.hold = Hold()
         self.lender: Lender | None = None
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -33,8 +33,8 @@
 
 def admit(state: State, work: Work) -> None:
     """Lets a statement go on that has its token."""
-    wait_s = state.limits.wait_part * work.route.target_s
-    work.wait_until = work.came_at + max(state.limits.least_wait_s, wait_s)
+    in_time = work.came_at + state.limits.wait_part * work.route.target_s
+    work.wait_until = max(in_time, state.now + state.limits.least_wait_s)
     work.stage = Stage.ROOM
     state.unplaced.append(work)
 
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -26,5 +26,37 @@
             self.assertEqual(instance.noted("lease_lapsed"), [])
 
 
+class SuccessionTest(unittest.TestCase):
+    """Another coordinates soon after the coordinator has ended."""
+
+    SOON_S = 0.4  # Less than what is left of the lease.
+
+    def test_coordinator_that_started_again(self) -> None:
+        world = direct_world.World(NAMES)
+        world.run(4.0)
+        for name, instance in world.instances.items():
+            if instance.state.hold.epoch:
+                holder = name
+        world.kill(holder)
+        world.start(holder)
+        world.run(self.SOON_S)
+        epochs = [
+            instance.state.hold.epoch for instance in world.instances.values()
+        ]
+        self.assertEqual(sorted(epochs), [0, 0, 0, 0, 2])
+
+    def test_all_that_started_again(self) -> None:
+        world = direct_world.World(NAMES)
+        world.run(4.0)
+        for name in NAMES:
+            world.kill(name)
+            world.start(name)
+        world.run(self.SOON_S)
+        epochs = [
+            instance.state.hold.epoch for instance in world.instances.values()
+        ]
+        self.assertEqual(sorted(epochs), [0, 0, 0, 0, 2])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -134,6 +134,19 @@
         load.run(8.0)
         self.assertLessEqual(load.refused_part(), REFUSED_PART)
 
+    def test_all_start_again(self) -> None:
+        # The lease of the coordinator that was killed has not lapsed yet.
+        world = make_world(40.0, 40.0, 12)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 24.0)
+        load.run(4.0)
+        load.outcomes.clear()
+        for name in NAMES:
+            world.kill(name)
+            world.start(name)
+        world.run(0.02)
+        load.run(3.0)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
     def test_leaving_instance_serves_until_its_end(self) -> None:
         world = make_world(40.0, 40.0, 8)
         load = Load(world, dict.fromkeys(NAMES, 1.0), 24.0)
