--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -8,13 +8,14 @@
 import json
 
 from cuminwall import placement
-from cuminwall.direct import failover, lender
+from cuminwall.direct import failover, lender, messages
 from cuminwall.direct.effects import (
     Effect,
     EndLease,
     GrantLease,
     KeepLease,
     Note,
+    Say,
 )
 from cuminwall.direct.fleet_state import Coordinator
 from cuminwall.direct.state import Purpose, State, Subject
@@ -27,6 +28,7 @@
 RANK_DELAY_S = 0.12  # How much later each next instance tries to take over.
 MAX_RANK = 8
 VACANT_DELAY_S = 0.02
+SEEK_S = 0.6  # Without an answer; a regular ask comes each 0.4 s.
 
 
 def is_held(state: State) -> bool:
@@ -39,13 +41,15 @@
     state: State, value: bytes | None, revision: int, out: list[Effect]
 ) -> None:
     """Takes in who coordinates, as the store says."""
-    state.claimed = _decode(value, revision)
+    if value is not None:
+        state.succession.newest = max(state.succession.newest, revision)
+    state.succession.claimed = _decode(value, revision)
     _judge(state, out)
 
 
 def member_seen(state: State, out: list[Effect]) -> None:
     """Takes in an instance's line: it may tell that the coordinator ended."""
-    claimed = state.claimed
+    claimed = state.succession.claimed
     is_ended = claimed is not None and _has_ended(state, claimed)
     if is_ended == (state.coordinator is not None):
         _judge(state, out)
@@ -53,7 +57,7 @@
 
 def _judge(state: State, out: list[Effect]) -> None:
     """Works out who coordinates."""
-    found = state.claimed
+    found = state.succession.claimed
     if found is not None and _has_ended(state, found):
         fields = {"coordinator": found.instance, "epoch": found.epoch}
         out.append(Note(PART, "coordinator_ended", fields))
@@ -77,6 +81,48 @@
         _plan_try(state)
 
 
+def seek(state: State, out: list[Effect]) -> None:
+    """Asks a peer who coordinates, when the known one gives no answer.
+
+    An instance that lacks the store learns of a change in this way.
+    """
+    if state.now < state.succession.granted_at + SEEK_S:
+        return
+    peers = sorted(name for name in state.members if name != state.instance)
+    if not peers:
+        return
+    state.succession.seeks += 1
+    peer = peers[state.succession.seeks % len(peers)]
+    out.append(Say(peer, messages.Seek(state.succession.newest)))
+
+
+def sought(
+    state: State, sender: str, ask: messages.Seek, out: list[Effect]
+) -> None:
+    """Answers a peer that asks who coordinates."""
+    known = state.coordinator
+    if known is None or known.revision <= ask.revision:
+        return
+    out.append(Say(sender, messages.Leader(*known)))
+
+
+def told(
+    state: State, sender: str, leader: messages.Leader, out: list[Effect]
+) -> bool:
+    """Takes in who coordinates, as a peer says; returns whether it is news."""
+    if leader.revision <= state.succession.newest:
+        return False
+    if state.is_store_up and state.coordinator is None:
+        # The peer may not know yet what the store has told here.
+        return False
+    state.succession.newest = leader.revision
+    state.succession.claimed = Coordinator(*leader)
+    fields = {"peer": sender, **leader._asdict()}
+    out.append(Note(PART, "told_by_peer", fields))
+    _judge(state, out)
+    return True
+
+
 def is_registered(state: State) -> bool:
     """Returns whether this process stands in the store."""
     own = state.members.get(state.instance)
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from cuminwall import lending
+from cuminwall import leases, lending
 from cuminwall.direct.answers import Position
 
 
@@ -43,6 +43,25 @@
     revision: int
 
 
+class Succession:
+    """What is heard of who coordinates.
+
+    Attributes:
+      claimed: Who does by the value in the store, or None.
+      newest: The newest revision of such a value that was ever seen.
+      granted_at: When the coordinator last answered an ask.
+      seeks: How often a peer was asked who coordinates.
+    """
+
+    __slots__ = ("claimed", "newest", "granted_at", "seeks")
+
+    def __init__(self) -> None:
+        self.claimed: Coordinator | None = None
+        self.newest = 0
+        self.granted_at = leases.NEVER
+        self.seeks = 0
+
+
 class Hold:
     """This instance's part in coordination.
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -58,5 +58,39 @@
     config_version: int
 
 
-TYPES: tuple[type, ...] = (ShareLine, ShareGrant, Missed, Ask, Grants)
+class Seek(NamedTuple):
+    """An instance that gets no answers asks a peer who coordinates.
+
+    Attributes:
+      revision: The store's revision of the newest coordinator that it knows.
+    """
+
+    revision: int
+
+
+class Leader(NamedTuple):
+    """A peer tells of a newer coordinator.
+
+    Attributes:
+      instance: The coordinator.
+      boot: Its process.
+      epoch: Its epoch.
+      revision: The store's revision of its value.
+    """
+
+    instance: str
+    boot: str
+    epoch: int
+    revision: int
+
+
+TYPES: tuple[type, ...] = (
+    ShareLine,
+    ShareGrant,
+    Missed,
+    Ask,
+    Grants,
+    Seek,
+    Leader,
+)
 CODEC = codec.Codec(TYPES)
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -98,6 +98,7 @@
     state.ask_at = state.now + state.limits.ask_s
     state.remind(state.ask_at, Subject.QUOTAS)
     ask(state, list(state.buckets.values()), True, out)
+    coordination.seek(state, out)
 
 
 def give_back_all(state: State, out: list[Effect]) -> None:
@@ -159,6 +160,7 @@
     coordinator = state.coordinator
     if coordinator is None or coordinator.epoch != grants.epoch:
         return
+    state.succession.granted_at = state.now
     for grant in grants.grants:
         workspace = grant.name.removeprefix(lender.RATE_PREFIX)
         bucket = state.buckets.get(workspace)
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -244,6 +244,11 @@
     elif isinstance(event.message, messages.Grants):
         quotas.granted(state, event.message)
         _compare(state, event.message.config_version, out)
+    elif isinstance(event.message, messages.Seek):
+        coordination.sought(state, event.sender, event.message, out)
+    elif isinstance(event.message, messages.Leader):
+        if coordination.told(state, event.sender, event.message, out):
+            quotas.note_epoch(state, out)
 
 
 @handle.register
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -20,6 +20,7 @@
     Hold,
     Lender,
     Member,
+    Succession,
 )
 from cuminwall.direct.servers_state import Connection, Group, Inquiry, Server
 
@@ -107,7 +108,7 @@
       most_members_at: When there were so many.
       shared_revisions: The store's revision of each shared value.
       swaps: The conditional writes on their way, by number.
-      claimed: Who coordinates by the value in the store, or None.
+      succession: What is heard of who coordinates.
       coordinator: Who coordinates, or None.
       vacant_since: Since when nobody coordinates, if so.
       epoch: The highest epoch that was seen.
@@ -163,7 +164,7 @@
         self.most_members_at = leases.NEVER
         self.shared_revisions: dict[str, int] = {}
         self.swaps: dict[int, Swap] = {}
-        self.claimed: Coordinator | None = None
+        self.succession = Succession()
         self.coordinator: Coordinator | None = None
         self.vacant_since: float | None = None
         self.epoch = 0
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -134,6 +134,22 @@
         load.run(8.0)
         self.assertLessEqual(load.refused_part(), REFUSED_PART)
 
+    def test_coordinator_and_another_lack_the_store(self) -> None:
+        # A third takes over; the two reach it, and learn of it from peers.
+        world = make_world(40.0, 40.0, 13)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 25.0)
+        load.run(6.0)
+        for name, instance in world.instances.items():
+            if instance.state.hold.epoch:
+                holder = name
+        other = next(name for name in NAMES if name != holder)
+        world.instances[holder].has_store = False
+        world.instances[other].has_store = False
+        world.run(2.0)
+        load.outcomes.clear()
+        load.run(10.0)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
     def test_all_start_again(self) -> None:
         # The lease of the coordinator that was killed has not lapsed yet.
         world = make_world(40.0, 40.0, 12)
