--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -38,24 +38,25 @@
     time and nothing else. That is done only when the store can't tell.
     """
     server = group.servers.get(group.primary)
-    if server is not None:
-        if not groups.may_still_lead(state, server):
-            return None
-        if state.now < max(server.suspect_until, server.replica_until):
-            return None
-        if state.now < warmups.open_at(state, server):
-            return None
-        return server
+    if server is not None and _may_act_as_primary(state, server):
+        if groups.may_still_lead(state, server):
+            return server
     if state.is_store_up:
         return None
     for server in group.servers.values():
-        if state.now < max(server.replica_until, server.suspect_until):
+        if not _may_act_as_primary(state, server):
             continue
         if groups.is_usable(state, server):
             return server
     return None
 
 
+def _may_act_as_primary(state: State, server: Server) -> bool:
+    """Returns whether a server may be offered what only a primary runs."""
+    until = max(server.suspect_until, server.replica_until)
+    return state.now >= max(until, warmups.open_at(state, server))
+
+
 def load(server: Server) -> int:
     """Returns how much work of this instance is at a server."""
     busy = len(server.waiting)
--- a/tests/test_direct_failover.py
+++ b/tests/test_direct_failover.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cuminwall.direct import statements
+from cuminwall.direct import events, statements
 from cuminwall.direct.answers import Reason
 from tests import direct_world
 
@@ -110,6 +110,23 @@
         world.run(6.0)
         self.assertEqual(len(world.promoted), 1)
 
+    def test_instance_that_lacks_the_store_finds_the_new_primary(self) -> None:
+        world = make_world()
+        holder = coordinator_of(world)
+        name = next(name for name in NAMES if name != holder.name)
+        lacking = world.instances[name]
+        lacking.has_store = False
+        lacking.happen(events.StoreHeard(world.now, False, "test"))
+        writers = Writers(world)
+        world.run(1.0)
+        world.servers["p"].is_dark = True
+        world.run(LOST_S)
+        writers.acknowledged.clear()
+        world.run(1.0)
+        own = [each for _, each in writers.acknowledged if each[0] == name]
+        # Each write takes up to 15 ms and the next is sent after 50 ms.
+        self.assertGreater(len(own), 10)
+
     def test_lost_answer_of_an_order(self) -> None:
         world = make_world()
         world.promote_answers = False
