Count the time of a transaction's opening from its sending

A statement that had waited, for a primary for example, was taken for unanswered as soon as a timer of its wait fell into the opening of its transaction; its connection was dropped and the new primary counted as out of reach for 1 s.

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -130,7 +130,7 @@
       target_at: When it should be answered.
       wait_until: Until when it may wait for room.
       resume_at: When it is offered again to a full primary, or None.
-      sent_at: When it was sent.
+      sent_at: When it was sent, or the opening of its transaction.
       after: The position that a replica must have, or None.
       server: The server that it was offered to last, or "".
       tried: The servers that refused it or failed it.
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -78,6 +78,7 @@
         )
         flight.append((opens, Expected.BEGIN))
         work.stage = Stage.BEGINNING
+        work.sent_at = state.now
         works.set_timer(state, work, state.now + begin_limit_s(state, work))
     else:
         flight.append((command(work), Expected.STATEMENT))
--- a/tests/test_direct_failover.py
+++ b/tests/test_direct_failover.py
@@ -3,6 +3,7 @@
 import unittest
 
 from cuminwall.direct import events, statements
+from cuminwall.direct import groups as reducer_groups
 from cuminwall.direct.answers import Reason
 from tests import direct_world
 
@@ -127,6 +128,33 @@
         # Each write takes up to 15 ms and the next is sent after 50 ms.
         self.assertGreater(len(own), 10)
 
+    def test_work_that_waited_gets_its_whole_time_at_the_new_primary(
+        self,
+    ) -> None:
+        # A timer of its wait falls into the opening of its transaction.
+        world = make_world()
+        config = direct_world.make_catalog(2)
+        patient = config.routes["db"]._replace(timeout_s=2.0)
+        world.configure(config._replace(routes={"db": patient}))
+        world.run(0.1)
+        instance = world.instances["a"]
+        known = instance.state
+        group = known.groups["s"]
+        warm = instance.caller("db")
+        warm.say(statements.Read("w", "READ 1"))
+        world.run(0.2)
+        reducer_groups.set_primary(known, group, "", "test", [])
+        caller = instance.caller("db")
+        caller.say(statements.Read("r", "READ 1"))
+        wait_s = known.limits.primary_wait_s
+        world.run(wait_s - 0.003)
+        entry = known.servers["p"].entry
+        entry = entry._replace(revision=entry.revision + 1)
+        instance.happen(events.ServerSeen(world.now, entry))
+        world.run(1.0)
+        self.assertEqual(caller.reasons(), [None])
+        self.assertEqual(instance.noted("server_missed"), [])
+
     def test_lost_answer_of_an_order(self) -> None:
         world = make_world()
         world.promote_answers = False
