Tell the coordinator at once of a primary's silence; share more while out of touch

Cause: a primary that went dark was missed only when a statement's time was over (0.8 s for a write), told with the next regular ask (up to 0.4 s later) and doubted for 0.5 s; only then the coordinator's question (0.5 s) ended. Now a statement unanswered for 0.3 s, with no other answer from the server since, is told at once, and the question runs beside the doubt (0.3 s). The server goes on getting work meanwhile. In the model the gap without a write falls from 2.2 to 1.9 s, 0.6 of it the promotion (test_dark_primary, bound 2.0). Ruled out: a shorter question (a loaded server may need it).

--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -79,6 +79,7 @@
         flight.append((opens, Expected.BEGIN))
         work.stage = Stage.BEGINNING
         work.sent_at = state.now
+        works.set_timer(state, work, state.now + state.limits.silence_s)
         works.set_timer(state, work, state.now + begin_limit_s(state, work))
     else:
         flight.append((command(work), Expected.STATEMENT))
@@ -133,6 +134,7 @@
     """Notes that a statement is on its way to the server."""
     work.stage = Stage.SENT
     work.sent_at = state.now
+    works.set_timer(state, work, state.now + state.limits.silence_s)
     works.set_timer(state, work, state.now + work.route.timeout_s)
 
 
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -8,7 +8,7 @@
 from cuminwall.direct.catalog import ServerEntry
 from cuminwall.direct.effects import CloseConnection, Effect, Note
 from cuminwall.direct.servers_state import Group, Server, Use
-from cuminwall.direct.state import State
+from cuminwall.direct.state import State, Subject
 
 PART = "groups"
 
@@ -137,8 +137,7 @@
     """Notes that a server could not be reached."""
     now = state.now
     server.suspect_until = now + state.limits.suspect_s
-    if server.missed_at is None:
-        server.missed_at = now
+    _note_missed(state, server)
     group = find(state, server.entry.service)
     if group.primary == server.entry.server:
         _expect(state, group, state.limits.failover_s)
@@ -155,6 +154,30 @@
     )
 
 
+def silent(state: State, server: Server, out: list[Effect]) -> None:
+    """Notes that a server has left something unanswered for long.
+
+    It goes on getting work; the coordinator begins to look into it.
+    """
+    if server.missed_at is not None:
+        return
+    _note_missed(state, server)
+    since_s = round(state.now - server.reached_at, 3)
+    fields = {"server": server.entry.server, "reached_s_ago": since_s}
+    out.append(Note(PART, "server_silent", fields))
+
+
+def _note_missed(state: State, server: Server) -> None:
+    """Notes since when a server is out of reach; a primary's is told soon."""
+    if server.missed_at is not None:
+        return
+    server.missed_at = state.now
+    group = find(state, server.entry.service)
+    if group.primary == server.entry.server:
+        state.ask_at = state.now
+        state.remind(state.now, Subject.QUOTAS)
+
+
 def is_usable(state: State, server: Server) -> bool:
     """Returns whether new work may be sent to a server."""
     if server.is_gone or server.entry.is_leaving:
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -20,7 +20,7 @@
 PART = "lender"
 
 RATE_PREFIX = "rate:"
-LENDABLE = (0.8, 0.6)  # The rest is fetched token by token.
+LENDABLE = (0.9, 0.6)  # The rest is fetched token by token.
 FLOOR_PART = 0.05  # Of the whole, for all that lose touch.
 FLOOR_LEAST = (0.0, 0.5)
 MOST_PART = 0.2  # Of the whole, for one holder; more comes token by token.
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -21,8 +21,8 @@
         its token.
       wait_part: The part of a route's target that work may wait for room.
       primary_wait_s: How long work may wait for a new primary.
-      silence_s: How long a server may be silent to a read before the read
-        is tried on another one.
+      silence_s: How long a server may be silent before the coordinator is
+        told.
       max_attempts: How many servers one statement is offered to.
       token_wait_s: How long work may wait for its workspace's tokens.
       vacant_wait_s: The same while nobody coordinates.
@@ -76,7 +76,7 @@
     close_lot_s: float = 0.05
     catch_up_s: float = 1.0
     order_retry_s: float = 1.5
-    doubt_s: float = 0.5
+    doubt_s: float = 0.3
     status_s: float = 0.5
     behind_s: float = 0.3
 
--- a/src/cuminwall/direct/losses.py
+++ b/src/cuminwall/direct/losses.py
@@ -99,6 +99,8 @@
     else:
         limit_s = work.route.timeout_s
     if state.now < work.sent_at + limit_s:
+        if state.now >= work.sent_at + state.limits.silence_s:
+            _doubt(state, work, connection.server, out)
         return
     groups.missed(state, connection.server, "no answer", out)
     connections.drop(state, connection, out)
@@ -113,6 +115,12 @@
     works.finish_failed(state, work, Reason.TIMED_OUT, "timeout", out)
 
 
+def _doubt(state: State, work: Work, server: Server, out: list[Effect]) -> None:
+    """Takes in that a server has left a statement unanswered for a while."""
+    if server.reached_at < work.sent_at:
+        groups.silent(state, server, out)
+
+
 def connection_due(
     state: State, connection: Connection, out: list[Effect]
 ) -> None:
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -19,7 +19,7 @@
     own_part=1.5,
     stock_s=0.0,
     kept_s=0.2,
-    room_s=0.6,
+    room_s=0.9,
     least_demand=0.0,
     spare=0.5,
 )
--- a/tests/test_direct_failover.py
+++ b/tests/test_direct_failover.py
@@ -9,6 +9,9 @@
 
 NAMES = ("a", "b", "c")
 LOST_S = 3.0  # Within which a lost primary must be replaced.
+# The same for writes in a steady stream: what the promotion itself takes, and
+# twice the longest question to a silent server.
+GAP_S = 0.6 + 2 * 0.7
 PLANNED_S = 2.5  # Within which one that leaves must be replaced.
 
 
@@ -84,7 +87,7 @@
         world.servers["p"].is_dark = True
         world.run(4.0)
         self.assertEqual(len(world.promoted), 1)
-        self.assertLess(writers.gap_s(), LOST_S)
+        self.assertLess(writers.gap_s(), GAP_S)
         self.assertTrue(world.servers["q"].is_primary)
 
     def test_entry_gone(self) -> None:
