--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -40,6 +40,7 @@
     if is_new:
         known.suspect_until = leases.NEVER
         known.missed_at = None
+        known.is_lost = False
     out.append(
         Note(
             PART,
@@ -127,16 +128,23 @@
     set_primary(state, group, server.entry.server, "it leads", out)
 
 
-def reached(server: Server, now: float) -> None:
+def reached(state: State, server: Server) -> None:
     """Notes that a server answered."""
-    server.reached_at = now
+    server.reached_at = state.now
     server.missed_at = None
+    if not server.is_lost:
+        return
+    server.is_lost = False
+    server.suspect_until = leases.NEVER
+    group = find(state, server.entry.service)
+    state.unplaced.extend(group.waiting.drain())
 
 
 def missed(state: State, server: Server, cause: str, out: list[Effect]) -> None:
     """Notes that a server could not be reached."""
     now = state.now
     server.suspect_until = now + state.limits.suspect_s
+    server.is_lost = True
     _note_missed(state, server)
     group = find(state, server.entry.service)
     if group.primary == server.entry.server:
--- a/src/cuminwall/direct/inquiries.py
+++ b/src/cuminwall/direct/inquiries.py
@@ -40,7 +40,7 @@
     state: State, inquiry: Inquiry, answer: Answer, out: list[Effect]
 ) -> None:
     """Takes in an answer."""
-    groups.reached(inquiry.server, state.now)
+    groups.reached(state, inquiry.server)
     out.append(CloseConnection(inquiry.number))
     _finish(state, inquiry, answer.status, True, out)
 
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -53,8 +53,24 @@
 
 def _may_act_as_primary(state: State, server: Server) -> bool:
     """Returns whether a server may be offered what only a primary runs."""
-    until = max(server.suspect_until, server.replica_until)
-    return state.now >= max(until, warmups.open_at(state, server))
+    if not _is_within_reach(state, server):
+        return False
+    return state.now >= max(
+        server.replica_until, warmups.open_at(state, server)
+    )
+
+
+def _is_within_reach(state: State, server: Server) -> bool:
+    """Returns whether a server may be tried.
+
+    One that was out of reach is left alone for a while, and then tried by one
+    piece of work; the rest need not wait for the outcome.
+    """
+    if state.now < server.suspect_until:
+        return False
+    if not server.is_lost:
+        return True
+    return not any(each.use is Use.OPENING for each in server.connections)
 
 
 def load(server: Server) -> int:
@@ -102,7 +118,9 @@
         return False
     if server.entry.server in work.tried:
         return False
-    until = max(server.suspect_until, server.lagging_until, server.full_until)
+    if not _is_within_reach(state, server):
+        return False
+    until = max(server.lagging_until, server.full_until)
     return state.now >= max(until, warmups.open_at(state, server))
 
 
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -89,7 +89,7 @@
     connection = state.connections.get(event.connection)
     if connection is None:
         return
-    groups.reached(connection.server, state.now)
+    groups.reached(state, connection.server)
     connection.server.refusals = 0
     connections.set_idle(state, connection)
     dispatch.wake(state, connection.server, out)
@@ -104,7 +104,7 @@
     connection = state.connections.get(event.connection)
     if connection is None or not connection.expected:
         return
-    groups.reached(connection.server, state.now)
+    groups.reached(state, connection.server)
     expected = connection.expected.popleft()
     _answered(state, connection, expected, event.answer, out)
 
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -147,6 +147,7 @@
       refusals: How many connections it refused since it took one.
       reached_at: When it last answered.
       missed_at: When it was first out of reach since then, or None.
+      is_lost: Whether it could not be reached since it last answered.
       status: What it answered last to the coordinator, or None.
       status_at: When that was, or when it failed to answer.
       status_alive: Whether it answered at all.
@@ -167,6 +168,7 @@
         "refusals",
         "reached_at",
         "missed_at",
+        "is_lost",
         "status",
         "status_at",
         "status_alive",
@@ -187,6 +189,7 @@
         self.refusals = 0
         self.reached_at = leases.NEVER
         self.missed_at: float | None = None
+        self.is_lost = False
         self.status: Status | None = None
         self.status_at = leases.NEVER
         self.status_alive = True
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -73,6 +73,60 @@
         self.assertEqual(caller.reasons(), [None])
 
 
+class OutOfReachTest(unittest.TestCase):
+    """A primary that this instance can't reach, while others can."""
+
+    RATE = 20.0
+    CUT_S = 6.0
+
+    def test_hopeless_work_is_refused_at_once(self) -> None:
+        world = make_world(("a", "b", "c"))
+        # Another coordinates, and sees no reason to replace it.
+        instance = world.instances["a"]
+        if instance.state.hold.epoch:
+            instance = world.instances["b"]
+        world.cut_pairs.add((instance.name, "p"))
+        instance.caller("db").say(statements.Write("w0", "WRITE 1 x"))
+        # By then a successor would lead, if there were to be one.
+        world.run(5.0)
+        callers = []
+        for number in range(int(self.RATE * self.CUT_S)):
+            caller = instance.caller("db")
+            caller.say(statements.Write(f"w{number}", "WRITE 1 x"))
+            callers.append((world.now, caller))
+            world.run(1 / self.RATE)
+        world.run(1.0)
+        held = 0
+        for sent_at, caller in callers:
+            self.assertEqual(caller.reasons(), [Reason.OVERLOADED])
+            held += caller.times[0] - sent_at > 0.1
+        # One looks whether it is back each time its pause is over.
+        pause_s = instance.state.limits.suspect_s
+        self.assertLessEqual(held, self.CUT_S / pause_s + 1)
+
+    def test_work_goes_on_when_it_is_back(self) -> None:
+        world = make_world(("a", "b", "c"))
+        instance = world.instances["a"]
+        world.cut_pairs.add(("a", "p"))
+        instance.caller("db").say(statements.Write("w0", "WRITE 1 x"))
+        world.run(4.0)
+        world.cut_pairs.clear()
+        limits = instance.state.limits
+        back_s = limits.suspect_s + limits.connect_s + 0.1
+        done = []
+        for number in range(60):
+            caller = instance.caller("db")
+            caller.say(statements.Write(f"w{number}", "WRITE 1 x"))
+            sent_at = world.now
+            world.run(0.05)
+            done.append((sent_at, caller))
+        world.run(1.0)
+        begun_at = done[0][0]
+        for sent_at, caller in done:
+            if sent_at > begun_at + back_s:
+                self.assertEqual(caller.reasons(), [None])
+
+
 class WorkspaceTest(unittest.TestCase):
     """A connection serves the workspace for which it was opened."""
 
