--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -33,8 +33,7 @@
 
 def is_held(state: State) -> bool:
     """Returns whether this instance coordinates now."""
-    own = state.hold
-    return own.epoch > 0 and state.now < own.until
+    return state.hold.is_sure(state.now)
 
 
 def seen(
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -94,6 +94,10 @@
         self.is_asking = False
         self.is_lapsed = False
 
+    def is_sure(self, now: float) -> bool:
+        """Returns whether this instance surely coordinates now."""
+        return self.epoch > 0 and now < self.until
+
 
 class Flow:
     """How fast a workspace's operations get tokens here.
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -148,7 +148,7 @@
 def _may_lend(state: State, lent: Lender) -> bool:
     """Returns whether nobody else can have become the lender of most."""
     hold = state.hold
-    if state.now < hold.until and hold.epoch == lent.epoch:
+    if hold.is_sure(state.now) and hold.epoch == lent.epoch:
         return True
     if state.now >= hold.until + state.limits.unled_s:
         return False
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -352,6 +352,24 @@
         for link in instance.links.values():
             link.phase = Phase.IDLE
 
+    def coordinator(self) -> Instance:
+        """Returns the instance that coordinates.
+
+        Raises:
+          LookupError: Nobody does.
+        """
+        for instance in self.instances.values():
+            if instance.is_alive and instance.state.hold.epoch:
+                return instance
+        raise LookupError("nobody coordinates")
+
+    def epochs(self) -> list[int]:
+        """Returns the epoch of each instance, in order; 0 if it has none."""
+        found = []
+        for instance in self.instances.values():
+            found.append(instance.state.hold.epoch)
+        return sorted(found)
+
     def configure(self, config: catalog.Catalog) -> None:
         """Puts a configuration into the store."""
         self.config = config
