--- a/src/cuminwall/buckets.py
+++ b/src/cuminwall/buckets.py
@@ -55,6 +55,8 @@
       demand_at: When that was.
       sessions: The callers of the workspace here.
       waiting: Rounds that wait for a token: number and arrival time.
+      asked: How many tokens the latest ask wanted for what waits.
+      is_scarce: Whether the last answer brought fewer than were wanted.
     """
 
     __slots__ = (
@@ -69,6 +71,8 @@
         "demand_at",
         "sessions",
         "waiting",
+        "asked",
+        "is_scarce",
     )
 
     def __init__(
@@ -89,6 +93,8 @@
         self.demand_at = now
         self.sessions = 0
         self.waiting: deque[tuple[int, float]] = deque()
+        self.asked = 0.0
+        self.is_scarce = False
 
 
 def is_low(bucket: Bucket) -> bool:
@@ -111,6 +117,15 @@
     shares.lapse(line, now)
 
 
+def put_back(bucket: Bucket, now: float) -> None:
+    """Takes a token back that was not used; what doesn't fit is given back."""
+    settle(bucket, now)
+    _, burst = shares.usable(bucket.line, now)
+    over = max(0.0, bucket.level + 1.0 - burst)
+    bucket.level += 1.0 - over
+    bucket.returned += over
+
+
 def state_line(bucket: Bucket, now: float) -> messages.ShareLine:
     """Returns what an ask states, after giving surplus tokens back."""
     settle(bucket, now)
@@ -171,6 +186,7 @@
     accepted = shares.accept(bucket.line, number, grant, now)
     if accepted is None:
         return None
+    bucket.is_scarce = grant.level < bucket.asked
     bucket.level += grant.level
     _, burst = shares.usable(bucket.line, now)
     over = max(0.0, bucket.level - burst)
--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -126,6 +126,7 @@
       writes: Whether it writes.
       needs_primary: Whether only the primary may run it.
       stage: How far it has come.
+      has_token: Whether it took a token and has not been sent since.
       came_at: When it came.
       target_at: When it should be answered.
       wait_until: Until when it may wait for room.
@@ -146,6 +147,7 @@
         "writes",
         "needs_primary",
         "stage",
+        "has_token",
         "came_at",
         "target_at",
         "wait_until",
@@ -173,6 +175,7 @@
         self.writes = False
         self.needs_primary = True
         self.stage = Stage.ROOM
+        self.has_token = False
         self.came_at = now
         self.target_at = now + route.target_s
         self.wait_until = now
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -133,6 +133,7 @@
 def sent(state: State, work: Work) -> None:
     """Notes that a statement is on its way to the server."""
     work.stage = Stage.SENT
+    work.has_token = False
     work.sent_at = state.now
     works.set_timer(state, work, state.now + state.limits.silence_s)
     works.set_timer(state, work, state.now + work.route.timeout_s)
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -44,6 +44,7 @@
     if not bucket.waiting and bucket.level >= 1.0:
         bucket.level -= 1.0
         _count(state, bucket)
+        work.has_token = True
         works.admit(state, work)
         return
     if len(bucket.waiting) >= MAX_WAITING or _is_hopeless(state, bucket):
@@ -78,6 +79,7 @@
         bucket.level -= 1.0
         bucket.waiting.popleft()
         _count(state, bucket)
+        work.has_token = True
         works.admit(state, work)
 
 
@@ -134,6 +136,7 @@
         if is_open and since_s < shares.ASK_TIMEOUT_S and not is_complete:
             continue
         line = _state_line(state, bucket)
+        bucket.asked = line.short
         shares.note_asked(bucket.line, number, state.now, line.short > 0)
         lines.append(line)
     message = messages.Ask(
@@ -225,7 +228,7 @@
     if state.coordinator is None and rate <= 0:
         since = state.vacant_since
         return since is not None and state.now - since > VACANT_S
-    if bucket.waiting and _is_queue_too_long(state, bucket):
+    if bucket.is_scarce and _is_queue_too_long(state, bucket):
         return True
     if not line.is_answered or line.pause_s <= shares.FIRST_PAUSE_S:
         return False
--- a/src/cuminwall/direct/works.py
+++ b/src/cuminwall/direct/works.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from cuminwall import buckets
 from cuminwall.direct import statements
 from cuminwall.direct.answers import Answer, Phase, Reason, failed
 from cuminwall.direct.callers_state import Session, Stage, Work
@@ -95,6 +96,10 @@
 
 def _end(state: State, work: Work) -> None:
     """Takes a statement off the tables, and out of where it waits."""
+    bucket = state.buckets.get(work.session.workspace)
+    if work.has_token and bucket is not None:
+        # It was never sent, so it costs its workspace nothing.
+        buckets.put_back(bucket, state.now)
     if work.stage is Stage.ROOM:
         server = state.servers.get(work.server)
         if server is not None:
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -148,6 +148,38 @@
         load.run(10.0)
         self.assertLessEqual(load.refused_part(), REFUSED_PART)
 
+    def test_what_did_not_run_costs_no_token(self) -> None:
+        # No server is in reach for some seconds, as after a loss of power.
+        world = make_world(10.0, 10.0, 14, names=NAMES[:1])
+        instance = world.instances["a"]
+        for name in world.servers:
+            world.cut_pairs.add(("a", name))
+        callers = []
+        for number in range(80):
+            caller = instance.caller("db")
+            caller.say(statements.Write(f"w{number}", "WRITE 1 x"))
+            callers.append(caller)
+            world.run(0.05)
+        world.run(2.0)
+        causes = {caller.answers[0].failure.detail for caller in callers}
+        rates = [cause for cause in causes if "rate" in cause or "tok" in cause]
+        self.assertEqual(rates, [])
+
+    def test_all_at_once_after_a_quiet_time(self) -> None:
+        # The burst lies with the lender, one message away.
+        world = make_world(10.0, 10.0, 14, names=NAMES[:1])
+        instance = world.instances["a"]
+        instance.caller("db").say(statements.Write("first", "WRITE 1 x"))
+        world.run(1.5)
+        callers = []
+        for number in range(8):
+            caller = instance.caller("db")
+            caller.say(statements.Write(f"x{number}", "WRITE 1 x"))
+            callers.append(caller)
+        world.run(1.0)
+        reasons = [caller.reasons() for caller in callers]
+        self.assertEqual(reasons, [[None]] * len(callers))
+
     def test_all_start_again(self) -> None:
         # The lease of the coordinator that was killed has not lapsed yet.
         world = make_world(40.0, 40.0, 12)
