Let a new lender wait only until no earlier one can have most instances

For 0.6 s after it took over, while one process was unheard, a lender lent nothing: an earlier one without its lease may go on while most asked it in that time.

--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -51,15 +51,30 @@
       newest: The newest revision of such a value that was ever seen.
       granted_at: When the coordinator last answered an ask.
       seeks: How often a peer was asked who coordinates.
+      asked_epoch: The epoch of the coordinator that was asked last; 0 if none.
+      asked_at: When it was asked last.
+      free_since: When an earlier coordinator was asked last, or this process
+        began.
     """
 
-    __slots__ = ("claimed", "newest", "granted_at", "seeks")
+    __slots__ = (
+        "claimed",
+        "newest",
+        "granted_at",
+        "seeks",
+        "asked_epoch",
+        "asked_at",
+        "free_since",
+    )
 
     def __init__(self) -> None:
         self.claimed: Coordinator | None = None
         self.newest = 0
         self.granted_at = leases.NEVER
         self.seeks = 0
+        self.asked_epoch = 0
+        self.asked_at = leases.NEVER
+        self.free_since = float("inf")
 
 
 class Hold:
@@ -126,6 +141,7 @@
       limits: The shared limits by name.
       unheard: The processes that may hold what an earlier one has lent.
       heard_at: When each instance asked last.
+      free_since: Since when each of them has asked no earlier lender.
       unheard_part: The part of each limit that they may have at most.
       is_settled: Whether no earlier loan can be left.
       prune_at: When silent instances are looked for next.
@@ -138,6 +154,7 @@
         "limits",
         "unheard",
         "heard_at",
+        "free_since",
         "unheard_part",
         "is_settled",
         "prune_at",
@@ -150,6 +167,7 @@
         self.limits: dict[str, lending.Limit] = {}
         self.unheard: dict[str, str] = {}
         self.heard_at: dict[str, float] = {}
+        self.free_since: dict[str, float] = {}
         self.unheard_part = 1.0
         self.is_settled = False
         self.prune_at = now
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -54,6 +54,7 @@
     if member is None or member.boot != ask.boot:
         return None
     lent.heard_at[sender] = state.now
+    lent.free_since[sender] = state.now - ask.free_s
     if not _may_lend(state, lent):
         return None
     holder = f"{sender}@{ask.boot}"
@@ -85,9 +86,10 @@
         lent.quiet_since = state.now
         for limit in lent.limits.values():
             lending.count_quiet_from(limit, state.now + MAJORITY_S)
-    if lent.unheard and state.now < lent.since + MAJORITY_S:
-        return
-    if lent.unheard and state.now < lent.quiet_since + _quiet_s(state):
+    is_quiet = state.now >= lent.quiet_since + _quiet_s(state)
+    if lent.unheard and not is_quiet:
+        if not _are_most_free(state, lent):
+            return
         part = _unheard_part(state, lent)
         if part != lent.unheard_part:
             lent.unheard_part = part
@@ -135,6 +137,19 @@
     return MAJORITY_S + longest_s + DRIFT_S
 
 
+def _are_most_free(state: State, lent: Lender) -> bool:
+    """Returns whether no earlier lender can have been asked by most lately.
+
+    One without its lease lends only while most have asked it lately.
+    """
+    count = 0
+    for instance in state.members:
+        free_since = lent.free_since.get(instance, state.now)
+        if state.now - free_since >= MAJORITY_S:
+            count += 1
+    return 2 * count > len(state.members)
+
+
 def _may_have_another(state: State, lent: Lender, count: int) -> bool:
     """Returns whether so many silent instances may have an earlier lender.
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -30,6 +30,7 @@
       missed: The servers that it can't reach.
       config_version: The version of its configuration.
       is_leaving: Whether it is about to end.
+      free_s: For how long its instance has asked no earlier coordinator.
     """
 
     number: int
@@ -40,6 +41,7 @@
     missed: tuple[Missed, ...]
     config_version: int
     is_leaving: bool
+    free_s: float
 
 
 class Grants(NamedTuple):
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -77,6 +77,7 @@
       caller_codec: Makes the codec of a caller's connection.
       server_codec: Makes the codec of a backend server's connection.
       ready_path: The path of the ready probe.
+      began_at: When the process began, by `engine.boot_clock`.
     """
 
     read_settings: Callable[[], Settings]
@@ -85,6 +86,7 @@
     caller_codec: Callable[[], ports.CallerCodec]
     server_codec: Callable[[], ports.ServerCodec]
     ready_path: str
+    began_at: float
 
 
 class Node:
@@ -105,6 +107,7 @@
         journal.capture(self.journal)
         meters_ = meters.Meters()
         known = state.State(own.instance, own.zone, own.limits)
+        known.succession.free_since = platform.began_at
         known.entropy = secrets.token_bytes(ENTROPY_BYTES)
         known.boot = secrets.token_hex(BOOT_BYTES)
         known.peer_host, known.peer_port = own.peers
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -148,6 +148,7 @@
         missed=_missed(state),
         config_version=state.catalog.version,
         is_leaving=state.is_leaving,
+        free_s=_note_asked(state, coordinator.epoch),
     )
     if coordinator.instance != state.instance:
         out.append(Say(coordinator.instance, message))
@@ -158,6 +159,16 @@
             granted(state, grants)
 
 
+def _note_asked(state: State, epoch: int) -> float:
+    """Notes an ask; returns for how long no earlier coordinator was asked."""
+    known = state.succession
+    if known.asked_epoch not in (0, epoch):
+        known.free_since = known.asked_at
+    known.asked_epoch = epoch
+    known.asked_at = state.now
+    return max(0.0, state.now - known.free_since)
+
+
 def granted(state: State, grants: messages.Grants) -> None:
     """Takes in the coordinator's answer; one of an earlier epoch is void."""
     coordinator = state.coordinator
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -235,6 +235,7 @@
         self.name = name
         self.state = state.State(name, zone, world.limits)
         self.state.boot = boot
+        self.state.succession.free_since = world.now
         self.state.entropy = b"secret"
         self.state.peer_host = name
         self.state.peer_port = 1
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -193,6 +193,21 @@
         load.run(3.0)
         self.assertLessEqual(load.refused_part(), REFUSED_PART)
 
+    def test_all_but_one_start_again(self) -> None:
+        # One is gone for good; the others took half a second to start.
+        world = make_world(40.0, 40.0, 15)
+        load = Load(world, dict.fromkeys(NAMES[:8], 1.0), 22.0)
+        load.run(4.0)
+        load.outcomes.clear()
+        for name in NAMES:
+            world.kill(name)
+        for name in NAMES[:8]:
+            started = world.start(name)
+            started.state.succession.free_since -= 0.5
+        world.run(0.02)
+        load.run(3.0)
+        self.assertLessEqual(load.refused_part(), REFUSED_PART)
+
     def test_leaving_instance_serves_until_its_end(self) -> None:
         world = make_world(40.0, 40.0, 8)
         load = Load(world, dict.fromkeys(NAMES, 1.0), 24.0)
