--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -16,6 +16,7 @@
 DISTANCE = 0.6  # Work that outweighs the way to another availability zone.
 PRIMARY_WEIGHT = 0.5  # Work that outweighs what only the primary can run.
 OPENING_WEIGHT = 1.5  # Work that outweighs the opening of a connection.
+COLD_WEIGHT = 0.6  # Work that outweighs how much slower a cold server is.
 
 
 def choose(state: State, group: Group, work: Work) -> Server | None:
@@ -135,7 +136,6 @@
         work += DISTANCE
     if server.entry.server == group.primary:
         work += PRIMARY_WEIGHT
-    weight = work / max(1, server.entry.slots)
     if state.now < server.cold_until:
-        weight += 1.0
-    return weight
+        work += COLD_WEIGHT
+    return work / max(1, server.entry.slots)
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -14,6 +14,8 @@
 
 PART = "quotas"
 
+# More than the demand, so that a share lasts while this instance is cut off;
+# what is not used goes back with each ask.
 APPETITE = buckets.Appetite(
     demand_time_s=4.0,
     own_part=1.5,
