--- a/tests/test_standin_database.py
+++ b/tests/test_standin_database.py
@@ -792,7 +792,9 @@
             ):
                 async with http.post(f"/{name}", json=body) as answer:
                     self.assertEqual(answer.status, status)
-        with self.assertRaises((OSError, asyncpg.InterfaceError)):
+        # A query sent before the client has noticed would fail otherwise.
+        await wait_until(connection.is_closed)
+        with self.assertRaises(asyncpg.InterfaceError):
             await connection.fetch("SELECT 1")
 
 
