--- a/src/cuminwall/buckets.py
+++ b/src/cuminwall/buckets.py
@@ -120,10 +120,7 @@
 def put_back(bucket: Bucket, now: float) -> None:
     """Takes a token back that was not used; what doesn't fit is given back."""
     settle(bucket, now)
-    _, burst = shares.usable(bucket.line, now)
-    over = max(0.0, bucket.level + 1.0 - burst)
-    bucket.level += 1.0 - over
-    bucket.returned += over
+    _put(bucket, 1.0, now)
 
 
 def state_line(bucket: Bucket, now: float) -> messages.ShareLine:
@@ -187,12 +184,17 @@
     if accepted is None:
         return None
     bucket.is_scarce = grant.level < bucket.asked
-    bucket.level += grant.level
+    _put(bucket, grant.level, now)
+    return accepted
+
+
+def _put(bucket: Bucket, tokens: float, now: float) -> None:
+    """Adds tokens; what the burst has no room for is given back."""
+    bucket.level += tokens
     _, burst = shares.usable(bucket.line, now)
     over = max(0.0, bucket.level - burst)
     bucket.level -= over
     bucket.returned += over
-    return accepted
 
 
 def _gain(bucket: Bucket, now: float) -> None:
--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -237,10 +237,7 @@
 
 def _wants_another(server: Server, workspace: str) -> bool:
     """Returns whether more of a workspace waits than is being opened for."""
-    opening = 0
-    for connection in server.connections:
-        if connection.use is Use.OPENING and connection.workspace == workspace:
-            opening += 1
+    opening = _count_in_use(server, workspace, (Use.OPENING,))
     return server.waiting.count_of(workspace) > opening
 
 
@@ -250,21 +247,23 @@
     Opening a connection takes as long as a statement, so what waits for one
     that is about to be free is served sooner by that.
     """
-    coming = 0
-    for connection in server.connections:
-        if connection.workspace != workspace:
-            continue
-        if connection.use in (Use.OPENING, Use.WORKING, Use.ENDING):
-            coming += 1
+    soon_free = (Use.OPENING, Use.WORKING, Use.ENDING)
+    coming = _count_in_use(server, workspace, soon_free)
     return server.waiting.count_of(workspace) > coming
 
 
+def _count_in_use(server: Server, workspace: str, uses: tuple[Use, ...]) -> int:
+    """Returns how many connections of a workspace are in one of these uses."""
+    count = 0
+    for connection in server.connections:
+        if connection.workspace == workspace and connection.use in uses:
+            count += 1
+    return count
+
+
 def has_idle(server: Server, workspace: str) -> bool:
     """Returns whether a workspace's work could begin at a server at once."""
-    for connection in server.connections:
-        if connection.use is Use.IDLE and connection.workspace == workspace:
-            return True
-    return False
+    return _count_in_use(server, workspace, (Use.IDLE,)) > 0
 
 
 def _find_idle(
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -44,10 +44,7 @@
     state.asked_tokens_at[bucket.workspace] = state.now
     buckets.settle(bucket, state.now)
     if not bucket.waiting and bucket.level >= 1.0:
-        bucket.level -= 1.0
-        _count(state, bucket)
-        work.has_token = True
-        works.admit(state, work)
+        _admit(state, bucket, work)
         return
     if len(bucket.waiting) >= MAX_WAITING or _is_hopeless(state, bucket):
         ask_now(state, bucket, out)
@@ -78,11 +75,8 @@
         if bucket.level < 1.0:
             _look_again(state, bucket)
             return
-        bucket.level -= 1.0
         bucket.waiting.popleft()
-        _count(state, bucket)
-        work.has_token = True
-        works.admit(state, work)
+        _admit(state, bucket, work)
 
 
 def due(state: State, workspace: str, out: list[Effect]) -> None:
@@ -258,6 +252,14 @@
     return len(bucket.waiting) + 1 > coming + MOST_AHEAD
 
 
+def _admit(state: State, bucket: buckets.Bucket, work: Work) -> None:
+    """Gives an operation a token and lets it go on."""
+    bucket.level -= 1.0
+    _count(state, bucket)
+    work.has_token = True
+    works.admit(state, work)
+
+
 def _count(state: State, bucket: buckets.Bucket) -> None:
     """Counts a token, and measures how fast they come."""
     flow = state.flows.get(bucket.workspace)
