Tell once a second what holds the coordinator up

The log could not tell an overloaded processor of the coordinator from a full link or a slow store. 'lender load' gives requests received and answered, reports, bytes, renewals sent and answered with the slowest, how late its timers were and what is left of its lease; 'quotas slow_reply' a late reply at the instance that asked. Both at most once a second a process. New metric cuminwall_timer_delay_seconds.

Tests: tests.test_direct_workload, on tests.slow_world, whose instances have a narrow link and a slow processor. No logic changed.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -8,7 +8,7 @@
 import json
 
 from cuminwall import placement
-from cuminwall.direct import failover, lender, messages
+from cuminwall.direct import failover, lender, messages, workload
 from cuminwall.direct.effects import (
     Effect,
     EndLease,
@@ -17,7 +17,7 @@
     Note,
     SendToPeer,
 )
-from cuminwall.direct.fleet_state import Coordinator
+from cuminwall.direct.fleet_state import Coordinator, CoordinatorLoad
 from cuminwall.direct.state import State, SwapPurpose, TimerKind
 
 PART = "coordination"
@@ -158,6 +158,7 @@
             # Even if an earlier renewal is unanswered: answers may be lost.
             own_lease.renew_at = state.now + state.limits.lease_renew_s
             out.append(KeepLease(own_lease.lease_id))
+            state.coordinator_load.renewals_sent += 1
         state.set_timer(own_lease.renew_at, TimerKind.COORDINATOR)
         return
     if state.coordinator is not None or state.is_shutting_down:
@@ -200,6 +201,8 @@
         if own_lease.epoch:
             _stop(state, "the lease expired", out)
         return
+    if own_lease.epoch:
+        workload.record_renewal(state, sent_at)
     own_lease.lease_id = lease
     own_lease.valid_until = max(
         own_lease.valid_until, sent_at + ttl_s - LEASE_MARGIN_S
@@ -282,6 +285,7 @@
             },
         )
     )
+    state.coordinator_load = CoordinatorLoad(state.now)
     lender.start(state, coordinator)
     failover.start(state)
     first_tick_at = state.now + failover.TICK_S
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -141,7 +141,10 @@
     def _handle_timer(self) -> None:
         """Passes the event of a due timer to the reducer."""
         self.timer = None
-        self.handle_event(events.TimersDue(boot_clock()))
+        now = boot_clock()
+        if self.meters is not None:
+            self.meters.loop_delay.record(max(0.0, now - self.timer_at))
+        self.handle_event(events.TimersDue(now))
 
     async def compare_and_swap(self, effect: effects.CompareAndSwap) -> None:
         """Writes shared values with a compare-and-swap."""
--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -201,11 +201,19 @@
 
 
 class PeerMessageReceived(NamedTuple):
-    """Another instance sent a message."""
+    """Another instance sent a message.
+
+    Attributes:
+      now: The time of the event, in seconds.
+      sender: The instance that sent it.
+      message: The message.
+      size: Its length, in bytes.
+    """
 
     now: float
     sender: str
     message: Any
+    size: int = 0
 
 
 class ShutdownRequested(NamedTuple):
--- a/src/cuminwall/direct/fleet.py
+++ b/src/cuminwall/direct/fleet.py
@@ -78,7 +78,9 @@
             return
         now = self.clock()
         self.on_event(
-            events.PeerMessageReceived(now, link.peer.instance, message)
+            events.PeerMessageReceived(
+                now, link.peer.instance, message, len(data)
+            )
         )
 
 
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -179,6 +179,45 @@
         self.next_check_at = now
 
 
+class CoordinatorLoad:
+    """How busy the coordinator was since its last line about that.
+
+    Attributes:
+      since: When these figures began.
+      requests: Share requests received.
+      answered: Those of them that were answered.
+      reports: Reports of single shares in them.
+      received_bytes: The length of them all.
+      renewals_sent: Renewals of its lease that were sent.
+      renewals_answered: Renewals that the store has answered.
+      slowest_renewal_s: The longest that one of these answers took.
+      timer_delay_s: The most that a timer of this process was late.
+    """
+
+    __slots__ = (
+        "since",
+        "requests",
+        "answered",
+        "reports",
+        "received_bytes",
+        "renewals_sent",
+        "renewals_answered",
+        "slowest_renewal_s",
+        "timer_delay_s",
+    )
+
+    def __init__(self, now: float):
+        self.since = now
+        self.requests = 0
+        self.answered = 0
+        self.reports = 0
+        self.received_bytes = 0
+        self.renewals_sent = 0
+        self.renewals_answered = 0
+        self.slowest_renewal_s = 0.0
+        self.timer_delay_s = 0.0
+
+
 class ChangeStep(enum.Enum):
     """The steps of a change of primary.
 
--- a/src/cuminwall/direct/meters.py
+++ b/src/cuminwall/direct/meters.py
@@ -35,17 +35,25 @@
     Attributes:
       statements: Answered statements, by kind and outcome.
       latency: Seconds from the arrival of a statement to its answer.
+      loop_delay: Seconds by which timers are handled late.
       decisions: Decisions, by part and event.
     """
 
     def __init__(self) -> None:
         latency_name = "cuminwall_statement_seconds"
-        view = View(
-            instrument_name=latency_name,
-            aggregation=ExplicitBucketHistogramAggregation(LATENCY_BOUNDS),
-        )
+        delay_name = "cuminwall_timer_delay_seconds"
+        views = []
+        for name in (latency_name, delay_name):
+            views.append(
+                View(
+                    instrument_name=name,
+                    aggregation=ExplicitBucketHistogramAggregation(
+                        LATENCY_BOUNDS
+                    ),
+                )
+            )
         self.provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()], views=[view]
+            metric_readers=[PrometheusMetricReader()], views=views
         )
         self.meter = self.provider.get_meter(METER_NAME)
         self.statements = self.meter.create_counter(
@@ -54,6 +62,9 @@
         self.latency = self.meter.create_histogram(
             latency_name, unit="s", description="From arrival to answer."
         )
+        self.loop_delay = self.meter.create_histogram(
+            delay_name, unit="s", description="How late timers are handled."
+        )
         self.decisions = self.meter.create_counter(
             "cuminwall_decisions", description="Decisions by part and event."
         )
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -6,7 +6,13 @@
 """
 
 from cuminwall import buckets, shares
-from cuminwall.direct import coordination, lender, messages, operations
+from cuminwall.direct import (
+    coordination,
+    lender,
+    messages,
+    operations,
+    workload,
+)
 from cuminwall.direct.callers_state import Operation, Stage
 from cuminwall.direct.effects import Effect, Note, SendToPeer
 from cuminwall.direct.fleet_state import TokenRate
@@ -171,7 +177,7 @@
     if state.lender is not None:
         reply = lender.handle_share_request(state, state.instance, message, out)
         if reply is not None:
-            handle_share_reply(state, reply)
+            handle_share_reply(state, reply, out)
 
 
 def _record_request(state: State, epoch: int) -> float:
@@ -188,7 +194,9 @@
     return max(0.0, state.now - discovery.earlier_request_at)
 
 
-def handle_share_reply(state: State, reply: messages.ShareReply) -> None:
+def handle_share_reply(
+    state: State, reply: messages.ShareReply, out: list[Effect]
+) -> None:
     """Handles the coordinator's reply; one of an earlier epoch is ignored."""
     coordinator = state.coordinator
     if coordinator is None or coordinator.epoch != reply.epoch:
@@ -199,9 +207,11 @@
         bucket = state.buckets.get(workspace)
         if bucket is None:
             continue
+        requested_at = bucket.share.requested_at
         accepted = buckets.apply_grant(bucket, reply.number, grant, state.now)
         if accepted is None:
             continue
+        workload.check_reply(state, reply.epoch, requested_at, out)
         if accepted.has_grown or grant.level:
             bucket.share.backoff_s = shares.MIN_BACKOFF_S
         elif bucket.share.was_urgent:
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -25,6 +25,7 @@
     sessions,
     shutdown,
     timers,
+    workload,
 )
 from cuminwall.direct.answers import Answer
 from cuminwall.direct.catalog import Catalog
@@ -264,10 +265,13 @@
             grants = lender.handle_share_request(
                 state, event.sender, event.message, out
             )
+            workload.record_request(
+                state, event.message, event.size, grants is not None
+            )
             if grants is not None:
                 out.append(SendToPeer(event.sender, grants))
     elif isinstance(event.message, messages.ShareReply):
-        quotas.handle_share_reply(state, event.message)
+        quotas.handle_share_reply(state, event.message, out)
         _check_config_version(state, event.message.config_version, out)
     elif isinstance(event.message, messages.FindCoordinator):
         coordination.handle_find_coordinator(
@@ -288,6 +292,8 @@
 @handle.register
 def _(event: events.TimersDue, state: State, out: list[Effect]) -> None:
     due = []
+    if state.timers and state.timers[0].due_at <= state.now:
+        workload.record_timer_delay(state, state.timers[0].due_at)
     # A timer that a handler sets for a time in the past fires with the next
     # event.
     while state.timers and state.timers[0].due_at <= state.now:
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -16,6 +16,7 @@
     Coordinator,
     CoordinatorDiscovery,
     CoordinatorLease,
+    CoordinatorLoad,
     Lender,
     Member,
     PrimaryChange,
@@ -116,6 +117,8 @@
       epoch: The highest epoch that was read from the store.
       own_lease: This instance's own lease as coordinator.
       lender: The shares that it lends as coordinator, or None.
+      coordinator_load: How busy it is as coordinator.
+      slow_reply_at: When it last logged a late reply of the coordinator.
       primary_changes: The primary changes in progress, by service.
       no_primary_since: Since when a service has no known primary.
       unreachable_reports: By server and reporting instance, when it last
@@ -173,6 +176,8 @@
         self.epoch = 0
         self.own_lease = CoordinatorLease()
         self.lender: Lender | None = None
+        self.coordinator_load = CoordinatorLoad(0.0)
+        self.slow_reply_at = leases.NEVER
         self.primary_changes: dict[str, PrimaryChange] = {}
         self.no_primary_since: dict[str, float] = {}
         self.unreachable_reports: dict[str, dict[str, tuple[float, float]]] = {}
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -13,6 +13,7 @@
     retries,
     sessions,
     shutdown,
+    workload,
 )
 from cuminwall.direct.effects import Effect
 from cuminwall.direct.state import State, Timer, TimerKind
@@ -62,6 +63,7 @@
     if key != state.own_lease.epoch:
         return
     state.set_timer(state.now + failover.TICK_S, TimerKind.FAILOVER, key)
+    workload.report(state, out)
     if coordination.is_coordinator(state):
         failover.tick(state, out)
         lender.update_recovery(state, out)
