Let the coordinator set the pace at which it is asked for tokens

Cause: each operation without a token asked the coordinator by a message of its own, one for each workspace, from every instance, beside a report of all shares each 0.4 s. That grows with instances, workspaces and refused operations. Replies slower than 0.1 s were void, since the operation had been asked for again by then: so a queue, once there, fed itself. The renewals of its lease stood in the same queue.

Now an instance sends one request at a time for all that waits, at an interval that the coordinator tells with each reply (600 requests a second from all instances together); shares are reported when they hold something, not all each 0.4 s, and completely only to a coordinator that does not know them yet; the wait for a reply grows with the replies' delay. Operations wait one interval longer for their token.

--- a/src/cuminwall/buckets.py
+++ b/src/cuminwall/buckets.py
@@ -133,13 +133,12 @@
     refill(bucket, now)
     _measure_demand(bucket, now)
     policy = bucket.policy
-    is_sufficient = bucket.demand >= policy.min_demand
-    demand = bucket.demand if is_sufficient else 0.0
+    demand = _effective_demand(bucket)
     waiting = float(len(bucket.waiting))
-    target = waiting + policy.keep_s * demand + policy.spare_tokens
-    surplus = max(0.0, bucket.level - target)
-    bucket.level -= surplus
-    bucket.returned += surplus
+    target = _target_level(bucket)
+    returned = surplus(bucket, now)
+    bucket.level -= returned
+    bucket.returned += returned
     wanted = (policy.rate_factor * demand, target + policy.headroom_s * demand)
     share = bucket.share
     return messages.ShareReport(
@@ -159,6 +158,12 @@
     )
 
 
+def surplus(bucket: Bucket, now: float) -> float:
+    """Returns how many tokens a report would give back to the lender."""
+    refill(bucket, now)
+    return max(0.0, bucket.level - _target_level(bucket))
+
+
 def release(bucket: Bucket, now: float) -> messages.ShareReport:
     """Empties a bucket and returns its last report, releasing the share."""
     refill(bucket, now)
@@ -193,6 +198,19 @@
     return accepted
 
 
+def _effective_demand(bucket: Bucket) -> float:
+    """Returns the demand that tokens are kept for, in requests a second."""
+    is_sufficient = bucket.demand >= bucket.policy.min_demand
+    return bucket.demand if is_sufficient else 0.0
+
+
+def _target_level(bucket: Bucket) -> float:
+    """Returns how many tokens are kept here."""
+    policy = bucket.policy
+    kept = policy.keep_s * _effective_demand(bucket) + policy.spare_tokens
+    return len(bucket.waiting) + kept
+
+
 def _add(bucket: Bucket, tokens: float, now: float) -> None:
     """Adds tokens; those that exceed the burst are returned to the lender."""
     bucket.level += tokens
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from cuminwall import leases, lending
+from cuminwall import leases, lending, shares
 from cuminwall.direct.answers import Position
 
 
@@ -117,6 +117,45 @@
         return self.epoch > 0 and now < self.valid_until
 
 
+class RequestPacing:
+    """When this instance may send share requests to the coordinator.
+
+    Attributes:
+      interval_s: The minimum time between two, as the coordinator told.
+      sent_at: When the latest was sent.
+      next_timer_at: When the timer for the next one is due.
+      wanted: The workspaces whose operations wait for tokens; a set in order.
+      complete_sent_at: When all shares were last reported.
+      complete_epoch: To the coordinator of which epoch.
+      reported_epoch: The epoch whose coordinator has confirmed such a report.
+      reply_timeout_s: How long to wait for a reply before asking again.
+      slow_reply_at: When a late reply was last logged.
+    """
+
+    __slots__ = (
+        "interval_s",
+        "sent_at",
+        "next_timer_at",
+        "wanted",
+        "complete_sent_at",
+        "complete_epoch",
+        "reported_epoch",
+        "reply_timeout_s",
+        "slow_reply_at",
+    )
+
+    def __init__(self) -> None:
+        self.interval_s = 0.0
+        self.sent_at = leases.NEVER
+        self.next_timer_at = leases.NEVER
+        self.wanted: dict[str, None] = {}
+        self.complete_sent_at = leases.NEVER
+        self.complete_epoch = 0
+        self.reported_epoch = 0
+        self.reply_timeout_s = shares.REQUEST_TIMEOUT_S
+        self.slow_reply_at = leases.NEVER
+
+
 class TokenRate:
     """Measures how fast a workspace's operations take tokens here.
 
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -32,6 +32,9 @@
 MIN_LEVEL = 1.5  # Tokens; a smaller bucket wastes much of its rate.
 # How long a request shows that its sender uses no other lender.
 MAJORITY_S = 0.6
+# Of all instances together. The coordinator sets their pace, so that its work
+# grows neither with their number nor with the operations that find no token.
+MAX_REQUESTS_PER_S = 600.0
 CHECK_INTERVAL_S = 2.0  # Between checks for silent instances.
 DRIFT_S = 1.0  # Margin before the shares of a silent process count as void.
 
@@ -79,9 +82,13 @@
     if request.is_complete and lender.unreported.get(sender) == request.boot:
         del lender.unreported[sender]
     update_recovery(state, out)
-    version = state.catalog.version
     return messages.ShareReply(
-        request.number, request.epoch, tuple(grants), version
+        number=request.number,
+        epoch=request.epoch,
+        grants=tuple(grants),
+        config_version=state.catalog.version,
+        interval_s=len(state.members) / MAX_REQUESTS_PER_S,
+        is_reported=lender.unreported.get(sender) != request.boot,
     )
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -56,12 +56,17 @@
       epoch: The coordinator's epoch.
       grants: The shares that it grants.
       config_version: The version of its configuration.
+      interval_s: The minimum time between two requests of one instance.
+      is_reported: Whether the coordinator knows all shares that the receiver
+        holds.
     """
 
     number: int
     epoch: int
     grants: tuple[ShareGrant, ...]
     config_version: int
+    interval_s: float
+    is_reported: bool
 
 
 class FindCoordinator(NamedTuple):
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -40,6 +40,15 @@
 RATE_WINDOW_S = 0.5  # Time over which the rate of tokens is measured.
 MAX_EXCESS = 1  # Operations that may wait beyond the tokens expected in time.
 MAX_WAITING = 50  # Operations of a workspace that wait for a token.
+# Intervals between requests after which each share is reported again.
+REPORT_INTERVALS = 20
+MAX_REPORT_FRACTION = 0.25  # Of a share's lease, for the same.
+SURPLUS = 0.25  # Tokens beyond those needed that are worth a report.
+# Bounds of the wait for a reply, which is longer the longer replies take. A
+# reply to any but the latest request is void, so asking again too soon would
+# make all replies of a slow coordinator void.
+MAX_REPLY_TIMEOUT_S = 2.0
+REPLY_TIMEOUT_FACTOR = 3.0
 
 
 def admit(state: State, operation: Operation, out: list[Effect]) -> None:
@@ -59,7 +68,7 @@
         operations.refuse(state, operation, _describe(bucket, state.now), out)
         return
     operation.stage = Stage.WAITING_FOR_TOKEN
-    wait_s = state.limits.token_wait_s
+    wait_s = _token_wait_s(state)
     if state.coordinator is None or not coordination.is_registered(state):
         wait_s = min(
             operation.route.timeout_s, state.limits.no_coordinator_wait_s
@@ -99,13 +108,17 @@
         request_tokens_now(state, bucket, out)
 
 
-def send_periodic_request(state: State, out: list[Effect]) -> None:
-    """Sends the regular share request."""
+def send_due_requests(state: State, out: list[Effect]) -> None:
+    """Sends the regular share request, or one that callers wait for."""
     if state.now < state.next_request_at:
+        _send_wanted(state, out)
         return
     state.next_request_at = state.now + state.limits.share_request_interval_s
     state.set_timer(state.next_request_at, TimerKind.QUOTAS)
-    send_share_request(state, list(state.buckets.values()), True, out)
+    if _must_report_all(state):
+        send_share_request(state, list(state.buckets.values()), True, out)
+    else:
+        send_share_request(state, _buckets_to_report(state), False, out)
     coordination.ask_peer_for_coordinator(state, out)
 
 
@@ -120,9 +133,76 @@
 def request_tokens_now(
     state: State, bucket: buckets.Bucket, out: list[Effect]
 ) -> None:
-    """Requests tokens for one workspace, unless a request is pending."""
-    if shares.may_request_now(bucket.share, state.now):
-        send_share_request(state, [bucket], False, out)
+    """Requests tokens for one workspace as soon as the pace allows it."""
+    timeout_s = state.request_pacing.reply_timeout_s
+    if shares.may_request_now(bucket.share, state.now, timeout_s):
+        state.request_pacing.wanted[bucket.workspace] = None
+        _send_wanted(state, out)
+
+
+def _send_wanted(state: State, out: list[Effect]) -> None:
+    """Requests the tokens that operations wait for, or sets a timer for it."""
+    pacing = state.request_pacing
+    if not pacing.wanted:
+        return
+    due_at = pacing.sent_at + pacing.interval_s
+    if state.now < due_at:
+        if pacing.next_timer_at < due_at:
+            pacing.next_timer_at = due_at
+            state.set_timer(due_at, TimerKind.QUOTAS)
+        return
+    send_share_request(state, _buckets_to_report(state), False, out)
+
+
+def _buckets_to_report(state: State) -> list[buckets.Bucket]:
+    """Returns the buckets that wait for tokens or were not reported lately."""
+    pacing = state.request_pacing
+    limits = state.limits
+    interval_s = max(
+        limits.share_request_interval_s, REPORT_INTERVALS * pacing.interval_s
+    )
+    interval_s = min(interval_s, MAX_REPORT_FRACTION * limits.share_lease_s)
+    found = []
+    for bucket in state.buckets.values():
+        since_s = state.now - bucket.share.requested_at
+        is_due = since_s >= interval_s and _is_worth_report(state, bucket)
+        if bucket.workspace in pacing.wanted and bucket.waiting:
+            is_due = True
+        elif since_s >= limits.share_request_interval_s:
+            is_due = is_due or _has_surplus(state, bucket)
+        if is_due:
+            found.append(bucket)
+    return found
+
+
+def _has_surplus(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether tokens held here are of use elsewhere."""
+    return buckets.surplus(bucket, state.now) >= SURPLUS
+
+
+def _is_worth_report(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether a share is held here, or the bucket is not needed."""
+    share = bucket.share
+    if any(share.held) or any(share.floor) or bucket.level > 0:
+        return True
+    return _is_idle(state, bucket)
+
+
+def _is_idle(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether no operation has wanted a token for long."""
+    demand_at = state.last_demand_at.get(bucket.workspace, 0.0)
+    return state.now - demand_at > IDLE_S and not bucket.waiting
+
+
+def _must_report_all(state: State) -> bool:
+    """Returns whether the coordinator is to be told of every share again."""
+    pacing = state.request_pacing
+    coordinator = state.coordinator
+    if coordinator is None or pacing.reported_epoch == coordinator.epoch:
+        return False
+    if pacing.complete_epoch != coordinator.epoch:
+        return True
+    return state.now - pacing.complete_sent_at >= pacing.reply_timeout_s
 
 
 def send_share_request(
@@ -144,28 +224,19 @@
         # The next coordinator must know every process that may hold a share.
         return
     number = state.next_number()
-    reports = []
-    for bucket in wanted:
-        since_s = state.now - bucket.share.requested_at
-        is_pending = not bucket.share.is_answered
-        if (
-            is_pending
-            and since_s < shares.REQUEST_TIMEOUT_S
-            and not is_complete
-        ):
-            continue
-        report = _report_share(state, bucket)
-        bucket.requested_tokens = report.shortfall
-        shares.record_request(
-            bucket.share, number, state.now, report.shortfall > 0
-        )
-        reports.append(report)
+    reports = _make_reports(state, wanted, is_complete, number)
+    pacing = state.request_pacing
+    pacing.sent_at = state.now
+    pacing.wanted.clear()
+    if is_complete:
+        pacing.complete_sent_at = state.now
+        pacing.complete_epoch = coordinator.epoch
     message = messages.ShareRequest(
         number=number,
         boot=state.boot,
         epoch=coordinator.epoch,
         is_complete=is_complete,
-        reports=tuple(reports),
+        reports=reports,
         unreachable=_unreachable_servers(state),
         config_version=state.catalog.version,
         is_shutting_down=state.is_shutting_down,
@@ -180,6 +251,34 @@
             handle_share_reply(state, reply, out)
 
 
+def _make_reports(
+    state: State,
+    wanted: list[buckets.Bucket],
+    is_complete: bool,
+    number: int,
+) -> tuple[ShareReport, ...]:
+    """Returns the reports of buckets and records them as requested."""
+    pacing = state.request_pacing
+    reports = []
+    has_timed_out = False
+    for bucket in wanted:
+        if not bucket.share.is_answered and not is_complete:
+            if state.now < bucket.share.requested_at + pacing.reply_timeout_s:
+                continue
+            has_timed_out = True
+        report = _report_share(state, bucket)
+        bucket.requested_tokens = report.shortfall
+        shares.record_request(
+            bucket.share, number, state.now, report.shortfall > 0
+        )
+        reports.append(report)
+    if has_timed_out:
+        pacing.reply_timeout_s = min(
+            MAX_REPLY_TIMEOUT_S, 2 * pacing.reply_timeout_s
+        )
+    return tuple(reports)
+
+
 def _record_request(state: State, epoch: int) -> float:
     """Records a request to the coordinator of an epoch.
 
@@ -202,6 +301,10 @@
     if coordinator is None or coordinator.epoch != reply.epoch:
         return
     state.discovery.last_reply_at = state.now
+    pacing = state.request_pacing
+    pacing.interval_s = reply.interval_s
+    if reply.is_reported:
+        pacing.reported_epoch = reply.epoch
     for grant in reply.grants:
         workspace = grant.name.removeprefix(lender.RATE_PREFIX)
         bucket = state.buckets.get(workspace)
@@ -212,6 +315,7 @@
         if accepted is None:
             continue
         workload.check_reply(state, reply.epoch, requested_at, out)
+        _update_reply_timeout(state, requested_at)
         if accepted.has_grown or grant.level:
             bucket.share.backoff_s = shares.MIN_BACKOFF_S
         elif bucket.share.was_urgent:
@@ -219,10 +323,23 @@
         admit_waiting(state, bucket)
 
 
+def _update_reply_timeout(state: State, requested_at: float) -> None:
+    """Adapts the wait for a reply to how long this one took."""
+    delay_s = state.now - requested_at
+    state.request_pacing.reply_timeout_s = min(
+        MAX_REPLY_TIMEOUT_S,
+        max(shares.REQUEST_TIMEOUT_S, REPLY_TIMEOUT_FACTOR * delay_s),
+    )
+
+
+def _token_wait_s(state: State) -> float:
+    """Returns how long an operation may wait for a token."""
+    return state.limits.token_wait_s + state.request_pacing.interval_s
+
+
 def _report_share(state: State, bucket: buckets.Bucket) -> ShareReport:
     """Returns the report of one workspace; releases a share not in use."""
-    demand_at = state.last_demand_at.get(bucket.workspace, 0.0)
-    if state.now - demand_at > IDLE_S and not bucket.waiting:
+    if _is_idle(state, bucket):
         del state.buckets[bucket.workspace]
         return buckets.release(bucket, state.now)
     return buckets.make_report(bucket, state.now)
@@ -275,7 +392,7 @@
     if not share.is_answered or share.backoff_s <= shares.MIN_BACKOFF_S:
         return False
     needed = len(bucket.waiting) + 1.0 - bucket.level
-    return needed > rate * state.limits.token_wait_s
+    return needed > rate * _token_wait_s(state)
 
 
 def _is_queue_too_long(state: State, bucket: buckets.Bucket) -> bool:
@@ -283,7 +400,7 @@
     token_rate = state.token_rates.get(bucket.workspace)
     if token_rate is None:
         return False
-    expected = max(1.0, token_rate.rate * state.limits.token_wait_s)
+    expected = max(1.0, token_rate.rate * _token_wait_s(state))
     return len(bucket.waiting) + 1 > expected + MAX_EXCESS
 
 
@@ -340,4 +457,4 @@
             },
         )
     )
-    send_periodic_request(state, out)
+    send_due_requests(state, out)
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -20,6 +20,7 @@
     Lender,
     Member,
     PrimaryChange,
+    RequestPacing,
     TokenRate,
 )
 from cuminwall.direct.servers_state import Connection, Group, Inquiry, Server
@@ -118,13 +119,13 @@
       own_lease: This instance's own lease as coordinator.
       lender: The shares that it lends as coordinator, or None.
       coordinator_load: How busy it is as coordinator.
-      slow_reply_at: When it last logged a late reply of the coordinator.
       primary_changes: The primary changes in progress, by service.
       no_primary_since: Since when a service has no known primary.
       unreachable_reports: By server and reporting instance, when it last
         reported the server as unreachable, and since when the server is.
       inquiries: Commands of the coordinator to servers, by number.
       next_request_at: When the next regular request to the coordinator is due.
+      request_pacing: When further requests to it may be sent.
       token_rates: How fast each workspace takes tokens here.
       last_demand_at: When each workspace last needed a token here.
       stale_config_since: Since when a peer had a newer configuration, or None.
@@ -177,12 +178,12 @@
         self.own_lease = CoordinatorLease()
         self.lender: Lender | None = None
         self.coordinator_load = CoordinatorLoad(0.0)
-        self.slow_reply_at = leases.NEVER
         self.primary_changes: dict[str, PrimaryChange] = {}
         self.no_primary_since: dict[str, float] = {}
         self.unreachable_reports: dict[str, dict[str, tuple[float, float]]] = {}
         self.inquiries: dict[int, Inquiry] = {}
         self.next_request_at = leases.NEVER
+        self.request_pacing = RequestPacing()
         self.token_rates: dict[str, TokenRate] = {}
         self.last_demand_at: dict[str, float] = {}
         self.stale_config_since: float | None = None
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -46,7 +46,7 @@
 
 def _quotas(state: State, key: Any, out: list[Effect]) -> None:
     del key
-    quotas.send_periodic_request(state, out)
+    quotas.send_due_requests(state, out)
 
 
 def _membership(state: State, key: Any, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/workload.py
+++ b/src/cuminwall/direct/workload.py
@@ -70,8 +70,8 @@
     delay_s = state.now - requested_at
     if delay_s < SLOW_REPLY_S:
         return
-    if state.now - state.slow_reply_at < INTERVAL_S:
+    if state.now - state.request_pacing.slow_reply_at < INTERVAL_S:
         return
-    state.slow_reply_at = state.now
+    state.request_pacing.slow_reply_at = state.now
     fields = {"epoch": epoch, "ms": round(1000 * delay_s, 1)}
     out.append(Note("quotas", "slow_reply", fields))
--- a/src/cuminwall/shares.py
+++ b/src/cuminwall/shares.py
@@ -141,15 +141,22 @@
     share.was_urgent = was_urgent
 
 
-def may_request_now(share: Share, now: float) -> bool:
+def may_request_now(
+    share: Share, now: float, timeout_s: float = REQUEST_TIMEOUT_S
+) -> bool:
     """Returns whether an urgent request may be sent.
 
     A request invalidates the reply to the one before it, so the next one
     waits for that reply or for a timeout.
+
+    Args:
+      share: The share.
+      now: The time, in seconds.
+      timeout_s: How long to wait for a reply.
     """
     since_s = now - share.requested_at
     if not share.is_answered:
-        return since_s >= REQUEST_TIMEOUT_S
+        return since_s >= timeout_s
     return not share.was_urgent or since_s >= share.backoff_s
 
 
