Lend whole tokens and take back the burst that serves nothing

Cause: the lender divided what it had among all that asked. With 100 instances each got a part of a token, kept up to half of one, and nobody could run. A token also tied up a part of the burst at its holder until two reports later, so the pool could hold no more than the rest and lost what it gained beyond.

Ruled out: asking faster (more reports, 140 a second, tokens come too late).

Now tokens are sent in whole ones; a holder without a rate of its own returns parts of tokens and unused burst; a refusal tells when to ask again, by the number of holders that ask and the rate, so that all together ask twice for each token. Until then operations that need one are refused at once.

--- a/src/cuminwall/buckets.py
+++ b/src/cuminwall/buckets.py
@@ -139,6 +139,7 @@
     returned = surplus(bucket, now)
     bucket.level -= returned
     bucket.returned += returned
+    release_burst(bucket)
     wanted = (policy.rate_factor * demand, target + policy.headroom_s * demand)
     share = bucket.share
     return messages.ShareReport(
@@ -161,7 +162,24 @@
 def surplus(bucket: Bucket, now: float) -> float:
     """Returns how many tokens a report would give back to the lender."""
     refill(bucket, now)
-    return max(0.0, bucket.level - _target_level(bucket))
+    rate, _ = shares.usable(bucket.share, now)
+    kept = _target_level(bucket)
+    if rate <= 0:
+        # Nothing adds to a part of a token here, so it is of use elsewhere.
+        kept = math.floor(kept)
+    return max(0.0, bucket.level - kept)
+
+
+def unused_burst(bucket: Bucket) -> float:
+    """Returns the burst that serves nothing, since no rate fills it."""
+    rate, burst = bucket.share.held
+    return 0.0 if rate > 0 else max(0.0, burst - bucket.level)
+
+
+def release_burst(bucket: Bucket) -> None:
+    """Gives up the burst that serves nothing; the pool's tokens need it."""
+    rate, burst = bucket.share.held
+    bucket.share.held = (rate, burst - unused_burst(bucket))
 
 
 def release(bucket: Bucket, now: float) -> messages.ShareReport:
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -43,7 +43,7 @@
 # Intervals between requests after which each share is reported again.
 REPORT_INTERVALS = 20
 MAX_REPORT_FRACTION = 0.25  # Of a share's lease, for the same.
-SURPLUS = 0.25  # Tokens beyond those needed that are worth a report.
+SURPLUS = 0.25  # Tokens, or burst, beyond those needed that are reported.
 # Bounds of the wait for a reply, which is longer the longer replies take. A
 # reply to any but the latest request is void, so asking again too soon would
 # make all replies of a slow coordinator void.
@@ -176,8 +176,10 @@
 
 
 def _has_surplus(state: State, bucket: buckets.Bucket) -> bool:
-    """Returns whether tokens held here are of use elsewhere."""
-    return buckets.surplus(bucket, state.now) >= SURPLUS
+    """Returns whether tokens or burst held here are of use elsewhere."""
+    if buckets.surplus(bucket, state.now) >= SURPLUS:
+        return True
+    return buckets.unused_burst(bucket) >= SURPLUS
 
 
 def _is_worth_report(state: State, bucket: buckets.Bucket) -> bool:
@@ -320,6 +322,7 @@
             bucket.share.backoff_s = shares.MIN_BACKOFF_S
         elif bucket.share.was_urgent:
             shares.increase_backoff(bucket.share)
+            bucket.share.backoff_s = max(bucket.share.backoff_s, grant.retry_s)
         admit_waiting(state, bucket)
 
 
@@ -391,8 +394,13 @@
         return True
     if not share.is_answered or share.backoff_s <= shares.MIN_BACKOFF_S:
         return False
+    wait_s = _token_wait_s(state)
     needed = len(bucket.waiting) + 1.0 - bucket.level
-    return needed > rate * _token_wait_s(state)
+    if needed <= rate * wait_s:
+        return False
+    # One operation waits if a request for its token can be sent in time.
+    next_request_at = share.requested_at + share.backoff_s
+    return needed > 1.0 or next_request_at > state.now + wait_s
 
 
 def _is_queue_too_long(state: State, bucket: buckets.Bucket) -> bool:
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -7,6 +7,7 @@
 the same way.
 """
 
+import math
 import operator
 from typing import NamedTuple
 
@@ -18,6 +19,11 @@
     0.5  # Fraction of the lender's tokens that may be prefetched.
 )
 
+ASKS_PER_TOKEN = 2.0
+ASKING_S = 4.0  # A holder that has not asked for so long no longer counts.
+MAX_RETRY_S = 3.0
+ROUNDING = 1e-6  # Tokens; sums of fractions may be this far off.
+
 
 class Policy(NamedTuple):
     """How limits of one kind are granted.
@@ -66,6 +72,7 @@
       level_sent: The tokens sent with the last reply.
       returned: The total of tokens that the holder has returned.
       is_active: Whether the holder takes part in the division.
+      asked_at: When it last asked for tokens that work is waiting for.
       extra: What it gets beyond its ceiling, where integral amounts do not
         divide evenly.
     """
@@ -82,6 +89,7 @@
         "level_sent",
         "returned",
         "is_active",
+        "asked_at",
         "extra",
     )
 
@@ -98,6 +106,7 @@
         self.level_sent = 0.0
         self.returned = 0.0
         self.is_active = True
+        self.asked_at = leases.NEVER
         self.extra = 0.0
 
 
@@ -119,6 +128,7 @@
       level_at: When the level was last updated.
       allocations: By holder.
       active_count: How many of them take part in the division.
+      asking_count: How many have lately asked for tokens.
       ceilings: The most that any holder gets, by component.
       divided_at: When the ceilings were computed.
       earlier_leases_until: When earlier lenders' short leases have expired.
@@ -138,6 +148,7 @@
         "level_at",
         "allocations",
         "active_count",
+        "asking_count",
         "ceilings",
         "divided_at",
         "earlier_leases_until",
@@ -168,6 +179,7 @@
         self.level_at = since
         self.allocations: dict[str, Allocation] = {}
         self.active_count = 0
+        self.asking_count = 0
         self.ceilings: Amounts = total
         self.divided_at = leases.NEVER
         self.earlier_leases_until = leases.NEVER
@@ -212,6 +224,8 @@
     if report.is_final:
         return None
     allocation.wanted = report.wanted
+    if report.shortfall > 0:
+        allocation.asked_at = now
     _renew(limit, allocation, now)
     if now - limit.divided_at >= DIVISION_INTERVAL_S or is_new:
         _divide(limit, now)
@@ -492,6 +506,7 @@
     """Drops expired allocations and computes the max-min fair ceilings."""
     _expire(limit, now)
     limit.divided_at = now
+    limit.asking_count = _count_asking(limit, now)
     ceilings = []
     for index, total in enumerate(limit.total):
         wants = []
@@ -508,6 +523,29 @@
         _divide_remainder(limit)
 
 
+def _count_asking(limit: Limit, now: float) -> int:
+    """Returns how many holders have lately asked for tokens."""
+    count = 0
+    for allocation in limit.allocations.values():
+        if now - allocation.asked_at <= ASKING_S:
+            count += 1
+    return count
+
+
+def _retry_s(limit: Limit, report: messages.ShareReport, sent: float) -> float:
+    """Returns after what time a holder should ask for tokens again.
+
+    All that lack tokens then ask a few times for each token that comes, no
+    matter how many they are.
+    """
+    if not limit.policy.has_tokens or sent >= report.shortfall:
+        return 0.0
+    asks_per_s = ASKS_PER_TOKEN * limit.total[0]
+    if asks_per_s * MAX_RETRY_S <= limit.asking_count:
+        return MAX_RETRY_S
+    return limit.asking_count / asks_per_s
+
+
 def _divide_remainder(limit: Limit) -> None:
     """Assigns the remainder of an integral division, one unit per holder."""
     ceiling = limit.ceilings[0]
@@ -599,7 +637,13 @@
         )
     level = _send_tokens(limit, allocation, report, held)
     return messages.ShareGrant(
-        report.name, held, floor, level, policy.lease_s, policy.floor_s
+        report.name,
+        held,
+        floor,
+        level,
+        policy.lease_s,
+        policy.floor_s,
+        _retry_s(limit, report, level),
     )
 
 
@@ -622,10 +666,21 @@
         return float(int(share)) + allocation.extra
     is_burst = limit.policy.has_tokens and index == len(limit.total) - 1
     if is_burst and report.shortfall > 0:
-        share = max(share, report.level + min(report.shortfall, limit.level))
+        share = max(share, report.level + _whole_tokens(limit, report))
     return share
 
 
+def _whole_tokens(limit: Limit, report: messages.ShareReport) -> float:
+    """Returns the tokens that make up whole ones with those of the holder.
+
+    Parts of a token are of no use to a holder, and many holders would tie up
+    the whole pool with them.
+    """
+    available = min(report.shortfall, max(0.0, limit.level))
+    whole = math.floor(report.level + available + ROUNDING)
+    return min(available, max(0.0, whole - report.level))
+
+
 def _send_tokens(
     limit: Limit,
     allocation: Allocation,
@@ -636,7 +691,7 @@
     if not limit.policy.has_tokens:
         return 0.0
     room = max(0.0, held[-1] - report.level)
-    sent = min(report.shortfall, limit.level, room)
+    sent = min(_whole_tokens(limit, report), room)
     prefetch = min(
         report.prefetch, (limit.level - sent) * PREFETCH_FRACTION, room - sent
     )
--- a/src/cuminwall/messages.py
+++ b/src/cuminwall/messages.py
@@ -320,6 +320,7 @@
       level: The tokens that are granted with it.
       lease_s: Lease length of `held`, from when the request was sent.
       floor_s: Lease length of the floor, from when the request was sent.
+      retry_s: After what time to ask again for tokens that are missing.
     """
 
     name: str
@@ -328,6 +329,7 @@
     level: float
     lease_s: float
     floor_s: float
+    retry_s: float = 0.0
 
 
 class ShareReply(NamedTuple):
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -362,3 +362,12 @@
         load.run(20.0)
         served = len(admitted_times(world))
         self.assertGreaterEqual(served, 0.9 * 8.0 * 20.0)
+
+    def test_scarce_tokens_are_not_scattered_over_many_instances(self) -> None:
+        # Each of them used to keep a part of a token that served nobody.
+        names = tuple(f"edge{number}" for number in range(60))
+        world = make_world(5.0, 5.0, 16, names=names)
+        load = Load(world, dict.fromkeys(names, 1.0), 60.0)
+        load.run(20.0)
+        served = len(admitted_times(world))
+        self.assertGreaterEqual(served, 0.9 * 5.0 * 20.0)
