Don't take a living coordinator for ended by an old record of its instance

Cause: a coordinator counts as replaced when its instance's record names another process. An instance without the store may hold the record of an earlier one, older than the coordinator's claim that a peer told.

Now only a record newer than the claim counts: a process registers before it claims, so an older record with another process is of an earlier one.

StaleRecordTest.test_living_coordinator_is_not_taken_for_ended failed before.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -310,9 +310,15 @@
 
 
 def _has_ended(state: State, coordinator: Coordinator) -> bool:
-    """Returns whether a later process of its instance has replaced it."""
+    """Returns whether a later process of its instance has replaced it.
+
+    An older record is that of an earlier process: without the store, this
+    instance may not have seen the one of the coordinator.
+    """
     member = state.members.get(coordinator.instance)
-    return member is not None and member.boot != coordinator.boot
+    if member is None or member.boot == coordinator.boot:
+        return False
+    return member.revision > coordinator.revision
 
 
 def _decode(value: bytes | None, revision: int) -> Coordinator | None:
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from cuminwall.direct import events, messages
 from tests import direct_world
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -49,5 +50,29 @@
         self.assertEqual(world.epochs(), [0, 0, 0, 0, 2])
 
 
+class StaleRecordTest(unittest.TestCase):
+    """An instance without the store knows only earlier processes."""
+
+    def test_living_coordinator_is_not_taken_for_ended(self) -> None:
+        # The coordinator's instance was restarted while this one lacked the
+        # store; a peer tells of it.
+        world = direct_world.World(NAMES)
+        world.run(4.0)
+        names = [name for name in NAMES if name != world.coordinator().name]
+        alone = world.instances[names[0]]
+        peer, other = names[1:3]
+        alone.has_store = False
+        world.start(other)
+        world.run(1.0)
+        record = world.instances[peer].state.members[other]
+        info = messages.CoordinatorInfo(
+            other, record.boot, 2, record.revision + 1
+        )
+        alone.notes.clear()
+        alone.handle_event(events.PeerMessageReceived(world.now, peer, info))
+        self.assertEqual(alone.log_fields("coordinator_ended"), [])
+        self.assertEqual(alone.state.coordinator.instance, other)
+
+
 if __name__ == "__main__":
     unittest.main()
