Let instances borrow connections beyond their share and give them up soon

Cause: the connections that a server accepts were divided evenly, one for each instance at least: 73 instances for 49. The first 49 kept theirs for 20 s, idle; the others were refused by the server (10,748 times) and tried again. And an instance with one connection could run nothing else at that primary while a transaction on it rested.

Now an instance keeps its even share, which may be none, may use three while the server accepts them, and closes what is beyond its share 0.25 s after its use. Ruled out: a longer wait for room, since the connections elsewhere stay idle.

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -2,7 +2,9 @@
 
 A connection belongs to one workspace, whose name the server gets at login.
 The servers limit the connections of all instances together, so each instance
-uses an even share. At that limit an idle connection of one workspace is closed
+keeps an even share. It may open a few more while a server accepts them, so that
+a transaction which rests doesn't hold up its other work; those are given up
+soon after their use. At its limit an idle connection of one workspace is closed
 to open one for another.
 """
 
@@ -34,16 +36,23 @@
 # An operation this close to its target may displace an idle connection that
 # operations of another workspace wait for.
 DISPLACE_S = 0.08
+# Connections to a server that an instance may use even if its share is smaller.
+MIN_USABLE = 3
 MAX_PREPARED = 200  # Prepared statements kept on one connection.
 
 
 def max_connections(state: State, server: Server) -> int:
     """Returns how many connections this instance may have to a server."""
+    return max(MIN_USABLE, even_share(state, server))
+
+
+def even_share(state: State, server: Server) -> int:
+    """Returns how many connections every instance may keep to a server."""
     service = state.catalog.services.get(server.entry.service)
     if service is None:
-        return 1
+        return 0
     count = max(1, membership.count_members(state))
-    return max(1, (service.connections - RESERVED) // count)
+    return (service.connections - RESERVED) // count
 
 
 def acquire(
@@ -144,7 +153,7 @@
     connection.operation = None
     connection.session = None
     connection.last_used_at = state.now
-    due_at = state.now + state.limits.idle_connection_s
+    due_at = state.now + _max_idle_s(state, connection.server)
     state.set_timer(due_at, TimerKind.CONNECTION, connection.number)
 
 
@@ -215,7 +224,7 @@
     """Closes a connection that has been idle for too long."""
     unused_s = state.now - connection.last_used_at
     is_idle = connection.status is ConnectionStatus.IDLE
-    if is_idle and unused_s >= state.limits.idle_connection_s:
+    if is_idle and unused_s >= _max_idle_s(state, connection.server):
         close(state, connection, out)
 
 
@@ -248,6 +257,13 @@
     return None
 
 
+def _max_idle_s(state: State, server: Server) -> float:
+    """Returns how long a connection to a server may be idle."""
+    if len(server.connections) > even_share(state, server):
+        return state.limits.borrowed_idle_s
+    return state.limits.idle_connection_s
+
+
 def _exceeds_opening(server: Server, workspace: str) -> bool:
     """Returns whether more operations are queued than connections opening."""
     opening = _count_with_status(server, workspace, (ConnectionStatus.OPENING,))
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -17,6 +17,8 @@
       overload_pause_s: How long an overloaded server is avoided.
       connect_timeout_s: Timeout of opening a connection.
       idle_connection_s: How long an idle connection is kept.
+      borrowed_idle_s: The same beyond this instance's share of a server's
+        connections.
       min_wait_s: Minimum time that an operation with a token may wait for a
         connection.
       wait_fraction: The fraction of a route's target latency that an
@@ -60,6 +62,7 @@
     overload_pause_s: float = 0.1
     connect_timeout_s: float = 0.6
     idle_connection_s: float = 20.0
+    borrowed_idle_s: float = 0.25
     min_wait_s: float = 0.15
     wait_fraction: float = 1.0
     primary_wait_s: float = 1.2
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -142,6 +142,8 @@
       is_unreachable: Whether it answers nothing and accepts no connection.
       lag_s: How far a replica is behind.
       lose_answers: How many of the next answers to statements are lost.
+      max_connections: How many connections it accepts in all.
+      refused: How many more it has refused.
     """
 
     def __init__(self, name: str, zone: str = "z1"):
@@ -157,6 +159,8 @@
         self.is_unreachable = False
         self.lag_s = 0.0
         self.lose_answers = 0
+        self.max_connections = 1_000_000
+        self.refused = 0
         self.statements_run: list[tuple[str, str, float]] = []
         self.stepped_down = False
 
@@ -422,6 +426,14 @@
                     events.StoreStatusReported(self.now, False, "test")
                 )
 
+    def count_links(self, server: FakeServer) -> int:
+        """Returns how many connections to a server are open."""
+        count = 0
+        for instance in self.instances.values():
+            for link in instance.links.values():
+                count += link.server is server
+        return count
+
     def perform(self, instance: Instance, effect: Any) -> None:
         """Performs an effect."""
         handler = _PERFORMERS.get(type(effect))
@@ -612,6 +624,15 @@
             pair = (instance.name, server.name)
             if server.is_unreachable or pair in self.cut_pairs:
                 return
+            if self.count_links(server) >= server.max_connections:
+                server.refused += 1
+                failure = Failure(Reason.TOO_MANY_CONNECTIONS, "test")
+                instance.handle_event(
+                    events.ConnectionEnded(
+                        self.now, effect.connection, failure, True
+                    )
+                )
+                return
             link = ServerLink(server, effect.workspace)
             instance.links[effect.connection] = link
             instance.handle_event(
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -1,9 +1,10 @@
 """Connections to backend servers, shared by all instances."""
 
+import functools
 import unittest
 
 from cuminwall.direct import connections, events, statements
-from cuminwall.direct.answers import Failure, Reason
+from cuminwall.direct.answers import Answer, Failure, Reason
 from tests import direct_world
 
 
@@ -78,6 +79,84 @@
         self.assertEqual(caller.reasons(), [None])
 
 
+class FewConnectionsTest(unittest.TestCase):
+    """More instances than a server accepts connections."""
+
+    INSTANCES = 73
+    CONNECTIONS = 49
+    WORKSPACES = 20
+    OPERATIONS_PER_S = 25.0  # At one primary; a third of what its slots run.
+    REFUSED_FRACTION = 0.02
+
+    def make_world(self) -> direct_world.World:
+        """Returns a world with one primary that accepts few connections."""
+        config = direct_world.make_catalog()
+        workspaces = {}
+        keys = {}
+        for number in range(self.WORKSPACES):
+            name = f"w{number}"
+            workspaces[name] = config.workspaces["w"]._replace(name=name)
+            keys[f"key{number}"] = name
+        limits = config.services["s"]._replace(connections=self.CONNECTIONS)
+        config = config._replace(
+            workspaces=workspaces, keys=keys, services={"s": limits}
+        )
+        primary = direct_world.FakeServer("p")
+        primary.is_primary = True
+        primary.max_connections = self.CONNECTIONS
+        names = tuple(f"edge{number}" for number in range(self.INSTANCES))
+        world = direct_world.World(names, (primary,), config=config)
+        world.run(4.0)
+        return world
+
+    def run_transactions(self, world: direct_world.World) -> list[bool]:
+        """Runs transactions that rest between their statements.
+
+        Returns whether each was served.
+        """
+        outcomes = []
+
+        def start(number: int) -> None:
+            name = world.random.choice(list(world.instances))
+            key = f"key{world.random.randrange(self.WORKSPACES)}"
+            caller = world.instances[name].caller("db", key)
+            script = [
+                statements.Begin(f"b{number}", "BEGIN", False),
+                statements.Write(f"w{number}", "WRITE 1 x"),
+                statements.Commit(f"c{number}", "COMMIT"),
+            ]
+            if number % 2:
+                script = [statements.Write(f"w{number}", "WRITE 1 x")]
+
+            def handle_answer(answer: Answer) -> None:
+                if answer.failure is not None or not script:
+                    outcomes.append(answer.failure is None)
+                    caller.leave()
+                    return
+                statement = script.pop(0)
+                world.schedule(0.1, lambda: caller.send(statement))
+
+            caller.on_answer = handle_answer
+            caller.send(script.pop(0))
+
+        for number in range(int(self.OPERATIONS_PER_S * 12.0)):
+            delay_s = number / self.OPERATIONS_PER_S
+            world.schedule(delay_s, functools.partial(start, number))
+        world.run(14.0)
+        return outcomes
+
+    def test_room_for_work_while_connections_elsewhere_are_idle(self) -> None:
+        world = self.make_world()
+        outcomes = self.run_transactions(world)
+        refused = outcomes.count(False) / len(outcomes)
+        self.assertLessEqual(refused, self.REFUSED_FRACTION)
+
+    def test_idle_connections_beyond_the_share_are_given_up(self) -> None:
+        world = self.make_world()
+        self.run_transactions(world)
+        self.assertEqual(world.count_links(world.servers["p"]), 0)
+
+
 class UnreachablePrimaryTest(unittest.TestCase):
     """A primary that is unreachable from one instance only."""
 
