Keep back no more for silent instances than their part of a limit

Cause: each instance that had not reported counted with a fifth of every limit. That was the bound of a fleet of nine; with 18 silent of 73 the whole limit was kept back until they reported or 14.6 s had passed. Then the regular shares were divided out of the whole limit, the kept part included, so that nothing was left for operations that fetch their tokens one by one.

Now a holder has at most an equal part of a limit (a fifth in a small fleet), so a silent instance counts with that, a third more since the fleet may have grown; shares are divided out of what can be lent.

--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -26,9 +26,11 @@
 )  # Of rate and burst; the rest goes token by token.
 FLOOR_FRACTION = 0.05  # Of the limit, for all instances that are cut off.
 MIN_FLOOR = (0.0, 0.5)
-MAX_HOLDER_FRACTION = (
-    0.2  # Of the limit, per holder; more comes token by token.
-)
+# Of the limit, per holder, and never more than an equal part; more comes token
+# by token. So the silent instances of a zone tie up no more than its part.
+MAX_HOLDER_FRACTION = 0.2
+# By how much the fleet may grow while a share lasts.
+MAX_GROWTH = 4 / 3
 MIN_LEVEL = 1.5  # Tokens; a smaller bucket wastes much of its rate.
 # How long a request shows that its sender uses no other lender.
 MAJORITY_S = 0.6
@@ -199,9 +201,14 @@
     """Returns the fraction of a limit that unreported processes may hold."""
     if 2 * len(lender.unreported) >= len(state.members):
         return 1.0
-    return min(
-        1.0, len(lender.unreported) * MAX_HOLDER_FRACTION + FLOOR_FRACTION
-    )
+    # An earlier lender may have known fewer instances.
+    fraction = min(MAX_HOLDER_FRACTION, MAX_GROWTH * _holder_fraction(state))
+    return min(1.0, len(lender.unreported) * fraction + FLOOR_FRACTION)
+
+
+def _holder_fraction(state: State) -> float:
+    """Returns the fraction of a limit that one holder may have."""
+    return min(MAX_HOLDER_FRACTION, 1.0 / max(1, len(state.members)))
 
 
 def _find_limit(
@@ -214,8 +221,10 @@
         return None
     total = (entry.rate, entry.burst)
     limit = lender.limits.get(name)
+    holder_fraction = _holder_fraction(state)
     if limit is not None:
         lending.set_total(limit, total, state.now)
+        lending.set_holder_fraction(limit, holder_fraction)
         return limit
     policy = lending.Policy(
         lease_s=state.limits.share_lease_s,
@@ -227,7 +236,7 @@
         min_floor=MIN_FLOOR,
         is_integral=False,
         has_tokens=True,
-        max_holder_fraction=MAX_HOLDER_FRACTION,
+        max_holder_fraction=holder_fraction,
         min_burst=MIN_LEVEL,
     )
     limit = lending.Limit(total, policy, lender.epoch == 1, lender.started_at)
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -242,6 +242,13 @@
     _trim_level(limit)
 
 
+def set_holder_fraction(limit: Limit, fraction: float) -> None:
+    """Changes the fraction of the total that one holder may have."""
+    if fraction != limit.policy.max_holder_fraction:
+        limit.policy = limit.policy._replace(max_holder_fraction=fraction)
+        limit.divided_at = leases.NEVER
+
+
 def drop_unclaimed(limit: Limit, now: float) -> None:
     """Drops the unclaimed amounts once all holders have reported.
 
@@ -510,7 +517,8 @@
     ceilings = []
     for index, total in enumerate(limit.total):
         wants = []
-        available = total * limit.policy.regular_fractions[index]
+        lendable = total - limit.unclaimed[index]
+        available = lendable * limit.policy.regular_fractions[index]
         for allocation in limit.allocations.values():
             if allocation.is_active:
                 wants.append(_want_of(limit, allocation, index))
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -352,6 +352,33 @@
         self.check(world, 20.0, 20.0)
 
 
+class SilentZoneTest(unittest.TestCase):
+    """The coordinator is replaced while a zone of many instances is cut off."""
+
+    INSTANCES = 60
+    ZONE = 15
+    RATE = 120.0
+
+    def test_limits_are_lent_while_a_quarter_is_silent(self) -> None:
+        # What the silent ones may hold at most is kept back, not the whole.
+        names = tuple(f"edge{number}" for number in range(self.INSTANCES))
+        world = make_world(self.RATE, self.RATE, 17, names=names)
+        load = Load(world, dict.fromkeys(names, 1.0), self.RATE / 1.6)
+        load.run(4.0)
+        ended = world.coordinator().name
+        others = [name for name in names if name != ended]
+        for name in others[: self.ZONE]:
+            world.instances[name].is_isolated = True
+            world.instances[name].has_store = False
+        load.weights = dict.fromkeys(others[self.ZONE :], 1.0)
+        load.rate *= 1.0 - self.ZONE / self.INSTANCES
+        world.kill(ended)
+        world.run(2.5)
+        load.outcomes.clear()
+        load.run(6.0)
+        self.assertLessEqual(load.refused_fraction(), ISOLATED_REFUSED_FRACTION)
+
+
 class SmallBurstTest(unittest.TestCase):
     """A burst smaller than the number of instances is still used."""
 
