Read changes of the store that follow closely together

Now an instance waits instances / 200 seconds, half a second at most, before the next call after a change. A change after a quiet time is reported at once as before, and the order of the changes stays.

ManyChangesTest: 110 changes in 0.55 s took a call each, now at most 8.

--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -3,6 +3,10 @@
 If changes were missed, the whole store is read again. It is also read again
 after a failed call, since the answers before it may have left changes out.
 While the store does not answer, the last known state stays in force.
+
+A change that comes after a quiet time is reported at once. Those that follow it
+closely are read together: at a start of all instances each writes a record, and
+each would else read every record by a call of its own.
 """
 
 import asyncio
@@ -16,6 +20,17 @@
 WATCH_S = 25.0  # How long a call waits for a change; the store allows 30 s.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
+MAX_CALLS_PER_S = 200.0  # Of all instances, to learn of changes.
+MAX_PAUSE_S = 0.5  # Changes are reported no later than this.
+
+
+def pause_s(instances: int) -> float:
+    """Returns how long an instance waits after a change before the next call.
+
+    Args:
+      instances: How many instances follow the store.
+    """
+    return min(MAX_PAUSE_S, instances / MAX_CALLS_PER_S)
 
 
 class Follower:
@@ -25,6 +40,8 @@
       store: The store.
       on_event: Handles an event.
       clock: Returns the time for events.
+      find_pause_s: Returns how long to wait after a change.
+      had_change: Whether the last call reported one.
       revision: The revision up to which all changes were reported; None to
         read the whole store.
       backoff_s: How long to wait after the next failure.
@@ -37,10 +54,13 @@
         store: ports.StorePort,
         on_event: Callable[[events.Event], None],
         clock: Callable[[], float],
+        find_pause_s: Callable[[], float] = lambda: 0.0,
     ):
         self.store = store
         self.on_event = on_event
         self.clock = clock
+        self.find_pause_s = find_pause_s
+        self.had_change = False
         self.revision: int | None = None
         self.backoff_s = MIN_BACKOFF_S
         self.pending_call: asyncio.Future[None] | None = None
@@ -110,7 +130,10 @@
     async def _read_changes(self) -> None:
         """Waits for changes and reports them."""
         assert self.revision is not None
+        if self.had_change:
+            await asyncio.sleep(self.find_pause_s())
         result = await self.store.watch(self.revision, WATCH_S)
+        self.had_change = bool(result.items)
         self._report_items(result.items)
         self.revision = max(self.revision, result.revision)
 
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -132,8 +132,12 @@
         loop.add_signal_handler(signal.SIGTERM, self.shut_down)
         loop.add_signal_handler(signal.SIGINT, self.shut_down)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        state_ = self.engine.state
         follower_ = follower.Follower(
-            self.engine.store, self.engine.handle_event, engine.boot_clock
+            self.engine.store,
+            self.engine.handle_event,
+            engine.boot_clock,
+            lambda: follower.pause_s(len(state_.members)),
         )
         self.engine.reread_store = follower_.reread
         self.engine.start_task(self.engine.run_forever(follower_.follow))
--- a/tests/test_direct_follower.py
+++ b/tests/test_direct_follower.py
@@ -90,5 +90,73 @@
         self.assertEqual(store.calls, ["all", "after 7", "after 8"])
 
 
+class ManyChangesTest(unittest.IsolatedAsyncioTestCase):
+    """Changes in quick succession, as when all instances start."""
+
+    async def test_changes_that_follow_closely_are_read_together(self) -> None:
+        store = BusyStore()
+        follower_ = follower.Follower(
+            store, lambda event: None, lambda: 1.0, lambda: 0.1
+        )
+        task = asyncio.create_task(follower_.follow())
+        await asyncio.sleep(0.55)
+        task.cancel()
+        self.assertGreater(store.revision, 50)
+        self.assertLessEqual(store.calls, 8)
+
+    async def test_reread_is_not_lost_in_a_pause(self) -> None:
+        store = ScriptedStore(
+            [
+                ports.StoreItems([config_item(1)], 7),
+                ports.StoreItems([shared_item(8)], 8),
+                ports.StoreItems([config_item(1)], 8),
+            ]
+        )
+        follower_ = follower.Follower(
+            store, lambda event: None, lambda: 1.0, lambda: 30.0
+        )
+        task = asyncio.create_task(follower_.follow())
+        await asyncio.sleep(0.05)
+        follower_.reread()
+        await asyncio.sleep(0.05)
+        task.cancel()
+        self.assertEqual(store.calls[:3], ["all", "after 7", "all"])
+
+    def test_calls_do_not_grow_with_the_fleet(self) -> None:
+        for size in (9, 100):
+            calls_per_s = size / follower.pause_s(size)
+            self.assertLessEqual(calls_per_s, follower.MAX_CALLS_PER_S + 1e-6)
+
+
+class BusyStore:
+    """A store that changes every few milliseconds.
+
+    Attributes:
+      calls: The calls made.
+      revision: The revision of the last answer.
+    """
+
+    CHANGE_S = 0.005
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.revision = 0
+        self.started_at = asyncio.get_running_loop().time()
+
+    async def read_all(self) -> ports.StoreItems:
+        """Returns the whole store."""
+        self.calls += 1
+        return ports.StoreItems([config_item(1)], 1)
+
+    async def watch(self, after: int, wait_s: float) -> ports.StoreItems:
+        """Returns what has changed."""
+        del after, wait_s
+        self.calls += 1
+        await asyncio.sleep(self.CHANGE_S)
+        passed_s = asyncio.get_running_loop().time() - self.started_at
+        self.revision = int(passed_s / self.CHANGE_S)
+        return ports.StoreItems([shared_item(self.revision)], self.revision)
+
+
 if __name__ == "__main__":
     unittest.main()
