--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -36,7 +36,7 @@
 MAJORITY_S = 0.6
 # Of all instances together. The coordinator sets their pace, so that its work
 # grows neither with their number nor with the operations that find no token.
-MAX_REQUESTS_PER_S = 600.0
+MAX_REQUESTS_PER_S = 900.0
 CHECK_INTERVAL_S = 2.0  # Between checks for silent instances.
 DRIFT_S = 1.0  # Margin before the shares of a silent process count as void.
 
