Ask only a few peers of each zone who coordinates

Cause: an instance without replies asked all peers in turn, each over a link of its own; with 104 instances an outage of the coordinator opened up to 10,700 links within a minute ('refused a link: TimeoutError()' from several instances). Found by looking for what else grows with the square of the fleet.

OutageLinksTest: 59 peers were asked in 200 s, now 3 of each zone.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -5,6 +5,7 @@
 renewal was sent. Each new coordinator raises the epoch.
 """
 
+import collections
 import json
 
 from cuminwall import placement
@@ -30,6 +31,7 @@
 MIN_DELAY_S = 0.02
 # Without a reply from the coordinator; requests are sent every 0.4 s.
 REPLY_TIMEOUT_S = 0.6
+MAX_PEERS_PER_ZONE = 3  # Asked in turn who coordinates.
 
 
 def is_coordinator(state: State) -> bool:
@@ -95,7 +97,7 @@
     """
     if state.now < state.discovery.last_reply_at + REPLY_TIMEOUT_S:
         return
-    peers = sorted(name for name in state.members if name != state.instance)
+    peers = _peers_to_ask(state)
     if not peers:
         return
     state.discovery.query_count += 1
@@ -107,6 +109,23 @@
     )
 
 
+def _peers_to_ask(state: State) -> list[str]:
+    """Returns a few peers of each availability zone, always the same.
+
+    Each peer that is asked takes a link. If every instance asked all others,
+    the links of an outage would grow with the square of the fleet.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    peers = []
+    for name in placement.ranked(f"ask {state.instance}", state.members):
+        zone = state.members[name].zone
+        if name == state.instance or counts[zone] == MAX_PEERS_PER_ZONE:
+            continue
+        counts[zone] += 1
+        peers.append(name)
+    return peers
+
+
 def handle_find_coordinator(
     state: State,
     sender: str,
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cuminwall.direct import events, messages
+from cuminwall.direct import coordination, effects, events, messages
 from tests import direct_world
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -74,5 +74,23 @@
         self.assertEqual(alone.state.coordinator.instance, other)
 
 
+class OutageLinksTest(unittest.TestCase):
+    """Instances that get no replies ask peers who coordinates."""
+
+    def test_links_of_an_outage_do_not_grow_with_the_fleet(self) -> None:
+        names = tuple(f"edge{number}" for number in range(60))
+        world = direct_world.World(names)
+        world.run(4.0)
+        instance = world.instances["edge7"]
+        asked = set()
+        for _ in range(200):
+            instance.state.now += 1.0
+            out: list[effects.Effect] = []
+            coordination.ask_peer_for_coordinator(instance.state, out)
+            asked.update(effect.instance for effect in out)
+        self.assertEqual(len(asked), coordination.MAX_PEERS_PER_ZONE)
+        self.assertNotIn("edge7", asked)
+
+
 if __name__ == "__main__":
     unittest.main()
