Count only holders that were denied tokens; borrow up to two connections

- 'over the rate limit; share here 0.00/s' 209 times where it was about 10: the time after which to ask again counted all holders that had asked lately.
A single denial at a calm workspace of nine holders so refused operations for a second.
Now those count that were denied and have not got tokens since.
- 'no room in time' 360 times where it was 173: nine instances with three connections exceed the 22 that a server accepts.
Now an instance may use two, which is its share there; FewConnectionsTest holds with two as well.

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -37,7 +37,7 @@
 # operations of another workspace wait for.
 DISPLACE_S = 0.08
 # Connections to a server that an instance may use even if its share is smaller.
-MIN_USABLE = 3
+MIN_USABLE = 2
 MAX_PREPARED = 200  # Prepared statements kept on one connection.
 
 
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -20,7 +20,7 @@
 )
 
 ASKS_PER_TOKEN = 2.0
-ASKING_S = 4.0  # A holder that has not asked for so long no longer counts.
+DENIED_S = 4.0  # A holder that has not asked for so long no longer counts.
 MAX_RETRY_S = 3.0
 ROUNDING = 1e-6  # Tokens; sums of fractions may be this far off.
 
@@ -72,7 +72,8 @@
       level_sent: The tokens sent with the last reply.
       returned: The total of tokens that the holder has returned.
       is_active: Whether the holder takes part in the division.
-      asked_at: When it last asked for tokens that work is waiting for.
+      denied_at: When it last asked for tokens and did not get all; reset when
+        it gets them.
       extra: What it gets beyond its ceiling, where integral amounts do not
         divide evenly.
     """
@@ -89,7 +90,7 @@
         "level_sent",
         "returned",
         "is_active",
-        "asked_at",
+        "denied_at",
         "extra",
     )
 
@@ -106,7 +107,7 @@
         self.level_sent = 0.0
         self.returned = 0.0
         self.is_active = True
-        self.asked_at = leases.NEVER
+        self.denied_at = leases.NEVER
         self.extra = 0.0
 
 
@@ -128,7 +129,7 @@
       level_at: When the level was last updated.
       allocations: By holder.
       active_count: How many of them take part in the division.
-      asking_count: How many have lately asked for tokens.
+      denied_count: How many have lately been denied tokens.
       ceilings: The most that any holder gets, by component.
       divided_at: When the ceilings were computed.
       earlier_leases_until: When earlier lenders' short leases have expired.
@@ -148,7 +149,7 @@
         "level_at",
         "allocations",
         "active_count",
-        "asking_count",
+        "denied_count",
         "ceilings",
         "divided_at",
         "earlier_leases_until",
@@ -179,7 +180,7 @@
         self.level_at = since
         self.allocations: dict[str, Allocation] = {}
         self.active_count = 0
-        self.asking_count = 0
+        self.denied_count = 0
         self.ceilings: Amounts = total
         self.divided_at = leases.NEVER
         self.earlier_leases_until = leases.NEVER
@@ -224,8 +225,6 @@
     if report.is_final:
         return None
     allocation.wanted = report.wanted
-    if report.shortfall > 0:
-        allocation.asked_at = now
     _renew(limit, allocation, now)
     if now - limit.divided_at >= DIVISION_INTERVAL_S or is_new:
         _divide(limit, now)
@@ -513,7 +512,7 @@
     """Drops expired allocations and computes the max-min fair ceilings."""
     _expire(limit, now)
     limit.divided_at = now
-    limit.asking_count = _count_asking(limit, now)
+    limit.denied_count = _count_denied(limit, now)
     ceilings = []
     for index, total in enumerate(limit.total):
         wants = []
@@ -531,27 +530,37 @@
         _divide_remainder(limit)
 
 
-def _count_asking(limit: Limit, now: float) -> int:
-    """Returns how many holders have lately asked for tokens."""
+def _count_denied(limit: Limit, now: float) -> int:
+    """Returns how many holders have lately been denied tokens."""
     count = 0
     for allocation in limit.allocations.values():
-        if now - allocation.asked_at <= ASKING_S:
+        if now - allocation.denied_at <= DENIED_S:
             count += 1
     return count
 
 
-def _retry_s(limit: Limit, report: messages.ShareReport, sent: float) -> float:
+def _retry_s(
+    limit: Limit,
+    allocation: Allocation,
+    report: messages.ShareReport,
+    now: float,
+) -> float:
     """Returns after what time a holder should ask for tokens again.
 
     All that lack tokens then ask a few times for each token that comes, no
     matter how many they are.
     """
-    if not limit.policy.has_tokens or sent >= report.shortfall:
+    if not limit.policy.has_tokens or report.shortfall <= 0:
+        return 0.0
+    if allocation.level_sent + ROUNDING >= report.shortfall:
+        allocation.denied_at = leases.NEVER
         return 0.0
+    allocation.denied_at = now
+    count = max(1, limit.denied_count)
     asks_per_s = ASKS_PER_TOKEN * limit.total[0]
-    if asks_per_s * MAX_RETRY_S <= limit.asking_count:
+    if asks_per_s * MAX_RETRY_S <= count:
         return MAX_RETRY_S
-    return limit.asking_count / asks_per_s
+    return count / asks_per_s
 
 
 def _divide_remainder(limit: Limit) -> None:
@@ -651,7 +660,7 @@
         level,
         policy.lease_s,
         policy.floor_s,
-        _retry_s(limit, report, level),
+        _retry_s(limit, allocation, report, now),
     )
 
 
