Report again soon to a coordinator that does not answer; bound all asks together

- A report that reaches a new coordinator before it knows that it is one is not answered, and was repeated after 0.4 s only; until then nothing was lent.
Now after 0.1 s, then less often.
EarlyReportTest: settled after 0.472 s before, within 0.3 s now.
- How often tokens that were denied may be asked for is bounded over all workspaces (2,000 asks a second), not twice a token: a small site asks more often.

--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -125,8 +125,9 @@
       sent_at: When the latest was sent.
       next_timer_at: When the timer for the next one is due.
       wanted: The workspaces whose operations wait for tokens; a set in order.
-      complete_sent_at: When all shares were last reported.
-      complete_epoch: To the coordinator of which epoch.
+      complete_epoch: To the coordinator of which epoch all shares were last
+        reported.
+      complete_again_at: When they are reported again without a reply.
       reported_epoch: The epoch whose coordinator has confirmed such a report.
       reply_timeout_s: How long to wait for a reply before asking again.
       slow_reply_at: When a late reply was last logged.
@@ -137,7 +138,7 @@
         "sent_at",
         "next_timer_at",
         "wanted",
-        "complete_sent_at",
+        "complete_again_at",
         "complete_epoch",
         "reported_epoch",
         "reply_timeout_s",
@@ -149,7 +150,7 @@
         self.sent_at = leases.NEVER
         self.next_timer_at = leases.NEVER
         self.wanted: dict[str, None] = {}
-        self.complete_sent_at = leases.NEVER
+        self.complete_again_at = leases.NEVER
         self.complete_epoch = 0
         self.reported_epoch = 0
         self.reply_timeout_s = shares.REQUEST_TIMEOUT_S
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -37,6 +37,9 @@
 # Of all instances together. The coordinator sets their pace, so that its work
 # grows neither with their number nor with the operations that find no token.
 MAX_REQUESTS_PER_S = 900.0
+# Of tokens that were denied, of all workspaces together; each may ask in
+# proportion to its rate.
+MAX_ASKS_PER_S = 2000.0
 # While renewals of its lease take longer than this, what is received holds them
 # up, and it lets the others ask less often.
 SLOW_RENEWAL_S = 0.1
@@ -258,6 +261,7 @@
         has_tokens=True,
         max_holder_fraction=holder_fraction,
         min_burst=MIN_LEVEL,
+        asks_per_token=_asks_per_token(state),
     )
     limit = lending.Limit(total, policy, lender.epoch == 1, lender.started_at)
     if lender.is_recovered:
@@ -271,6 +275,12 @@
     return limit
 
 
+def _asks_per_token(state: State) -> float:
+    """Returns how often holders may ask for each token that comes."""
+    total_rate = sum(each.rate for each in state.catalog.workspaces.values())
+    return max(1.0, MAX_ASKS_PER_S / max(1.0, total_rate))
+
+
 def count_active_instances(state: State, within_s: float) -> int:
     """Returns how many other instances sent a request lately."""
     lender = state.lender
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -113,12 +113,16 @@
     if state.now < state.next_request_at:
         _send_wanted(state, out)
         return
-    state.next_request_at = state.now + state.limits.share_request_interval_s
-    state.set_timer(state.next_request_at, TimerKind.QUOTAS)
+    interval_s = state.limits.share_request_interval_s
     if _must_report_all(state):
+        # A new coordinator may not have known yet that it is.
+        interval_s = min(interval_s, _repeat_report_s(state))
         send_share_request(state, list(state.buckets.values()), True, out)
+        state.request_pacing.complete_again_at = state.now + interval_s
     else:
         send_share_request(state, _buckets_to_report(state), False, out)
+    state.next_request_at = state.now + interval_s
+    state.set_timer(state.next_request_at, TimerKind.QUOTAS)
     coordination.ask_peer_for_coordinator(state, out)
 
 
@@ -204,7 +208,18 @@
         return False
     if pacing.complete_epoch != coordinator.epoch:
         return True
-    return state.now - pacing.complete_sent_at >= pacing.reply_timeout_s
+    return state.now >= pacing.complete_again_at
+
+
+def _repeat_report_s(state: State) -> float:
+    """Returns after what time to report all shares again without a reply."""
+    pacing = state.request_pacing
+    coordinator = state.coordinator
+    if coordinator is not None and pacing.complete_epoch == coordinator.epoch:
+        pacing.reply_timeout_s = min(
+            MAX_REPLY_TIMEOUT_S, 2 * pacing.reply_timeout_s
+        )
+    return pacing.reply_timeout_s
 
 
 def send_share_request(
@@ -231,7 +246,6 @@
     pacing.sent_at = state.now
     pacing.wanted.clear()
     if is_complete:
-        pacing.complete_sent_at = state.now
         pacing.complete_epoch = coordinator.epoch
     message = messages.ShareRequest(
         number=number,
@@ -453,6 +467,9 @@
     """Sends a complete share request to a new coordinator at once."""
     if state.coordinator is None:
         return
+    if state.request_pacing.complete_epoch != state.coordinator.epoch:
+        # How slow its predecessor was says nothing about this one.
+        state.request_pacing.reply_timeout_s = shares.REQUEST_TIMEOUT_S
     state.next_request_at = state.now
     out.append(
         Note(
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -19,7 +19,6 @@
     0.5  # Fraction of the lender's tokens that may be prefetched.
 )
 
-ASKS_PER_TOKEN = 2.0
 DENIED_S = 4.0  # A holder that has not asked for so long no longer counts.
 MAX_RETRY_S = 3.0
 ROUNDING = 1e-6  # Tokens; sums of fractions may be this far off.
@@ -42,6 +41,8 @@
       max_holder_fraction: The fraction of the total that one holder may have.
       min_burst: The minimum useful burst of a share; if not every holder
         can have it, tokens are fetched one by one instead.
+      asks_per_token: How many times holders that were denied tokens may
+        together ask for each token that comes.
     """
 
     lease_s: float
@@ -55,6 +56,7 @@
     has_tokens: bool
     max_holder_fraction: float = 1.0
     min_burst: float = 0.0
+    asks_per_token: float = 2.0
 
 
 class Allocation:
@@ -557,7 +559,7 @@
         return 0.0
     allocation.denied_at = now
     count = max(1, limit.denied_count)
-    asks_per_s = ASKS_PER_TOKEN * limit.total[0]
+    asks_per_s = limit.policy.asks_per_token * limit.total[0]
     if asks_per_s * MAX_RETRY_S <= count:
         return MAX_RETRY_S
     return count / asks_per_s
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -352,6 +352,38 @@
         self.check(world, 20.0, 20.0)
 
 
+class EarlyReportTest(unittest.TestCase):
+    """An instance reports before the new coordinator knows that it is."""
+
+    SETTLED_S = 0.3  # Less than the interval between regular requests.
+
+    def test_report_to_a_coordinator_that_does_not_know_it_is(self) -> None:
+        world = make_world(40.0, 40.0, 18)
+        load = Load(world, dict.fromkeys(NAMES, 1.0), 24.0)
+        load.run(2.0)
+        for name in NAMES:
+            world.kill(name)
+            world.start(name)
+        late = world.publish_shared
+
+        def publish(name: str, value: bytes | None, revision: int) -> None:
+            # Each change reaches the instance that made it 30 ms later.
+            maker = (value or b"").partition(b'"instance": "')[2][:1].decode()
+            kept = world.instances.pop(maker, None)
+            late(name, value, revision)
+            if kept is None:
+                return
+            world.instances[maker] = kept
+            event = events.SharedValueSeen(world.now, name, value, revision)
+            world.schedule(0.03, lambda: world._publish(kept, event))
+
+        world.publish_shared = publish
+        world.run(3.0)
+        settled = world.coordinator().log_fields("settled")
+        self.assertEqual(len(settled), 1)
+        self.assertLessEqual(settled[0]["after_s"], self.SETTLED_S)
+
+
 class SilentZoneTest(unittest.TestCase):
     """The coordinator is replaced while a zone of many instances is cut off."""
 
