Claim the coordination once, and report all to a coordinator seen again

Cause, from the log: coordinator_seen twice at each instance, revisions 117 and 118, of one coordinator. It writes its claim, and 20 ms later again, since it has not seen the first: since changes that come closely are read together that takes 45 ms on nine instances. The second one made the others send a regular request in place of the report that had not been answered, and wait 0.4 s.

Now a claim that was written is not written again for a second, and an instance that sees a claim again repeats its report.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -29,6 +29,7 @@
 RANK_DELAY_S = 0.12  # Between the takeover attempts of successive ranks.
 MAX_RANK = 8
 MIN_DELAY_S = 0.02
+CLAIM_SEEN_S = 1.0  # Time by which a change of the store is surely seen.
 # Without a reply from the coordinator; requests are sent every 0.4 s.
 REPLY_TIMEOUT_S = 0.6
 MAX_PEERS_PER_ZONE = 3  # Asked in turn who coordinates.
@@ -238,6 +239,13 @@
         _write_claim(state, out)
 
 
+def handle_claim_written(state: State) -> None:
+    """Waits for the claim that was written to be seen, before another one."""
+    own_lease = state.own_lease
+    own_lease.next_attempt_at = state.now + CLAIM_SEEN_S
+    state.set_timer(own_lease.next_attempt_at, TimerKind.COORDINATOR)
+
+
 def resign(state: State, out: list[Effect]) -> None:
     """Ends the lease, so that another instance can take over at once."""
     own_lease = state.own_lease
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -471,6 +471,7 @@
         # How slow its predecessor was says nothing about this one.
         state.request_pacing.reply_timeout_s = shares.REQUEST_TIMEOUT_S
     state.next_request_at = state.now
+    state.request_pacing.complete_again_at = state.now
     out.append(
         Note(
             PART,
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -228,6 +228,8 @@
         for name in swap.names:
             known = state.shared_revisions.get(name, 0)
             state.shared_revisions[name] = max(known, event.revision)
+    if swap.purpose is SwapPurpose.COORDINATE and event.revision:
+        coordination.handle_claim_written(state)
     if swap.purpose is SwapPurpose.ORDER and coordination.is_coordinator(state):
         service = swap.names[0].removeprefix(failover.ORDER_PREFIX)
         failover.handle_order_written(state, service, event.revision, out)
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -40,6 +40,25 @@
         world.run(self.SOON_S)
         self.assertEqual(world.epochs(), [0, 0, 0, 0, 2])
 
+    def test_claim_is_written_once_though_it_is_seen_late(self) -> None:
+        # A second one would be taken for another coordinator's.
+        world = direct_world.World(NAMES)
+        world.run(4.0)
+        publish = world.publish_shared
+        claims = []
+
+        def publish_late(name: str, value: bytes | None, revision: int) -> None:
+            if name == coordination.COORDINATOR_NAME and value is not None:
+                claims.append(revision)
+            world.schedule(0.1, lambda: publish(name, value, revision))
+
+        world.publish_shared = publish_late
+        holder = world.coordinator().name
+        world.kill(holder)
+        world.start(holder)
+        world.run(2.0)
+        self.assertEqual(len(claims), 1)
+
     def test_all_instances_restarted(self) -> None:
         world = direct_world.World(NAMES)
         world.run(4.0)
--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cuminwall.direct import answers, events, statements
+from cuminwall.direct import answers, effects, events, quotas, statements
 from tests import direct_world, naive_bucket
 
 NAMES = ("a", "b", "c", "d", "e", "f", "g", "h", "i")
@@ -384,6 +384,29 @@
         self.assertLessEqual(settled[0]["after_s"], self.SETTLED_S)
 
 
+class RepeatedClaimTest(unittest.TestCase):
+    """The value that names the coordinator is reported twice."""
+
+    def test_shares_are_reported_again_to_a_coordinator_seen_twice(
+        self,
+    ) -> None:
+        world = make_world(40.0, 40.0, 19)
+        Load(world, dict.fromkeys(NAMES, 1.0), 24.0).run(2.0)
+        name = next(each for each in NAMES if each != world.coordinator().name)
+        instance = world.instances[name]
+        instance.state.request_pacing.reported_epoch = 0
+        out: list[effects.Effect] = []
+        for _ in range(2):
+            quotas.handle_new_coordinator(instance.state, out)
+            instance.state.now += 0.01
+        requests = [
+            effect.message.is_complete
+            for effect in out
+            if isinstance(effect, effects.SendToPeer)
+        ]
+        self.assertEqual(requests, [True, True])
+
+
 class SilentZoneTest(unittest.TestCase):
     """The coordinator is replaced while a zone of many instances is cut off."""
 
