--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -84,6 +84,16 @@
     return sorted(times)
 
 
+def times_beyond_limit(
+    world: direct_world.World, rate: float, burst: float
+) -> list[float]:
+    """Returns when requests ran that one bucket would not have admitted."""
+    times = admitted_times(world)
+    slack = 1.0 + rate * 2 * (0.05 + direct_world.LINK_S)
+    naive = naive_bucket.NaiveBucket(rate, burst + slack, times[0])
+    return [at for at in times if not naive.take(at)]
+
+
 class WithinRateTest(unittest.TestCase):
     """Requests of a workspace within its rate are served."""
 
@@ -275,11 +285,7 @@
     def check(
         self, world: direct_world.World, rate: float, burst: float
     ) -> None:
-        times = admitted_times(world)
-        slack = 1.0 + rate * 2 * (0.05 + direct_world.LINK_S)
-        naive = naive_bucket.NaiveBucket(rate, burst + slack, times[0])
-        refused = [at for at in times if not naive.take(at)]
-        self.assertEqual(refused, [])
+        self.assertEqual(times_beyond_limit(world, rate, burst), [])
 
     def test_hot_workspace(self) -> None:
         # It sends 7.5 times its usual load; the excess over its rate is
@@ -434,6 +440,54 @@
         self.assertLessEqual(load.refused_fraction(), ISOLATED_REFUSED_FRACTION)
 
 
+class LargeFleetBoundTest(unittest.TestCase):
+    """The same bound in a fleet whose silent part is not waited for."""
+
+    INSTANCES = 40
+    ZONE = 10
+    RATE = 120.0
+
+    def run_cut(self, seed: int, rate: float) -> direct_world.World:
+        """Cuts a zone off and ends the coordinator, under a hot load."""
+        names = tuple(f"edge{number}" for number in range(self.INSTANCES))
+        world = make_world(rate, rate, seed, names=names)
+        load = Load(world, dict.fromkeys(names, 1.0), 3.0 * rate)
+        ended = world.coordinator().name
+        others = [name for name in names if name != ended]
+
+        def cut_off() -> None:
+            for name in others[: self.ZONE]:
+                world.instances[name].is_isolated = True
+                world.instances[name].has_store = False
+            world.kill(ended)
+
+        def end_cut() -> None:
+            for name in others[: self.ZONE]:
+                instance = world.instances[name]
+                instance.is_isolated = False
+                instance.has_store = True
+                world._read_all(instance)
+
+        world.schedule(3.0, cut_off)
+        world.schedule(9.0, end_cut)
+        load.weights.pop(ended)
+        load.run(14.0)
+        return world
+
+    def test_hot_while_a_zone_is_silent_at_a_takeover(self) -> None:
+        for seed in (21, 22, 23):
+            with self.subTest(seed=seed):
+                world = self.run_cut(seed, self.RATE)
+                late = times_beyond_limit(world, self.RATE, self.RATE)
+                self.assertEqual(late, [])
+
+    def test_small_workspace_while_a_zone_is_silent_at_a_takeover(self) -> None:
+        for seed in (24, 25, 26):
+            with self.subTest(seed=seed):
+                world = self.run_cut(seed, 6.0)
+                self.assertEqual(times_beyond_limit(world, 6.0, 6.0), [])
+
+
 class SmallBurstTest(unittest.TestCase):
     """A burst smaller than the number of instances is still used."""
 
