Let one piece of code serve where two stood

Found in reading the change again; behaviour stays: the lookup of a group whose record is being written (failover), the messages of a link listed twice (frames), the doubling of the wait for a reply, in a function that read like a question (quotas), a second refill in each report (buckets).

--- a/src/cuminwall/buckets.py
+++ b/src/cuminwall/buckets.py
@@ -136,10 +136,10 @@
     demand = _effective_demand(bucket)
     waiting = float(len(bucket.waiting))
     target = _target_level(bucket)
-    returned = surplus(bucket, now)
+    returned = _surplus(bucket, now)
     bucket.level -= returned
     bucket.returned += returned
-    release_burst(bucket)
+    _release_burst(bucket)
     wanted = (policy.rate_factor * demand, target + policy.headroom_s * demand)
     share = bucket.share
     return messages.ShareReport(
@@ -162,6 +162,11 @@
 def surplus(bucket: Bucket, now: float) -> float:
     """Returns how many tokens a report would give back to the lender."""
     refill(bucket, now)
+    return _surplus(bucket, now)
+
+
+def _surplus(bucket: Bucket, now: float) -> float:
+    """Returns the same of a bucket that was just refilled."""
     rate, _ = shares.usable(bucket.share, now)
     kept = _target_level(bucket)
     if rate <= 0:
@@ -176,7 +181,7 @@
     return 0.0 if rate > 0 else max(0.0, burst - bucket.level)
 
 
-def release_burst(bucket: Bucket) -> None:
+def _release_burst(bucket: Bucket) -> None:
     """Gives up the burst that serves nothing; the pool's tokens need it."""
     rate, burst = bucket.share.held
     bucket.share.held = (rate, burst - unused_burst(bucket))
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -15,7 +15,7 @@
 )
 from cuminwall.direct.callers_state import Operation, Stage
 from cuminwall.direct.effects import Effect, Note, SendToPeer
-from cuminwall.direct.fleet_state import TokenRate
+from cuminwall.direct.fleet_state import RequestPacing, TokenRate
 from cuminwall.direct.state import State, TimerKind
 from cuminwall.messages import ShareReport
 
@@ -116,9 +116,12 @@
     interval_s = state.limits.share_request_interval_s
     if _must_report_all(state):
         # A new coordinator may not have known yet that it is.
-        interval_s = min(interval_s, _repeat_report_s(state))
+        pacing = state.request_pacing
+        if _has_reported_all(state):
+            _lengthen_reply_timeout(pacing)
+        interval_s = min(interval_s, pacing.reply_timeout_s)
         send_share_request(state, list(state.buckets.values()), True, out)
-        state.request_pacing.complete_again_at = state.now + interval_s
+        pacing.complete_again_at = state.now + interval_s
     else:
         send_share_request(state, _buckets_to_report(state), False, out)
     state.next_request_at = state.now + interval_s
@@ -206,20 +209,17 @@
     coordinator = state.coordinator
     if coordinator is None or pacing.reported_epoch == coordinator.epoch:
         return False
-    if pacing.complete_epoch != coordinator.epoch:
+    if not _has_reported_all(state):
         return True
     return state.now >= pacing.complete_again_at
 
 
-def _repeat_report_s(state: State) -> float:
-    """Returns after what time to report all shares again without a reply."""
-    pacing = state.request_pacing
+def _has_reported_all(state: State) -> bool:
+    """Returns whether all shares were sent to the present coordinator."""
     coordinator = state.coordinator
-    if coordinator is not None and pacing.complete_epoch == coordinator.epoch:
-        pacing.reply_timeout_s = min(
-            MAX_REPLY_TIMEOUT_S, 2 * pacing.reply_timeout_s
-        )
-    return pacing.reply_timeout_s
+    if coordinator is None:
+        return False
+    return state.request_pacing.complete_epoch == coordinator.epoch
 
 
 def send_share_request(
@@ -289,12 +289,17 @@
         )
         reports.append(report)
     if has_timed_out:
-        pacing.reply_timeout_s = min(
-            MAX_REPLY_TIMEOUT_S, 2 * pacing.reply_timeout_s
-        )
+        _lengthen_reply_timeout(pacing)
     return tuple(reports)
 
 
+def _lengthen_reply_timeout(pacing: RequestPacing) -> None:
+    """Doubles the wait for a reply after one that did not come in time."""
+    pacing.reply_timeout_s = min(
+        MAX_REPLY_TIMEOUT_S, 2 * pacing.reply_timeout_s
+    )
+
+
 def _record_request(state: State, epoch: int) -> float:
     """Records a request to the coordinator of an epoch.
 
@@ -467,7 +472,7 @@
     """Sends a complete share request to a new coordinator at once."""
     if state.coordinator is None:
         return
-    if state.request_pacing.complete_epoch != state.coordinator.epoch:
+    if not _has_reported_all(state):
         # How slow its predecessor was says nothing about this one.
         state.request_pacing.reply_timeout_s = shares.REQUEST_TIMEOUT_S
     state.next_request_at = state.now
--- a/src/cuminwall/failover.py
+++ b/src/cuminwall/failover.py
@@ -664,6 +664,19 @@
     calls.swap(state, key, managed_group.revision, value, continuation, out)
 
 
+def _find_pending_write(
+    state: State, shard: int, service: str
+) -> tuple[Stewardship, ManagedGroup] | None:
+    """Returns a group whose record is being written here, or None."""
+    stewardship = state.stewardships.get(shard)
+    if stewardship is None:
+        return None
+    managed_group = stewardship.managed_groups.get(service)
+    if managed_group is None or not managed_group.swap_pending:
+        return None
+    return stewardship, managed_group
+
+
 def _apply_swap_answer(
     continuation: RecordAgreed | RecordConfirmed,
     state: State,
@@ -671,18 +684,12 @@
     out: list[Effect],
 ) -> tuple[Stewardship, ManagedGroup] | None:
     """Returns the changed group if the swap took effect, else reads it back."""
-    stewardship = state.stewardships.get(continuation.shard)
-    managed_group = (
-        stewardship.managed_groups.get(continuation.service)
-        if stewardship
-        else None
+    pending = _find_pending_write(
+        state, continuation.shard, continuation.service
     )
-    if (
-        stewardship is None
-        or managed_group is None
-        or not managed_group.swap_pending
-    ):
+    if pending is None:
         return None
+    stewardship, managed_group = pending
     if isinstance(event.answer, ports.Swapped):
         managed_group.swap_pending = False
         managed_group.revision = event.answer.revision
@@ -716,18 +723,12 @@
     event: events.StoreAnswered,
     out: list[Effect],
 ) -> None:
-    stewardship = state.stewardships.get(continuation.shard)
-    managed_group = (
-        stewardship.managed_groups.get(continuation.service)
-        if stewardship
-        else None
+    pending = _find_pending_write(
+        state, continuation.shard, continuation.service
     )
-    if (
-        stewardship is None
-        or managed_group is None
-        or not managed_group.swap_pending
-    ):
+    if pending is None:
         return
+    stewardship, managed_group = pending
     found = event.answer
     if not isinstance(found, calls.StoredValue):
         # Nothing else is decided until the record could be read.
--- a/src/cuminwall/frames.py
+++ b/src/cuminwall/frames.py
@@ -92,14 +92,7 @@
 )
 
 TYPES: tuple[type, ...] = (
-    Run,
-    Chunk,
-    Acknowledged,
-    End,
-    SessionGone,
-    Cancel,
-    ValueRequest,
-    ValueReply,
+    *LINK_FRAMES,
     work.Position,
     work.Prepared,
     work.Step,
