--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -137,6 +137,8 @@
       tried: Servers that refused it or failed while it was there.
       attempts: The attempts made to run it on a server.
       connection: The backend connection that runs it, or None.
+      primary_order: The order that had made its server primary when it was
+        sent there.
     """
 
     __slots__ = (
@@ -158,6 +160,7 @@
         "tried",
         "attempts",
         "connection",
+        "primary_order",
     )
 
     def __init__(
@@ -186,3 +189,4 @@
         self.tried: set[str] = set()
         self.attempts = 0
         self.connection: Connection | None = None
+        self.primary_order = 0
--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -9,7 +9,13 @@
 import json
 
 from cuminwall import placement
-from cuminwall.direct import failover, lender, messages, workload
+from cuminwall.direct import (
+    failover,
+    lease_grants,
+    lender,
+    messages,
+    workload,
+)
 from cuminwall.direct.effects import (
     Effect,
     EndLease,
@@ -18,12 +24,15 @@
     Note,
     SendToPeer,
 )
-from cuminwall.direct.fleet_state import Coordinator, CoordinatorLoad
+from cuminwall.direct.fleet_state import (
+    COORDINATOR_NAME,
+    Coordinator,
+    CoordinatorLoad,
+)
 from cuminwall.direct.state import State, SwapPurpose, TimerKind
 
 PART = "coordination"
 
-COORDINATOR_NAME = "coordinator"
 EPOCH_NAME = "epoch"
 LEASE_MARGIN_S = 0.05  # Taken off a lease to allow for clock drift.
 RANK_DELAY_S = 0.12  # Between the takeover attempts of successive ranks.
@@ -45,9 +54,10 @@
 ) -> None:
     """Handles the value in the store that names the coordinator."""
     if value is not None:
-        state.discovery.newest_revision = max(
-            state.discovery.newest_revision, revision
-        )
+        if revision < state.discovery.newest_revision:
+            # A peer has named a newer one, which the store does not show yet.
+            return
+        state.discovery.newest_revision = revision
     state.discovery.claimed = _decode(value, revision)
     _update_coordinator(state, out)
 
@@ -315,6 +325,7 @@
     )
     state.coordinator_load = CoordinatorLoad(state.now)
     lender.start(state, coordinator)
+    lease_grants.start(state, coordinator)
     failover.start(state)
     first_tick_at = state.now + failover.TICK_S
     state.set_timer(first_tick_at, TimerKind.FAILOVER, own_lease.epoch)
@@ -333,6 +344,7 @@
     own_lease.is_grant_pending = False
     own_lease.may_have_expired = False
     lender.stop(state)
+    lease_grants.stop(state)
     failover.stop(state, out)
     _schedule_attempt(state)
 
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -13,6 +13,7 @@
     groups,
     operations,
     placing,
+    primary_leases,
     statements,
     warmups,
 )
@@ -66,6 +67,8 @@
     operation.connection = connection
     operation.attempts += 1
     operation.server = connection.server.entry.server
+    group = groups.find(state, operation.route.service)
+    operation.primary_order = group.lease.order
     shape = _find_shape(operation)
     batch = connections.prepare_commands(connection, session, shape)
     connection.status = ConnectionStatus.RUNNING
@@ -107,9 +110,20 @@
             or operation.connection is not None
         ):
             continue
+        if not _may_send(state, operation, server):
+            state.unassigned.append(operation)
+            continue
         send_statement(state, operation, connection, out)
 
 
+def _may_send(state: State, operation: Operation, server: Server) -> bool:
+    """Returns whether a server may still run an operation that was queued."""
+    if operation.min_position is not None:
+        return True
+    group = groups.find(state, operation.route.service)
+    return primary_leases.is_held(state, group, server)
+
+
 def _wait_for_primary(
     state: State, operation: Operation, out: list[Effect]
 ) -> None:
@@ -130,6 +144,9 @@
     """Returns whether no primary can be expected before `until`."""
     if state.now >= until:
         return True
+    if group.lease.has_expired:
+        # The coordinator is out of reach; another instance may reach it.
+        return True
     back_at = group.primary_expected_at
     if back_at is None:
         return False
--- a/src/cuminwall/direct/effects.py
+++ b/src/cuminwall/direct/effects.py
@@ -101,11 +101,14 @@
       service: The database service.
       server: The server.
       fencing_token: The fencing token, higher than that of every earlier order.
+      epoch: The epoch of the coordinator that gives it. It must not be sent
+        after that one's lease has expired.
     """
 
     service: str
     server: str
     fencing_token: int
+    epoch: int
 
 
 class StartPeerLinks(NamedTuple):
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -194,13 +194,20 @@
             self._log_failed_call("end_lease", error)
 
     async def promote(self, effect: effects.Promote) -> None:
-        """Orders the promotion of a server."""
+        """Orders the promotion of a server, unless another may by now."""
+
+        def may_send() -> bool:
+            own_lease = self.state.own_lease
+            is_same = own_lease.epoch == effect.epoch
+            return is_same and own_lease.is_valid(boot_clock())
+
         try:
             outcome = await self.provider.promote(
                 self.state.instance,
                 effect.service,
                 effect.server,
                 effect.fencing_token,
+                may_send,
             )
         except exceptions.StoreUnavailableError as error:
             self._log_failed_call("promote", error)
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -5,15 +5,24 @@
 whole log; write the order to the store, whose revision becomes the fencing
 token; give the order. An unanswered order may still be carried out, so the
 next one gets a higher token.
+
+A replaced primary that does not refuse to act as one must not be used any more
+when its successor is ordered: either it has confirmed that it stepped down, or
+every lease on it was released or has expired.
 """
 
 import json
+from typing import Any
 
-from cuminwall.direct import groups, inquiries, lender
+from cuminwall.direct import groups, inquiries, lease_grants, lender
 from cuminwall.direct.answers import Position
 from cuminwall.direct.effects import Effect, Note, Promote
 from cuminwall.direct.events import PromotionOutcome
-from cuminwall.direct.fleet_state import ChangeStep, PrimaryChange
+from cuminwall.direct.fleet_state import (
+    COORDINATOR_NAME,
+    ChangeStep,
+    PrimaryChange,
+)
 from cuminwall.direct.servers_state import Group, Server
 from cuminwall.direct.state import State, SwapPurpose
 
@@ -24,20 +33,23 @@
 REPORT_AGE_S = 1.5  # How long an instance's report counts.
 MIN_REPORTERS = 2  # Fewer if there are fewer instances.
 NO_PRIMARY_S = 0.8  # How long a service may lack a known primary.
+UNLED = "the ordered server does not lead"  # A cause of a change.
+RECALL_INTERVAL_S = 0.3  # Between repeated recalls of leases.
 STORE_SETTLE_S = 2.2  # For entries to reappear after a store outage.
 
 
 def start(state: State) -> None:
     """Starts to watch the services' primaries, as the new coordinator."""
-    state.primary_changes.clear()
-    state.no_primary_since.clear()
+    state.primary_watch.changes.clear()
+    state.primary_watch.no_primary_since.clear()
+    state.primary_watch.unled_since.clear()
 
 
 def stop(state: State, out: list[Effect]) -> None:
     """Stops watching the services and abandons the changes in progress."""
-    for change in state.primary_changes.values():
+    for change in state.primary_watch.changes.values():
         _log(state, change, "left", {}, out)
-    state.primary_changes.clear()
+    state.primary_watch.changes.clear()
 
 
 def record_unreachable_servers(
@@ -45,21 +57,50 @@
 ) -> None:
     """Records which servers an instance can't reach."""
     for report in unreachable:
-        reports = state.unreachable_reports.setdefault(report.server, {})
+        reports = state.primary_watch.unreachable_reports.setdefault(
+            report.server, {}
+        )
         reports[sender] = (state.now, state.now - report.age_s)
     reported_servers = {report.server for report in unreachable}
-    for server, reports in state.unreachable_reports.items():
+    for server, reports in state.primary_watch.unreachable_reports.items():
         if server not in reported_servers:
             reports.pop(sender, None)
 
 
+def handle_order(
+    state: State,
+    service: str,
+    value: bytes | None,
+    revision: int,
+    out: list[Effect],
+) -> None:
+    """Handles an order that was read from the store."""
+    if value is None:
+        return
+    server = _ordered_server(value)
+    if server is None:
+        out.append(Note(PART, "malformed_order", {"service": service}))
+        return
+    group = groups.find(state, service)
+    groups.record_order(state, group, server, revision, out)
+
+
+def _ordered_server(value: bytes) -> str | None:
+    """Returns the server that an order names; None if it is malformed."""
+    try:
+        fields: Any = json.loads(value)
+        return str(fields["server"])
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
 def tick(state: State, out: list[Effect]) -> None:
     """Checks every service and advances the changes in progress."""
     for service in state.catalog.services:
         group = state.groups.get(service)
         if group is None:
             continue
-        change = state.primary_changes.get(service)
+        change = state.primary_watch.changes.get(service)
         if change is not None:
             _advance(state, group, change, out)
             continue
@@ -72,7 +113,7 @@
     state: State, service: str, revision: int | None, out: list[Effect]
 ) -> None:
     """Handles the result of writing an order; gives the order if written."""
-    change = state.primary_changes.get(service)
+    change = state.primary_watch.changes.get(service)
     if change is None or change.step is not ChangeStep.WRITING_ORDER:
         return
     if not revision:
@@ -84,7 +125,10 @@
     change.fencing_token = revision
     change.step = ChangeStep.ORDERED
     change.step_deadline = state.now + state.limits.promotion_retry_s
-    out.append(Promote(service, change.target, revision))
+    group = groups.find(state, service)
+    groups.record_order(state, group, change.target, revision, out)
+    epoch = state.own_lease.epoch
+    out.append(Promote(service, change.target, revision, epoch))
     _log(state, change, "ordered", {}, out)
 
 
@@ -100,13 +144,16 @@
     group = state.groups.get(service)
     if outcome.is_done and group is not None and server in group.servers:
         groups.set_primary(state, group, server, "promoted", out)
-    change = state.primary_changes.get(service)
+    change = state.primary_watch.changes.get(service)
     if change is None or change.fencing_token != fencing_token:
         return
+    if outcome.is_done and state.limits.are_primaries_fenced:
+        _finish(state, change, out)
+        return
     if outcome.is_done:
-        _log(state, change, "done", {}, out)
-        del state.primary_changes[service]
-        state.no_primary_since.pop(service, None)
+        _log(state, change, "accepted", {}, out)
+        change.step = ChangeStep.AWAITING_LEAD
+        change.step_deadline = state.now + state.limits.unled_order_s
         return
     if outcome.is_refused:
         _log(state, change, "refused", {}, out)
@@ -115,22 +162,57 @@
         change.step_deadline = state.now
 
 
+def _finish(state: State, change: PrimaryChange, out: list[Effect]) -> None:
+    """Ends a change whose server leads, or will at once."""
+    _log(state, change, "done", {}, out)
+    watch = state.primary_watch
+    del watch.changes[change.service]
+    watch.no_primary_since.pop(change.service, None)
+    watch.unled_since.pop(change.service, None)
+    lease_grants.offer(state, change.service, out)
+
+
 def _find_cause(state: State, group: Group, out: list[Effect]) -> str:
     """Returns why a service needs a new primary, or ""."""
     if not _has_reliable_view(state):
         return ""
     primary = group.servers.get(group.primary)
     if primary is None:
-        since = state.no_primary_since.setdefault(group.service, state.now)
+        since = state.primary_watch.no_primary_since.setdefault(
+            group.service, state.now
+        )
         if state.now - since < NO_PRIMARY_S or not _has_candidate(state, group):
             return ""
         return "no primary"
-    state.no_primary_since.pop(group.service, None)
+    state.primary_watch.no_primary_since.pop(group.service, None)
     if not groups.is_usable(state, primary):
         return _planned_cause(state, group, primary)
+    if _is_unled(state, group, primary, out):
+        return UNLED
     return _unreachable_cause(state, group, primary, out)
 
 
+def _is_unled(
+    state: State, group: Group, primary: Server, out: list[Effect]
+) -> bool:
+    """Returns whether the server that an order names does not lead.
+
+    The order was written, but perhaps never given or not carried out.
+    """
+    if state.limits.are_primaries_fenced or primary.entry.is_primary:
+        state.primary_watch.unled_since.pop(group.service, None)
+        return False
+    since = state.primary_watch.unled_since.setdefault(group.service, state.now)
+    if state.now - since < state.limits.unled_order_s:
+        return False
+    status_age_s = state.now - primary.status_at
+    if status_age_s > state.limits.inquiry_timeout_s:
+        inquiries.query_status(state, primary, out)
+    if status_age_s > 2 * state.limits.inquiry_timeout_s:
+        return False
+    return primary.status is not None and not primary.status.is_primary
+
+
 def _planned_cause(state: State, group: Group, primary: Server) -> str:
     """Returns why a running primary is to be replaced, or ""."""
     if not _has_candidate(state, group):
@@ -145,7 +227,7 @@
 ) -> str:
     """Returns why an unreachable primary is to be replaced, or ""."""
     name = primary.entry.server
-    reports = dict(state.unreachable_reports.get(name, {}))
+    reports = dict(state.primary_watch.unreachable_reports.get(name, {}))
     if primary.unreachable_since is not None:
         reports[state.instance] = (state.now, primary.unreachable_since)
     reporters = 0
@@ -202,7 +284,12 @@
 
 def _is_candidate(state: State, group: Group, server: Server) -> bool:
     """Returns whether a server may become primary in place of the current."""
-    if server.entry.server == group.primary:
+    change = state.primary_watch.changes.get(group.service)
+    replaced = group.primary
+    if change is not None and not state.limits.are_primaries_fenced:
+        # The newest order, which names the primary, may be of this change.
+        replaced = "" if change.cause == UNLED else change.old_primary
+    if server.entry.server == replaced:
         return False
     return groups.is_usable(state, server)
 
@@ -210,7 +297,7 @@
 def _begin(state: State, group: Group, cause: str, out: list[Effect]) -> None:
     """Begins a change of primary."""
     change = PrimaryChange(group.service, cause, group.primary, state.now)
-    state.primary_changes[group.service] = change
+    state.primary_watch.changes[group.service] = change
     _log(state, change, "begun", {"before": group.primary}, out)
     _restart(state, group, change, out)
 
@@ -228,14 +315,19 @@
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
     """Takes the next step of a change when it is due."""
-    if group.primary and group.primary != change.old_primary:
+    is_other = group.primary not in ("", change.old_primary)
+    if is_other and state.limits.are_primaries_fenced:
         _log(state, change, "over", {"primary": group.primary}, out)
-        del state.primary_changes[group.service]
+        del state.primary_watch.changes[group.service]
         return
     if change.step is ChangeStep.QUERYING:
         _check_candidates(state, group, change, out)
     elif change.step is ChangeStep.STEPPING_DOWN:
         _await_step_down(state, group, change, out)
+    elif change.step is ChangeStep.RECALLING:
+        _await_recall(state, group, change, out)
+    elif change.step is ChangeStep.AWAITING_LEAD:
+        _await_lead(state, group, change, out)
     elif change.step is ChangeStep.CHOOSING:
         _choose(state, group, change, out)
     elif state.now >= change.step_deadline:
@@ -243,6 +335,31 @@
         _restart(state, group, change, out)
 
 
+def _await_lead(
+    state: State, group: Group, change: PrimaryChange, out: list[Effect]
+) -> None:
+    """Waits until the promoted server acts as primary.
+
+    Leases on it that were granted sooner would only make instances send it
+    statements that it refuses.
+    """
+    server = group.servers.get(change.target)
+    if server is None or state.now >= change.step_deadline:
+        _restart(state, group, change, out)
+        return
+    entry = server.entry
+    if entry.is_primary and entry.revision > change.fencing_token:
+        _finish(state, change, out)
+        return
+    status = server.status
+    if server.status_at > change.queried_at and status is not None:
+        if status.is_primary:
+            _finish(state, change, out)
+            return
+    change.queried_at = state.now
+    inquiries.query_status(state, server, out)
+
+
 def _check_candidates(
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
@@ -266,6 +383,9 @@
         if old.unreachable_since is None:
             _step_down(state, group, change, old, out)
             return
+    if _must_recall(state, change):
+        _recall(state, group, change, out)
+        return
     change.step = ChangeStep.CHOOSING
     change.step_deadline = state.now
 
@@ -300,11 +420,55 @@
     if old is not None and not is_pending and old.status is not None:
         change.log_end = old.status.position
     _log(state, change, "stepped_down", {"log_end": change.log_end}, out)
+    if not state.limits.are_primaries_fenced:
+        _recall(state, group, change, out)
+        if not _has_confirmed_step_down(old, change):
+            return
     change.step = ChangeStep.CHOOSING
     change.step_deadline = state.now + state.limits.catch_up_timeout_s
     _query_candidates(state, group, change, out)
 
 
+def _has_confirmed_step_down(old: Server | None, change: PrimaryChange) -> bool:
+    """Returns whether the old primary says that it is a replica now."""
+    if old is None or old.status is None:
+        return False
+    return old.status_at >= change.queried_at and not old.status.is_primary
+
+
+def _must_recall(state: State, change: PrimaryChange) -> bool:
+    """Returns whether leases on the old primary may still be in use."""
+    if state.limits.are_primaries_fenced:
+        return False
+    if not change.is_recalling:
+        return True
+    return lease_grants.has_holders(state, change.service)
+
+
+def _recall(
+    state: State, group: Group, change: PrimaryChange, out: list[Effect]
+) -> None:
+    """Recalls the leases on the old primary."""
+    change.is_recalling = True
+    change.step = ChangeStep.RECALLING
+    change.step_deadline = state.now + RECALL_INTERVAL_S
+    lease_grants.recall(state, group, out)
+
+
+def _await_recall(
+    state: State, group: Group, change: PrimaryChange, out: list[Effect]
+) -> None:
+    """Waits until nobody relies on a lease on the old primary."""
+    if not lease_grants.has_holders(state, change.service):
+        _log(state, change, "recalled", {}, out)
+        # The logs may have grown meanwhile.
+        _restart(state, group, change, out)
+        return
+    if state.now >= change.step_deadline:
+        lease_grants.note_holders(state, change.service, out)
+        _recall(state, group, change, out)
+
+
 def _query_candidates(
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
@@ -334,6 +498,7 @@
     change.target = best.entry.server
     change.step = ChangeStep.WRITING_ORDER
     change.step_deadline = state.now + state.limits.promotion_retry_s
+    assert state.coordinator is not None
     name = ORDER_PREFIX + group.service
     order = {
         "server": change.target,
@@ -342,7 +507,11 @@
     }
     state.compare_and_swap(
         SwapPurpose.ORDER,
-        {name: state.shared_revisions.get(name, 0)},
+        {
+            name: state.shared_revisions.get(name, 0),
+            # Nobody may have taken over meanwhile.
+            COORDINATOR_NAME: state.coordinator.revision,
+        },
         {name: json.dumps(order).encode()},
         frozenset(),
         0,
@@ -360,9 +529,14 @@
 def _best_candidate(
     state: State, group: Group, change: PrimaryChange
 ) -> Server | None:
-    """Returns the best candidate: warm first, then by log, then by zone."""
+    """Returns the best candidate: warm first, then by log, then by zone.
+
+    An order that was not answered may be carried out late. Where the platform
+    does not check the fencing token, that would undo a newer order for another
+    server, so the same server is ordered again.
+    """
     best = None
-    best_rank: tuple[bool, Position, bool] | None = None
+    best_rank: tuple[bool, bool, Position, bool] | None = None
     for server in group.servers.values():
         if not _is_candidate(state, group, server) or server.status is None:
             continue
@@ -372,13 +546,30 @@
             continue
         is_warm = server.entry.cold_s <= 0
         is_near = server.entry.zone == state.zone
-        rank = (is_warm, server.status.position, is_near)
+        rank = (
+            _is_order_pending(state, change, server),
+            is_warm,
+            server.status.position,
+            is_near,
+        )
         if best_rank is None or rank > best_rank:
             best = server
             best_rank = rank
     return best
 
 
+def _is_order_pending(
+    state: State, change: PrimaryChange, server: Server
+) -> bool:
+    """Returns whether a server is named by an order that may be under way."""
+    if state.limits.are_primaries_fenced:
+        return False
+    ordered = change.old_primary if change.cause == UNLED else ""
+    if change.fencing_token:
+        ordered = change.target
+    return server.entry.server == ordered
+
+
 def _log(
     state: State,
     change: PrimaryChange,
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -6,6 +6,8 @@
 from cuminwall import leases, lending, shares
 from cuminwall.direct.answers import Position
 
+COORDINATOR_NAME = "coordinator"  # Of the value that names the coordinator.
+
 
 class Member(NamedTuple):
     """An instance of the system.
@@ -56,6 +58,8 @@
       last_request_at: When that was sent.
       earlier_request_at: When the latest request to an earlier coordinator
         was sent, or this process started.
+      last_reply_epoch: The epoch of the latest reply of a coordinator.
+      last_reply_sent_at: When that was sent, on the coordinator's clock.
     """
 
     __slots__ = (
@@ -66,6 +70,8 @@
         "last_request_epoch",
         "last_request_at",
         "earlier_request_at",
+        "last_reply_epoch",
+        "last_reply_sent_at",
     )
 
     def __init__(self) -> None:
@@ -76,6 +82,8 @@
         self.last_request_epoch = 0
         self.last_request_at = leases.NEVER
         self.earlier_request_at = float("inf")
+        self.last_reply_epoch = 0
+        self.last_reply_sent_at = leases.NEVER
 
 
 class CoordinatorLease:
@@ -187,6 +195,7 @@
         earlier lender.
       last_request_at: When each instance last sent a request.
       earlier_request_at: When each of them last sent one to an earlier lender.
+      supported_at: Before when each has certainly not sent its latest one.
       unreported_fraction: The fraction of each limit that `unreported` may
         hold at most.
       is_recovered: Whether no share from an earlier lender can be in use.
@@ -203,6 +212,7 @@
         "unreported",
         "last_request_at",
         "earlier_request_at",
+        "supported_at",
         "unreported_fraction",
         "is_recovered",
         "next_check_at",
@@ -217,12 +227,70 @@
         self.unreported: dict[str, str] = {}
         self.last_request_at: dict[str, float] = {}
         self.earlier_request_at: dict[str, float] = {}
+        self.supported_at: dict[str, float] = {}
         self.unreported_fraction = 1.0
         self.is_recovered = False
         self.next_check_at = now
         self.slowdown = 1.0
 
 
+class PrimaryLeaseRequests:
+    """This instance's requests for leases on primaries.
+
+    Attributes:
+      number: The number of the latest.
+      sent_at: When it was sent.
+      is_answered: Whether its reply came.
+      interval_s: The time until the next one.
+      due_at: When that is sent.
+    """
+
+    __slots__ = ("number", "sent_at", "is_answered", "interval_s", "due_at")
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.sent_at = leases.NEVER
+        self.is_answered = True
+        self.interval_s = 0.0
+        self.due_at = leases.NEVER
+
+
+class LeaseGrants:
+    """The leases on primaries that the coordinator has granted.
+
+    A holder is a process: its instance, "@" and the id of its boot.
+
+    Attributes:
+      epoch: Its epoch.
+      expiries: By service and holder, when the lease has expired for certain.
+      last_numbers: The number of each holder's latest request.
+      unreported: By instance, the process that may still hold leases of an
+        earlier coordinator.
+      released: By service, the unreported processes that have released theirs.
+      earlier_until: When leases of an earlier coordinator have expired.
+      is_predecessor_gone: Whether no earlier coordinator can grant any more.
+    """
+
+    __slots__ = (
+        "epoch",
+        "expiries",
+        "last_numbers",
+        "unreported",
+        "released",
+        "earlier_until",
+        "is_predecessor_gone",
+    )
+
+    def __init__(self, epoch: int):
+        self.epoch = epoch
+        self.expiries: dict[str, dict[str, float]] = {}
+        self.last_numbers: dict[str, int] = {}
+        self.unreported: dict[str, str] = {}
+        self.released: dict[str, set[str]] = {}
+        self.earlier_until = leases.NEVER
+        self.is_predecessor_gone = False
+
+
 class CoordinatorLoad:
     """How busy the coordinator was since its last line about that.
 
@@ -268,16 +336,46 @@
     Attributes:
       QUERYING: The candidates are asked for the ends of their logs.
       STEPPING_DOWN: The old primary is told to become a replica.
+      RECALLING: The leases on the old primary are recalled.
       CHOOSING: The new primary is chosen once a candidate has caught up.
       WRITING_ORDER: The order is being written to the store.
       ORDERED: The order was given and is not yet answered.
+      AWAITING_LEAD: The order was accepted; the server does not lead yet.
     """
 
     QUERYING = enum.auto()
     STEPPING_DOWN = enum.auto()
+    RECALLING = enum.auto()
     CHOOSING = enum.auto()
     WRITING_ORDER = enum.auto()
     ORDERED = enum.auto()
+    AWAITING_LEAD = enum.auto()
+
+
+class PrimaryWatch:
+    """What the coordinator knows about the primaries of the services.
+
+    Attributes:
+      changes: The changes of primary in progress, by service.
+      no_primary_since: Since when a service has no known primary.
+      unled_since: Since when the server that a service's newest order names is
+        not seen to act as primary.
+      unreachable_reports: By server and reporting instance, when it last
+        reported the server as unreachable, and since when the server is.
+    """
+
+    __slots__ = (
+        "changes",
+        "no_primary_since",
+        "unled_since",
+        "unreachable_reports",
+    )
+
+    def __init__(self) -> None:
+        self.changes: dict[str, PrimaryChange] = {}
+        self.no_primary_since: dict[str, float] = {}
+        self.unled_since: dict[str, float] = {}
+        self.unreachable_reports: dict[str, dict[str, tuple[float, float]]] = {}
 
 
 class PrimaryChange:
@@ -292,6 +390,7 @@
       queried_at: When the servers were last asked.
       step_deadline: The deadline of the step.
       is_fenced: Whether the old primary was told to step down.
+      is_recalling: Whether no lease on the old primary is granted any more.
       log_end: The end of its log, if it reported one then.
       target: The server to promote.
       refused_servers: The servers whose promotion was refused.
@@ -307,6 +406,7 @@
         "queried_at",
         "step_deadline",
         "is_fenced",
+        "is_recalling",
         "log_end",
         "target",
         "refused_servers",
@@ -322,6 +422,7 @@
         self.queried_at = now
         self.step_deadline = now
         self.is_fenced = False
+        self.is_recalling = False
         self.log_end: Position | None = None
         self.target = ""
         self.refused_servers: set[str] = set()
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -1,10 +1,13 @@
 """Tracks the backend servers of each database service and its primary.
 
 The primary is known from the servers' entries in the store and from their
-answers: a server that refuses to act as primary is believed at once.
+answers: a server that refuses to act as primary is believed at once. Where a
+replaced primary may go on to act as one, neither proves anything once an order
+was given; then the primary is the server that the newest order names.
 """
 
 from cuminwall import leases
+from cuminwall.direct import primary_leases
 from cuminwall.direct.catalog import ServerEntry
 from cuminwall.direct.effects import CloseConnection, Effect, Note
 from cuminwall.direct.servers_state import ConnectionStatus, Group, Server
@@ -102,17 +105,47 @@
     )
     group.primary = server
     if not server:
-        _expect_primary(state, group, state.limits.switchover_s)
+        primary_leases.expect_primary(state, group, state.limits.switchover_s)
     if server:
         group.primary_expected_at = None
         state.servers[server].not_primary_until = leases.NEVER
         state.unassigned.extend(group.waiting.drain())
 
 
+def record_order(
+    state: State, group: Group, server: str, order: int, out: list[Effect]
+) -> None:
+    """Records an order that made, or will make, a server the primary.
+
+    Args:
+      state: The state.
+      group: The group.
+      server: The server.
+      order: The store's revision of the order.
+      out: The effects.
+    """
+    if order <= group.order:
+        return
+    group.order = order
+    group.ordered_primary = server
+    if state.limits.are_primaries_fenced:
+        return
+    if group.lease.order < order:
+        primary_leases.drop(state, group, "a newer order", out)
+    if server in group.servers and not group.servers[server].is_gone:
+        set_primary(state, group, server, "the newest order", out)
+    else:
+        set_primary(state, group, "", "the newest order", out)
+
+
 def handle_not_primary(state: State, server: Server, out: list[Effect]) -> None:
     """Handles a server's answer that it is not the primary."""
-    server.not_primary_until = state.now + state.limits.unreachable_pause_s
     group = find(state, server.entry.service)
+    if not state.limits.are_primaries_fenced:
+        if group.lease.server == server.entry.server:
+            primary_leases.drop(state, group, "it refused to act", out)
+        return
+    server.not_primary_until = state.now + state.limits.unreachable_pause_s
     if group.primary == server.entry.server:
         set_primary(state, group, "", "it refused to act as primary", out)
 
@@ -125,6 +158,8 @@
     if group.primary == server.entry.server:
         group.primary_expected_at = None
         return
+    if not state.limits.are_primaries_fenced:
+        return
     if state.is_store_up and group.primary:
         return
     set_primary(state, group, server.entry.server, "it acted as primary", out)
@@ -152,7 +187,7 @@
     _mark_unreachable(state, server)
     group = find(state, server.entry.service)
     if group.primary == server.entry.server:
-        _expect_primary(state, group, state.limits.failover_s)
+        primary_leases.expect_primary(state, group, state.limits.failover_s)
     out.append(
         Note(
             PART,
@@ -210,12 +245,6 @@
     return state.now < server.unusable_since + state.limits.old_primary_grace_s
 
 
-def _expect_primary(state: State, group: Group, within_s: float) -> None:
-    """Sets by when a lost primary should be replaced, unless already set."""
-    if group.primary_expected_at is None:
-        group.primary_expected_at = state.now + within_s
-
-
 def handle_zone_change(
     state: State, zone: str, is_out: bool, out: list[Effect]
 ) -> None:
@@ -254,6 +283,10 @@
     """Updates the primary after a server's entry has changed."""
     entry = server.entry
     group = find(state, entry.service)
+    if group.order and not state.limits.are_primaries_fenced:
+        if group.ordered_primary == entry.server:
+            set_primary(state, group, entry.server, "the newest order", out)
+        return
     if entry.is_primary and entry.revision > group.primary_revision:
         group.primary_revision = entry.revision
         set_primary(state, group, entry.server, "its entry", out)
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -77,6 +77,7 @@
     lender.earlier_request_at[sender] = (
         state.now - request.since_earlier_request_s
     )
+    lender.supported_at[sender] = request.sent_no_earlier_than
     if not _may_lend(state, lender):
         return None
     holder = f"{sender}@{request.boot}"
@@ -100,6 +101,7 @@
         config_version=state.catalog.version,
         interval_s=_request_interval_s(state, lender),
         is_reported=lender.unreported.get(sender) != request.boot,
+        sent_at=state.now,
     )
 
 
@@ -216,8 +218,7 @@
         return True
     if state.now >= own_lease.valid_until + state.limits.lend_without_lease_s:
         return False
-    active_count = count_active_instances(state, MAJORITY_S)
-    return 2 * (active_count + 1) > len(state.members)
+    return 2 * count_supporters(state) > len(state.members)
 
 
 def _unreported_fraction(state: State, lender: Lender) -> float:
@@ -281,6 +282,30 @@
     return max(1.0, MAX_ASKS_PER_S / max(1.0, total_rate))
 
 
+def count_supporters(state: State) -> int:
+    """Returns how many instances, with this one, use no other lender."""
+    lender = state.lender
+    if lender is None:
+        return 0
+    count = 1
+    for instance, sent_at in lender.supported_at.items():
+        if instance == state.instance or instance not in state.members:
+            continue
+        if state.now - sent_at <= MAJORITY_S:
+            count += 1
+    return count
+
+
+def may_have_predecessor(state: State) -> bool:
+    """Returns whether an earlier coordinator may still have a majority."""
+    lender = state.lender
+    if lender is None:
+        return True
+    if state.now >= lender.started_at + state.limits.lend_without_lease_s:
+        return False
+    return not _has_free_majority(state, lender)
+
+
 def count_active_instances(state: State, within_s: float) -> int:
     """Returns how many other instances sent a request lately."""
     lender = state.lender
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -51,6 +51,12 @@
       primary_unreachable_s: How long a primary may be unreachable before it is
         replaced.
       inquiry_timeout_s: Timeout of an inquiry.
+      are_primaries_fenced: Whether a replaced primary refuses to act as one. If
+        not, instances use a primary only under a lease.
+      primary_lease_s: Duration of a lease on a primary. It outlasts a change of
+        coordinator; a failover waits for it when a holder can't be reached.
+      unled_order_s: How long a server that was ordered to be primary may not
+        act as one before another order is given.
       stale_config_s: How long a peer may report a newer configuration before
         the store is read again.
     """
@@ -87,6 +93,9 @@
     promotion_retry_s: float = 1.5
     primary_unreachable_s: float = 0.3
     inquiry_timeout_s: float = 0.5
+    are_primaries_fenced: bool = True
+    primary_lease_s: float = 3.0
+    unled_order_s: float = 2.0
     stale_config_s: float = 0.3
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -35,6 +35,8 @@
       is_shutting_down: Whether it is shutting down.
       since_earlier_request_s: How long ago it last sent a request to an
         earlier coordinator.
+      sent_no_earlier_than: A time on the coordinator's clock before which this
+        was certainly not sent, however long it was held up on its way.
     """
 
     number: int
@@ -46,6 +48,7 @@
     config_version: int
     is_shutting_down: bool
     since_earlier_request_s: float
+    sent_no_earlier_than: float
 
 
 class ShareReply(NamedTuple):
@@ -59,6 +62,7 @@
       interval_s: The minimum time between two requests of one instance.
       is_reported: Whether the coordinator knows all shares that the receiver
         holds.
+      sent_at: When the reply was sent, on the coordinator's clock.
     """
 
     number: int
@@ -67,6 +71,7 @@
     config_version: int
     interval_s: float
     is_reported: bool
+    sent_at: float
 
 
 class FindCoordinator(NamedTuple):
@@ -95,6 +100,109 @@
     revision: int
 
 
+class HeldLease(NamedTuple):
+    """A lease on a primary that the sender relies on.
+
+    Attributes:
+      service: The database service.
+      order: The order that made the server primary.
+    """
+
+    service: str
+    order: int
+
+
+class PrimaryLease(NamedTuple):
+    """A lease on the primary of a service.
+
+    Attributes:
+      service: The database service.
+      server: The primary.
+      order: The store's revision of the order that made it primary; 0 for the
+        first one.
+    """
+
+    service: str
+    server: str
+    order: int
+
+
+class PrimaryLeaseRequest(NamedTuple):
+    """An instance asks the coordinator for leases on all primaries.
+
+    Attributes:
+      number: The number of the request, rising within the sender's process.
+      boot: Identifies the sender's process.
+      epoch: The coordinator's epoch, as the sender knows it.
+      held: All leases that the sender relies on. It will not rely on any other
+        that was granted in reply to an earlier request.
+    """
+
+    number: int
+    boot: str
+    epoch: int
+    held: tuple[HeldLease, ...]
+
+
+class PrimaryLeaseReply(NamedTuple):
+    """The coordinator's reply to a `PrimaryLeaseRequest`.
+
+    Attributes:
+      number: The number of the request.
+      epoch: The coordinator's epoch.
+      duration_s: How long the leases are valid from when the request was sent.
+      leases: The leases.
+    """
+
+    number: int
+    epoch: int
+    duration_s: float
+    leases: tuple[PrimaryLease, ...]
+
+
+class PrimaryLeaseRecall(NamedTuple):
+    """The coordinator recalls a lease, to replace the primary.
+
+    Attributes:
+      epoch: The coordinator's epoch.
+      service: The database service.
+      order: The order that made the server primary.
+    """
+
+    epoch: int
+    service: str
+    order: int
+
+
+class PrimaryLeaseRelease(NamedTuple):
+    """An instance no longer relies on a lease.
+
+    Attributes:
+      number: The number of the sender's latest request; it ignores the lease
+        in replies up to that one.
+      boot: Identifies the sender's process.
+      epoch: The coordinator's epoch.
+      service: The database service.
+      order: The order that made the server primary.
+    """
+
+    number: int
+    boot: str
+    epoch: int
+    service: str
+    order: int
+
+
+class PrimaryLeaseOffer(NamedTuple):
+    """The coordinator tells that a service has a new primary to ask for.
+
+    Attributes:
+      epoch: The coordinator's epoch.
+    """
+
+    epoch: int
+
+
 TYPES: tuple[type, ...] = (
     ShareReport,
     ShareGrant,
@@ -103,5 +211,12 @@
     ShareReply,
     FindCoordinator,
     CoordinatorInfo,
+    HeldLease,
+    PrimaryLease,
+    PrimaryLeaseRequest,
+    PrimaryLeaseReply,
+    PrimaryLeaseRecall,
+    PrimaryLeaseRelease,
+    PrimaryLeaseOffer,
 )
 CODEC = codec.Codec(TYPES)
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -7,7 +7,13 @@
 that must see every commit go to the primary.
 """
 
-from cuminwall.direct import connections, groups, warmups, watermarks
+from cuminwall.direct import (
+    connections,
+    groups,
+    primary_leases,
+    warmups,
+    watermarks,
+)
 from cuminwall.direct.answers import Position
 from cuminwall.direct.callers_state import Operation
 from cuminwall.direct.catalog import Freshness
@@ -39,15 +45,16 @@
 ) -> Server | None:
     """Returns the primary, or the best guess while the store is unavailable.
 
-    Backend servers fence themselves, so trying one that is not the primary
-    costs only time. Other servers than the known primary are tried only while
-    the store does not answer.
+    Where servers fence themselves, trying one that is not the primary costs
+    only time. Other servers than the known primary are tried only while the
+    store does not answer. Elsewhere a lease names the only server to use.
     """
     server = group.servers.get(group.primary)
     if server is not None and _may_act_as_primary(state, server):
-        if groups.may_serve_as_primary(state, server):
+        is_held = primary_leases.is_held(state, group, server)
+        if is_held and groups.may_serve_as_primary(state, server):
             return server
-    if state.is_store_up:
+    if state.is_store_up or not state.limits.are_primaries_fenced:
         return None
     for server in group.servers.values():
         if not _may_act_as_primary(state, server):
@@ -110,7 +117,10 @@
         if best is None or weight < best_weight:
             best = server
             best_weight = weight
-    if best is not None and best.entry.server != group.primary:
+    if best is None:
+        return None
+    is_primary = best.entry.server == group.primary
+    if not is_primary or not primary_leases.is_held(state, group, best):
         operation.min_position = min_position
     return best
 
--- a/src/cuminwall/direct/ports.py
+++ b/src/cuminwall/direct/ports.py
@@ -4,7 +4,7 @@
 """
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from cuminwall import exceptions
@@ -148,10 +148,17 @@
     """The platform's interface for promoting a server to primary."""
 
     async def promote(
-        self, holder: str, service: str, server: str, fencing_token: int
+        self,
+        holder: str,
+        service: str,
+        server: str,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> PromotionOutcome:
         """Orders that a server becomes the primary of its service.
 
+        The order is not sent if `may_send` is false at the last moment.
+
         Raises:
           exceptions.StoreUnavailableError: No usable answer came; the order
             may still be carried out.
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -5,7 +5,7 @@
 once.
 """
 
-from cuminwall import buckets, shares
+from cuminwall import buckets, leases, shares
 from cuminwall.direct import (
     coordination,
     lender,
@@ -257,6 +257,7 @@
         config_version=state.catalog.version,
         is_shutting_down=state.is_shutting_down,
         since_earlier_request_s=_record_request(state, coordinator.epoch),
+        sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
     )
     if coordinator.instance != state.instance:
         out.append(SendToPeer(coordinator.instance, message))
@@ -314,6 +315,19 @@
     return max(0.0, state.now - discovery.earlier_request_at)
 
 
+def _earliest_send_time(state: State, epoch: int) -> float:
+    """Returns a time on a coordinator's clock that is certainly past now.
+
+    It is when the coordinator sent its latest reply, and the time since that
+    came.
+    """
+    discovery = state.discovery
+    if discovery.last_reply_epoch != epoch:
+        return leases.NEVER
+    since_s = state.now - discovery.last_reply_at
+    return leases.holder_expiry(discovery.last_reply_sent_at, since_s)
+
+
 def handle_share_reply(
     state: State, reply: messages.ShareReply, out: list[Effect]
 ) -> None:
@@ -321,7 +335,10 @@
     coordinator = state.coordinator
     if coordinator is None or coordinator.epoch != reply.epoch:
         return
-    state.discovery.last_reply_at = state.now
+    discovery = state.discovery
+    discovery.last_reply_at = state.now
+    discovery.last_reply_epoch = reply.epoch
+    discovery.last_reply_sent_at = reply.sent_at
     pacing = state.request_pacing
     pacing.interval_s = reply.interval_s
     if reply.is_reported:
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -16,6 +16,8 @@
     failover,
     groups,
     inquiries,
+    lease_grants,
+    lease_requests,
     lender,
     membership,
     messages,
@@ -217,6 +219,10 @@
             state, event.value, event.revision, out
         )
         quotas.handle_new_coordinator(state, out)
+        lease_requests.handle_new_coordinator(state, out)
+    elif event.name.startswith(failover.ORDER_PREFIX):
+        service = event.name.removeprefix(failover.ORDER_PREFIX)
+        failover.handle_order(state, service, event.value, event.revision, out)
 
 
 @handle.register
@@ -284,6 +290,72 @@
             state, event.sender, event.message, out
         ):
             quotas.handle_new_coordinator(state, out)
+            lease_requests.handle_new_coordinator(state, out)
+    else:
+        _handle_lease_message(event.message, event.sender, state, out)
+
+
+@functools.singledispatch
+def _handle_lease_message(
+    message: Any, sender: str, state: State, out: list[Effect]
+) -> None:
+    """Handles a peer's message about leases on primaries."""
+    fields = {"peer": sender, "type": type(message).__name__}
+    out.append(Note("fleet", "unexpected_message", fields))
+
+
+@_handle_lease_message.register
+def _(
+    message: messages.PrimaryLeaseRequest,
+    sender: str,
+    state: State,
+    out: list[Effect],
+) -> None:
+    reply = lease_grants.handle_request(state, sender, message)
+    if reply is not None:
+        out.append(SendToPeer(sender, reply))
+
+
+@_handle_lease_message.register
+def _(
+    message: messages.PrimaryLeaseReply,
+    sender: str,
+    state: State,
+    out: list[Effect],
+) -> None:
+    lease_requests.handle_reply(state, message, out)
+
+
+@_handle_lease_message.register
+def _(
+    message: messages.PrimaryLeaseRecall,
+    sender: str,
+    state: State,
+    out: list[Effect],
+) -> None:
+    lease_requests.handle_recall(state, sender, message, out)
+
+
+@_handle_lease_message.register
+def _(
+    message: messages.PrimaryLeaseRelease,
+    sender: str,
+    state: State,
+    out: list[Effect],
+) -> None:
+    lease_grants.handle_release(state, sender, message)
+
+
+@_handle_lease_message.register
+def _(
+    message: messages.PrimaryLeaseOffer,
+    sender: str,
+    state: State,
+    out: list[Effect],
+) -> None:
+    if state.coordinator is not None:
+        if state.coordinator.epoch == message.epoch:
+            lease_requests.handle_new_coordinator(state, out)
 
 
 @handle.register
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -10,6 +10,7 @@
     dispatch,
     groups,
     operations,
+    primary_leases,
     statements,
     watermarks,
 )
@@ -85,6 +86,10 @@
         _handle_not_run(state, connection, operation, failure, out)
         return
     if failure is None and operation.writes:
+        if not _may_acknowledge(state, connection, operation):
+            _release(state, connection, answer, out)
+            _finish_unacknowledged(state, operation, out)
+            return
         _record_write(state, connection, operation, answer, out)
     _release(state, connection, answer, out)
     operations.finish(state, operation, answer._replace(phase=Phase.IDLE), out)
@@ -144,6 +149,10 @@
 ) -> None:
     """Handles the answer to a COMMIT."""
     if answer.failure is None and transaction.wrote:
+        if not _may_acknowledge(state, connection, operation):
+            connections.close(state, connection, out)
+            _finish_unacknowledged(state, operation, out)
+            return
         _record_write(state, connection, operation, answer, out)
     if answer.failure is not None:
         if answer.failure.reason is Reason.NOT_PRIMARY:
@@ -155,6 +164,29 @@
     operations.finish(state, operation, answer._replace(phase=Phase.IDLE), out)
 
 
+def _may_acknowledge(
+    state: State, connection: Connection, operation: Operation
+) -> bool:
+    """Returns whether the server was surely the primary when it wrote."""
+    group = groups.find(state, operation.route.service)
+    return primary_leases.is_still_held(
+        state, group, connection.server, operation.primary_order
+    )
+
+
+def _finish_unacknowledged(
+    state: State, operation: Operation, out: list[Effect]
+) -> None:
+    """Answers a write whose server may have been replaced meanwhile."""
+    operations.finish_failed(
+        state,
+        operation,
+        Reason.OUTCOME_UNKNOWN,
+        "the lease on the primary ended before its answer",
+        out,
+    )
+
+
 def _record_write(
     state: State,
     connection: Connection,
@@ -177,6 +209,8 @@
     """Records the position and role shown by an answer of the primary."""
     server = connection.server
     group = groups.find(state, server.entry.service)
+    if not primary_leases.is_held(state, group, server):
+        return
     watermarks.record(state, group, connection.last_sent_at, answer.position)
     groups.handle_primary_confirmed(state, server, out)
 
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -197,6 +197,34 @@
         self.status_alive = True
 
 
+class PrimaryLease:
+    """This instance's lease on the primary of a service.
+
+    Attributes:
+      server: The primary.
+      order: The order that made it primary.
+      until: When the lease expires.
+      has_expired: Whether it has expired without being renewed or recalled.
+      ignored_up_to_request: Replies to requests up to this number don't renew
+        it.
+    """
+
+    __slots__ = (
+        "server",
+        "order",
+        "until",
+        "has_expired",
+        "ignored_up_to_request",
+    )
+
+    def __init__(self) -> None:
+        self.server = ""
+        self.order = 0
+        self.until = leases.NEVER
+        self.has_expired = False
+        self.ignored_up_to_request = 0
+
+
 class Group:
     """The servers of one database service.
 
@@ -206,6 +234,10 @@
       primary: The id of the primary, or "" if it is unknown.
       primary_revision: The store's revision of the newest entry that named a
         primary.
+      order: The store's revision of the newest known order that named a
+        primary; 0 if none was ever given.
+      ordered_primary: The server that it named, or "".
+      lease: This instance's lease on the primary, where it needs one.
       primary_expected_at: By when a new primary is expected, or None.
       watermarks: Watermarks, oldest first.
       waiting: The operations that wait for a primary.
@@ -216,6 +248,9 @@
         "servers",
         "primary",
         "primary_revision",
+        "order",
+        "ordered_primary",
+        "lease",
         "primary_expected_at",
         "watermarks",
         "waiting",
@@ -226,6 +261,9 @@
         self.servers: dict[str, Server] = {}
         self.primary = ""
         self.primary_revision = 0
+        self.order = 0
+        self.ordered_primary = ""
+        self.lease = PrimaryLease()
         self.primary_expected_at: float | None = None
         self.watermarks: deque[Watermark] = deque()
         self.waiting: wait_queue.WaitQueue[Operation] = wait_queue.WaitQueue()
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -12,7 +12,9 @@
 from cuminwall.direct import (
     connections,
     dispatch,
+    groups,
     operations,
+    primary_leases,
     quotas,
     statements,
 )
@@ -427,6 +429,15 @@
             reason = Reason.ROLLED_BACK
         _fail(session, reason, failure.detail, statement, state, out)
         return
+    if transaction is not None and _has_lost_primary(
+        state, transaction, statement, writes
+    ):
+        _roll_back(state, transaction, out)
+        if isinstance(statement, statements.Commit):
+            session.transaction = None
+        cause = "the lease on the primary has ended"
+        _fail(session, Reason.ROLLED_BACK, cause, statement, state, out)
+        return
     operation = operations.make(state, session, statement, writes)
     if transaction is not None and transaction.connection is not None:
         dispatch.send_statement(state, operation, transaction.connection, out)
@@ -434,6 +445,21 @@
     quotas.admit(state, operation, out)
 
 
+def _has_lost_primary(
+    state: State, transaction: Transaction, statement: Any, writes: bool
+) -> bool:
+    """Returns whether a write's transaction is at a former primary."""
+    connection = transaction.connection
+    if connection is None or not transaction.requires_primary:
+        return False
+    if isinstance(statement, statements.Commit):
+        writes = transaction.wrote
+    group = groups.find(state, transaction.route.service)
+    return writes and not primary_leases.is_held(
+        state, group, connection.server
+    )
+
+
 def _applies_now(session: Session, failure: Failure) -> bool:
     """Returns whether a denial applies to a session's next statement.
 
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -17,9 +17,11 @@
     CoordinatorDiscovery,
     CoordinatorLease,
     CoordinatorLoad,
+    LeaseGrants,
     Lender,
     Member,
-    PrimaryChange,
+    PrimaryLeaseRequests,
+    PrimaryWatch,
     RequestPacing,
     TokenRate,
 )
@@ -54,6 +56,7 @@
     MEMBERSHIP = enum.auto()
     COORDINATOR = enum.auto()
     QUOTAS = enum.auto()
+    PRIMARY_LEASES = enum.auto()
     FAILOVER = enum.auto()
     SHUTDOWN = enum.auto()
 
@@ -118,11 +121,11 @@
       epoch: The highest epoch that was read from the store.
       own_lease: This instance's own lease as coordinator.
       lender: The shares that it lends as coordinator, or None.
+      lease_grants: The leases on primaries that it has granted as coordinator,
+        or None.
+      lease_request: Its own requests for leases on primaries.
       coordinator_load: How busy it is as coordinator.
-      primary_changes: The primary changes in progress, by service.
-      no_primary_since: Since when a service has no known primary.
-      unreachable_reports: By server and reporting instance, when it last
-        reported the server as unreachable, and since when the server is.
+      primary_watch: What it knows about the primaries as coordinator.
       inquiries: Commands of the coordinator to servers, by number.
       next_request_at: When the next regular request to the coordinator is due.
       request_pacing: When further requests to it may be sent.
@@ -177,10 +180,10 @@
         self.epoch = 0
         self.own_lease = CoordinatorLease()
         self.lender: Lender | None = None
+        self.lease_grants: LeaseGrants | None = None
+        self.lease_request = PrimaryLeaseRequests()
         self.coordinator_load = CoordinatorLoad(0.0)
-        self.primary_changes: dict[str, PrimaryChange] = {}
-        self.no_primary_since: dict[str, float] = {}
-        self.unreachable_reports: dict[str, dict[str, tuple[float, float]]] = {}
+        self.primary_watch = PrimaryWatch()
         self.inquiries: dict[int, Inquiry] = {}
         self.next_request_at = leases.NEVER
         self.request_pacing = RequestPacing()
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -7,6 +7,8 @@
     coordination,
     failover,
     inquiries,
+    lease_grants,
+    lease_requests,
     lender,
     membership,
     quotas,
@@ -49,6 +51,11 @@
     quotas.send_due_requests(state, out)
 
 
+def _primary_leases(state: State, key: Any, out: list[Effect]) -> None:
+    del key
+    lease_requests.handle_timer(state, out)
+
+
 def _membership(state: State, key: Any, out: list[Effect]) -> None:
     del key
     membership.register(state, out)
@@ -65,6 +72,7 @@
     state.set_timer(state.now + failover.TICK_S, TimerKind.FAILOVER, key)
     workload.report(state, out)
     if coordination.is_coordinator(state):
+        lease_grants.update(state)
         failover.tick(state, out)
         lender.update_recovery(state, out)
         lender.remove_silent_instances(state, out)
@@ -85,6 +93,7 @@
     TimerKind.MEMBERSHIP: _membership,
     TimerKind.COORDINATOR: _coordinator,
     TimerKind.QUOTAS: _quotas,
+    TimerKind.PRIMARY_LEASES: _primary_leases,
     TimerKind.FAILOVER: _failover,
     TimerKind.SHUTDOWN: _shutdown,
 }
--- a/src/cuminwall/exceptions.py
+++ b/src/cuminwall/exceptions.py
@@ -17,6 +17,10 @@
     """A connection ended while an answer was awaited."""
 
 
+class NotSentError(CuminwallError):
+    """A call was not sent, since its reason had lapsed by then."""
+
+
 class AnswerTimeoutError(CuminwallError):
     """An answer did not arrive before its deadline."""
 
--- a/src/cuminwall/leases.py
+++ b/src/cuminwall/leases.py
@@ -6,8 +6,6 @@
 never treats a lease as expired while its holder still relies on it.
 """
 
-from typing import NamedTuple
-
 MAX_CLOCK_DRIFT = (
     0.02  # Fraction by which two clocks may run at different rates.
 )
@@ -16,19 +14,6 @@
 NEVER = float("-inf")
 
 
-class Lease(NamedTuple):
-    """A lease as recorded by its lender.
-
-    Attributes:
-      holder: The instance that holds it.
-      expires_at: When it has expired for certain, in seconds of the lender's
-        clock.
-    """
-
-    holder: str
-    expires_at: float
-
-
 def holder_expiry(requested_at: float, duration_s: float) -> float:
     """Returns when a lease expires for its holder, on the holder's clock.
 
@@ -42,3 +27,17 @@
 def lender_expiry(granted_at: float, duration_s: float) -> float:
     """Returns when the lender may treat a lease as expired."""
     return granted_at + duration_s * (1 + MAX_CLOCK_DRIFT) + MARGIN_S
+
+
+def has_unexpired(expiries: dict[str, float], now: float) -> bool:
+    """Returns whether some holder may still rely on its lease.
+
+    Args:
+      expiries: When the lease of each holder has expired for certain, by
+        `lender_expiry`; expired ones are removed.
+      now: The lender's time.
+    """
+    for holder, expires_at in list(expiries.items()):
+        if now >= expires_at:
+            del expiries[holder]
+    return bool(expiries)
--- a/src/cuminwall/managed_groups.py
+++ b/src/cuminwall/managed_groups.py
@@ -104,10 +104,7 @@
     """Returns whether some home may still rely on a write lease."""
     if state.now < stewardship.earlier_leases_until:
         return True
-    for holder, expires_at in list(managed_group.lease_expiries.items()):
-        if state.now >= expires_at:
-            del managed_group.lease_expiries[holder]
-    return bool(managed_group.lease_expiries)
+    return leases.has_unexpired(managed_group.lease_expiries, state.now)
 
 
 def fresh_reports(
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -80,10 +80,20 @@
         timeout_s: float,
         headers: tuple[tuple[str, str], ...] = (),
         body: bytes = b"",
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Response:
         """Returns the answer to one call, whatever its status.
 
+        Args:
+          method: The method.
+          path: The path, with its query.
+          timeout_s: Timeout of the whole call, in seconds.
+          headers: The headers besides those of the connection and the body.
+          body: The body, as JSON.
+          may_send: Tells, once there is a connection, whether to send the call.
+
         Raises:
+          exceptions.NotSentError: `may_send` returned false.
           exceptions.AnswerTimeoutError: No complete answer arrived in time.
           exceptions.ConnectionLostError: The connection failed.
         """
@@ -99,6 +109,8 @@
                 connection = self.idle.pop() if self.idle else None
                 if connection is None:
                     connection = await _connect(self.host, self.port)
+                if not may_send():
+                    raise exceptions.NotSentError(path)
                 response = await connection.run(request, body)
         except TimeoutError as error:
             _abort(connection)
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -438,7 +438,16 @@
         """Performs an effect."""
         handler = _PERFORMERS.get(type(effect))
         if handler is not None:
-            handler(self, instance, effect)
+            getattr(self, handler.__name__)(instance, effect)
+
+    def record_run(self, server: FakeServer, request: str) -> None:
+        """Records that a server runs a caller's statement."""
+
+    def record_commit(self, server: FakeServer, requests: list[str]) -> None:
+        """Adds commits to the logs of all servers."""
+        for request in requests:
+            for other in self.servers.values():
+                other.log.append((self.now, request, server.term))
 
     def _publish(self, instance: Instance, event: Any) -> None:
         """Delivers a change of the store to an instance."""
@@ -751,12 +760,11 @@
     if not server.is_primary and _needs_primary(link, is_write, is_commit):
         return _fail(world, link, Reason.NOT_PRIMARY)
     server.statements_run.append((statement.request, statement.text, world.now))
+    world.record_run(server, statement.request)
     if is_write:
         link.writes.append(statement.request)
     if is_commit or link.phase is Phase.IDLE:
-        for request in link.writes:
-            for other in world.servers.values():
-                other.log.append((world.now, request, server.term))
+        world.record_commit(server, link.writes)
         link.writes = []
         link.phase = Phase.IDLE
         link.read_only = False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -325,12 +325,12 @@
 
     async def test_promote(self) -> None:
         self.answers = [(200, {}), (409, {}), (503, {})]
-        done = await self.provider.promote("a", "s", "i-7", 4)
-        refused = await self.provider.promote("a", "s", "i-7", 4)
+        done = await self.provider.promote("a", "s", "i-7", 4, lambda: True)
+        refused = await self.provider.promote("a", "s", "i-7", 4, lambda: True)
         self.assertTrue(done.is_done)
         self.assertTrue(refused.is_refused)
         with self.assertRaises(exceptions.StoreUnavailableError):
-            await self.provider.promote("a", "s", "i-7", 4)
+            await self.provider.promote("a", "s", "i-7", 4, lambda: True)
 
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
