Go on after an error in one event; serve callers until a shutdown is known

Two could happen here: - An exception in the reducer or in an effect left no timer set and lost the other due timers and queued events; an instance without further events stood still. Now an error is logged with its place and counted, timers stay set until their turn. tests.test_direct_engine failed before. - A shutdown with few sessions ended the process after 1.0 s, while the platform still sends callers for up to two of its questions; callers of the last 0.1 s were accepted and cut off.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -81,9 +81,9 @@
         out.append(Note(PART, "coordinator_ended", fields))
         coordinator = None
     if coordinator is None and (
-        state.coordinator or state.no_coordinator_since is None
+        state.coordinator or state.discovery.no_coordinator_since is None
     ):
-        state.no_coordinator_since = state.now
+        state.discovery.no_coordinator_since = state.now
     state.coordinator = coordinator
     own_lease = state.own_lease
     is_own = (
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -8,6 +8,7 @@
 import collections
 import functools
 import time
+import traceback
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -29,6 +30,7 @@
 
 PART = "engine"
 
+MAX_FRAMES = 4  # Calls named in the log line of an error.
 RERUN_S = 0.5  # Pause before a failed task is run again.
 
 
@@ -91,12 +93,22 @@
         self.is_running = True
         try:
             while self.queue:
-                next_event = self.queue.popleft()
-                for effect in reducer.reduce(self.state, next_event):
-                    perform(effect, self)
+                self._run(self.queue.popleft())
         finally:
             self.is_running = False
-        self._set_timer()
+            self._set_timer()
+
+    def _run(self, event: events.Event) -> None:
+        """Handles one event; an error in it must not stop the others."""
+        try:
+            for effect in reducer.reduce(self.state, event):
+                perform(effect, self)
+        except Exception as error:
+            name = type(event).__name__
+            place = _find_place(error)
+            logger.error("{}: {} failed: {!r} {}", PART, name, error, place)
+            if self.meters is not None:
+                self.meters.count_decision(PART, "event_failed")
 
     def start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine as a background task."""
@@ -228,6 +240,12 @@
         self.journal.add(PART, "call_failed", fields)
 
 
+def _find_place(error: Exception) -> str:
+    """Returns the innermost calls that led to an error, for one log line."""
+    frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
+    return " > ".join(f"{frame.name}:{frame.lineno}" for frame in frames)
+
+
 @functools.singledispatch
 def perform(effect: Any, engine: Engine) -> None:
     """Performs one effect."""
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -50,6 +50,7 @@
 
     Attributes:
       claimed: The coordinator by the newest known value, or None.
+      no_coordinator_since: Since when there is none, if so.
       newest_revision: The highest revision of such a value that was ever seen.
       last_reply_at: When the coordinator last replied to a request.
       query_count: How many times a peer was asked who coordinates.
@@ -64,6 +65,7 @@
 
     __slots__ = (
         "claimed",
+        "no_coordinator_since",
         "newest_revision",
         "last_reply_at",
         "query_count",
@@ -76,6 +78,7 @@
 
     def __init__(self) -> None:
         self.claimed: Coordinator | None = None
+        self.no_coordinator_since: float | None = None
         self.newest_revision = 0
         self.last_reply_at = leases.NEVER
         self.query_count = 0
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -424,7 +424,7 @@
     share = bucket.share
     rate, _ = shares.usable(share, state.now)
     if state.coordinator is None and rate <= 0:
-        since = state.no_coordinator_since
+        since = state.discovery.no_coordinator_since
         return since is not None and state.now - since > NEW_COORDINATOR_S
     if bucket.is_scarce and _is_queue_too_long(state, bucket):
         return True
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -365,14 +365,15 @@
 
 @handle.register
 def _(event: events.TimersDue, state: State, out: list[Effect]) -> None:
-    due = []
     if state.timers and state.timers[0].due_at <= state.now:
         workload.record_timer_delay(state, state.timers[0].due_at)
     # A timer that a handler sets for a time in the past fires with the next
-    # event.
+    # event. Each stays set until its turn, in case handling one fails.
+    last_order = state.last_number
     while state.timers and state.timers[0].due_at <= state.now:
-        due.append(heapq.heappop(state.timers))
-    for timer in due:
+        if state.timers[0].order > last_order:
+            return
+        timer = heapq.heappop(state.timers)
         timers.handle_timer(state, timer, out)
         run_unblocked(state, out)
 
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -47,6 +47,11 @@
     session = Session(number, database, key, "")
     session.last_active_at = state.now
     state.sessions[number] = session
+    if state.is_exiting:
+        # Its statements would be cut off without an answer.
+        failure = Failure(Reason.OVERLOADED, "this instance shuts down")
+        _reject(state, session, failure, out)
+        return
     if state.catalog.version < 0:
         state.awaiting_config.append(session)
         state.set_timer(
--- a/src/cuminwall/direct/shutdown.py
+++ b/src/cuminwall/direct/shutdown.py
@@ -13,7 +13,8 @@
 
 PART = "shutdown"
 
-NOT_READY_S = 1.0  # Lets the platform see twice that it is not ready.
+# The platform asks once a second and stops sending callers after two refusals.
+NOT_READY_S = 2.2
 # Fractions of the grace period, by which all idle sessions are closed, open
 # transactions are ended, and the process ends in any case.
 IDLE_FRACTION = 0.45
@@ -56,6 +57,7 @@
     state: State, outcome: str, passed_s: float, out: list[Effect]
 ) -> None:
     """Gives the shares back, removes the instance's record and ends."""
+    state.is_exiting = True
     fields = {"after_s": round(passed_s, 3), "sessions": len(state.sessions)}
     out.append(Note(PART, outcome, fields))
     quotas.release_all(state, out)
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -117,7 +117,6 @@
       pending_swaps: The unanswered compare-and-swaps, by number.
       discovery: What this instance has learned of who coordinates.
       coordinator: The coordinator, or None.
-      no_coordinator_since: Since when there is no coordinator, if so.
       epoch: The highest epoch that was read from the store.
       own_lease: This instance's own lease as coordinator.
       lender: The shares that it lends as coordinator, or None.
@@ -139,6 +138,7 @@
       snapshot_count: How many times the whole store was read.
       last_number: The last number that `next_number` returned.
       is_shutting_down: Whether this instance is shutting down.
+      is_exiting: Whether the process is about to end.
     """
 
     def __init__(
@@ -176,7 +176,6 @@
         self.pending_swaps: dict[int, PendingSwap] = {}
         self.discovery = CoordinatorDiscovery()
         self.coordinator: Coordinator | None = None
-        self.no_coordinator_since: float | None = None
         self.epoch = 0
         self.own_lease = CoordinatorLease()
         self.lender: Lender | None = None
@@ -197,6 +196,7 @@
         self.snapshot_count = 0
         self.last_number = 0
         self.is_shutting_down = False
+        self.is_exiting = False
 
     def next_number(self) -> int:
         """Returns a number that is unique within this process."""
--- /dev/null
+++ b/tests/test_direct_engine.py
@@ -0,0 +1,67 @@
+"""Tests that an error in one event does not stop the engine of an instance."""
+
+import asyncio
+import unittest
+from typing import Any, cast
+from unittest import mock
+
+from cuminwall.direct import engine, events, journal, state
+from cuminwall.direct.state import TimerKind
+
+
+class ErrorTest(unittest.IsolatedAsyncioTestCase):
+    """One event can't be handled."""
+
+    def make_engine(self) -> engine.Engine:
+        nothing = cast(Any, None)
+        return engine.Engine(
+            state.State("a", "z"),
+            nothing,
+            nothing,
+            nothing,
+            nothing,
+            journal.Journal("a", call_later=lambda *_: None),
+            None,
+        )
+
+    async def test_the_next_event_is_handled(self) -> None:
+        made = self.make_engine()
+        with mock.patch.object(engine.logger, "error") as logged:
+            made.handle_event(cast(Any, events.PromotionOutcome(True, False)))
+            made.handle_event(
+                events.StoreStatusReported(engine.boot_clock(), True, "")
+            )
+        self.assertTrue(made.state.is_store_up)
+        logged.assert_called_once()
+
+    async def test_a_malformed_peer_message_is_survived(self) -> None:
+        made = self.make_engine()
+        message = events.PeerMessageReceived(engine.boot_clock(), "b", object())
+        made.handle_event(message)
+        made.handle_event(
+            events.StoreStatusReported(engine.boot_clock(), True, "")
+        )
+        self.assertTrue(made.state.is_store_up)
+
+    async def test_other_timers_fire(self) -> None:
+        made = self.make_engine()
+        fired = asyncio.Event()
+        calls: list[TimerKind] = []
+
+        def handle(state_: Any, timer: Any, out: Any) -> None:
+            calls.append(timer.kind)
+            if timer.kind is TimerKind.TOKENS:
+                raise RuntimeError("test")
+            fired.set()
+
+        now = engine.boot_clock()
+        made.state.set_timer(now, TimerKind.TOKENS)
+        made.state.set_timer(now, TimerKind.QUOTAS)
+        with mock.patch("cuminwall.direct.timers.handle_timer", handle):
+            made.handle_event(events.TimersDue(now))
+            await asyncio.wait_for(fired.wait(), 1.0)
+        self.assertEqual(calls, [TimerKind.TOKENS, TimerKind.QUOTAS])
+
+
+if __name__ == "__main__":
+    unittest.main()
