Order no other primary while an order may be carried out late

Mend: an order without an answer may be carried out for 7 s (the platform's late calls take up to 6 s); in that time only its own server is ordered again. An answer is noted in the store for later coordinators. Reports from before a server led count from then, also where servers fence themselves. Ruled out: shorter repeats (the late one comes anyway).

--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -14,6 +14,7 @@
 import json
 from typing import Any
 
+from cuminwall import leases
 from cuminwall.direct import groups, inquiries, lease_grants, lender
 from cuminwall.direct.answers import Position
 from cuminwall.direct.effects import Effect, Note, Promote
@@ -29,6 +30,7 @@
 PART = "failover"
 
 ORDER_PREFIX = "orders/"
+SETTLED_PREFIX = "settled/"
 TICK_S = 0.1  # Between checks of the services and their primary changes.
 REPORT_AGE_S = 1.5  # How long an instance's report counts.
 MIN_REPORTERS = 2  # Fewer if there are fewer instances.
@@ -43,6 +45,7 @@
     state.primary_watch.changes.clear()
     state.primary_watch.no_primary_since.clear()
     state.primary_watch.unled_since.clear()
+    state.primary_watch.led_since.clear()
 
 
 def stop(state: State, out: list[Effect]) -> None:
@@ -144,6 +147,8 @@
     group = state.groups.get(service)
     if outcome.is_done and group is not None and server in group.servers:
         groups.set_primary(state, group, server, "promoted", out)
+    if outcome.is_done or outcome.is_refused:
+        _settle_order(state, service, fencing_token, out)
     change = state.primary_watch.changes.get(service)
     if change is None or change.fencing_token != fencing_token:
         return
@@ -162,11 +167,42 @@
         change.step_deadline = state.now
 
 
+def _settle_order(
+    state: State, service: str, order: int, out: list[Effect]
+) -> None:
+    """Lets later coordinators know that no order can be carried out late."""
+    if state.limits.are_primaries_fenced:
+        return
+    group = groups.find(state, service)
+    if not groups.settle_order(state, group, order):
+        return
+    name = SETTLED_PREFIX + service
+    state.compare_and_swap(
+        SwapPurpose.SETTLE,
+        {name: state.shared_revisions.get(name, 0)},
+        {name: str(order).encode()},
+        frozenset(),
+        0,
+        out,
+    )
+
+
+def handle_settled(state: State, service: str, value: bytes | None) -> None:
+    """Handles the note in the store that the orders up to one were answered."""
+    if value is None or not value.isdigit():
+        return
+    group = groups.find(state, service)
+    if int(value) == group.order:
+        group.order_pending_until = leases.NEVER
+        group.earlier_pending_until = leases.NEVER
+
+
 def _finish(state: State, change: PrimaryChange, out: list[Effect]) -> None:
     """Ends a change whose server leads, or will at once."""
     _log(state, change, "done", {}, out)
     watch = state.primary_watch
     del watch.changes[change.service]
+    watch.led_since[change.service] = state.now
     watch.no_primary_since.pop(change.service, None)
     watch.unled_since.pop(change.service, None)
     lease_grants.offer(state, change.service, out)
@@ -185,10 +221,13 @@
             return ""
         return "no primary"
     state.primary_watch.no_primary_since.pop(group.service, None)
-    if not groups.is_usable(state, primary):
-        return _planned_cause(state, group, primary)
     if _is_unled(state, group, primary, out):
         return UNLED
+    if _pending_target(state, group):
+        # An order that is carried out late would undo the change.
+        return ""
+    if not groups.is_usable(state, primary):
+        return _planned_cause(state, group, primary)
     return _unreachable_cause(state, group, primary, out)
 
 
@@ -231,7 +270,9 @@
     if primary.unreachable_since is not None:
         reports[state.instance] = (state.now, primary.unreachable_since)
     reporters = 0
-    for reported_at, unreachable_since in reports.values():
+    led_since = state.primary_watch.led_since.get(group.service, leases.NEVER)
+    for reported_at, since in reports.values():
+        unreachable_since = max(since, led_since)
         if state.now - reported_at > REPORT_AGE_S:
             continue
         if state.now - unreachable_since >= state.limits.primary_unreachable_s:
@@ -536,38 +577,37 @@
     server, so the same server is ordered again.
     """
     best = None
-    best_rank: tuple[bool, bool, Position, bool] | None = None
+    best_rank: tuple[bool, Position, bool] | None = None
+    pending = _pending_target(state, group)
     for server in group.servers.values():
         if not _is_candidate(state, group, server) or server.status is None:
             continue
-        if server.entry.server in change.refused_servers:
+        name = server.entry.server
+        if name in change.refused_servers:
+            continue
+        if pending not in ("", name) and pending not in change.refused_servers:
             continue
         if state.now - server.status_at > 4 * state.limits.inquiry_timeout_s:
             continue
         is_warm = server.entry.cold_s <= 0
         is_near = server.entry.zone == state.zone
-        rank = (
-            _is_order_pending(state, change, server),
-            is_warm,
-            server.status.position,
-            is_near,
-        )
+        rank = (is_warm, server.status.position, is_near)
         if best_rank is None or rank > best_rank:
             best = server
             best_rank = rank
     return best
 
 
-def _is_order_pending(
-    state: State, change: PrimaryChange, server: Server
-) -> bool:
-    """Returns whether a server is named by an order that may be under way."""
+def _pending_target(state: State, group: Group) -> str:
+    """Returns the server that an order may yet make primary, or ""."""
     if state.limits.are_primaries_fenced:
-        return False
-    ordered = change.old_primary if change.cause == UNLED else ""
-    if change.fencing_token:
-        ordered = change.target
-    return server.entry.server == ordered
+        return ""
+    if not groups.is_order_pending(state, group):
+        return ""
+    server = group.servers.get(group.ordered_primary)
+    if server is None or server.is_gone:
+        return ""
+    return group.ordered_primary
 
 
 def _log(
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -363,6 +363,8 @@
       no_primary_since: Since when a service has no known primary.
       unled_since: Since when the server that a service's newest order names is
         not seen to act as primary.
+      led_since: When each service's last change ended; reports that its primary
+        was unreachable before count from then.
       unreachable_reports: By server and reporting instance, when it last
         reported the server as unreachable, and since when the server is.
     """
@@ -371,6 +373,7 @@
         "changes",
         "no_primary_since",
         "unled_since",
+        "led_since",
         "unreachable_reports",
     )
 
@@ -378,6 +381,7 @@
         self.changes: dict[str, PrimaryChange] = {}
         self.no_primary_since: dict[str, float] = {}
         self.unled_since: dict[str, float] = {}
+        self.led_since: dict[str, float] = {}
         self.unreachable_reports: dict[str, dict[str, tuple[float, float]]] = {}
 
 
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -128,6 +128,10 @@
         return
     group.order = order
     group.ordered_primary = server
+    group.earlier_pending_until = max(
+        group.earlier_pending_until, group.order_pending_until
+    )
+    group.order_pending_until = state.now + state.limits.late_order_s
     if state.limits.are_primaries_fenced:
         return
     if group.lease.order < order:
@@ -138,6 +142,24 @@
         set_primary(state, group, "", "the newest order", out)
 
 
+def settle_order(state: State, group: Group, order: int) -> bool:
+    """Records that an order was answered, so it can't be carried out later.
+
+    Returns:
+      Whether that holds for all orders of the group now.
+    """
+    if order == group.order:
+        group.order_pending_until = leases.NEVER
+    return not is_order_pending(state, group)
+
+
+def is_order_pending(state: State, group: Group) -> bool:
+    """Returns whether an order may still be carried out."""
+    return state.now < max(
+        group.order_pending_until, group.earlier_pending_until
+    )
+
+
 def handle_not_primary(state: State, server: Server, out: list[Effect]) -> None:
     """Handles a server's answer that it is not the primary."""
     group = find(state, server.entry.service)
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -55,6 +55,8 @@
         not, instances use a primary only under a lease.
       primary_lease_s: Duration of a lease on a primary. It outlasts a change of
         coordinator; a failover waits for it when a holder can't be reached.
+      late_order_s: How long after an order that got no answer it may still be
+        carried out.
       unled_order_s: How long a server that was ordered to be primary may not
         act as one before another order is given.
       stale_config_s: How long a peer may report a newer configuration before
@@ -95,6 +97,7 @@
     inquiry_timeout_s: float = 0.5
     are_primaries_fenced: bool = True
     primary_lease_s: float = 3.0
+    late_order_s: float = 7.0
     unled_order_s: float = 2.0
     stale_config_s: float = 0.3
 
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -223,6 +223,9 @@
     elif event.name.startswith(failover.ORDER_PREFIX):
         service = event.name.removeprefix(failover.ORDER_PREFIX)
         failover.handle_order(state, service, event.value, event.revision, out)
+    elif event.name.startswith(failover.SETTLED_PREFIX):
+        service = event.name.removeprefix(failover.SETTLED_PREFIX)
+        failover.handle_settled(state, service, event.value)
 
 
 @handle.register
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -237,6 +237,9 @@
       order: The store's revision of the newest known order that named a
         primary; 0 if none was ever given.
       ordered_primary: The server that it named, or "".
+      order_pending_until: Until when that order may still be carried out, if
+        it is not answered.
+      earlier_pending_until: The same of the orders before it.
       lease: This instance's lease on the primary, where it needs one.
       primary_expected_at: By when a new primary is expected, or None.
       watermarks: Watermarks, oldest first.
@@ -250,6 +253,8 @@
         "primary_revision",
         "order",
         "ordered_primary",
+        "order_pending_until",
+        "earlier_pending_until",
         "lease",
         "primary_expected_at",
         "watermarks",
@@ -263,6 +268,8 @@
         self.primary_revision = 0
         self.order = 0
         self.ordered_primary = ""
+        self.order_pending_until = leases.NEVER
+        self.earlier_pending_until = leases.NEVER
         self.lease = PrimaryLease()
         self.primary_expected_at: float | None = None
         self.watermarks: deque[Watermark] = deque()
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -67,6 +67,7 @@
     REGISTER = enum.auto()
     COORDINATE = enum.auto()
     ORDER = enum.auto()
+    SETTLE = enum.auto()
 
 
 class PendingSwap(NamedTuple):
--- a/tests/test_direct_leases.py
+++ b/tests/test_direct_leases.py
@@ -183,6 +183,38 @@
         self.assertEqual(world.faults, [])
         self.assertEqual(len(world.promoted), 1)
 
+    def test_late_order_undoes_no_later_change(self) -> None:
+        # The first order is carried out after the second, equal one. Meanwhile
+        # the new primary falls silent, and another would be ordered.
+        world = make_world()
+        world.late_orders_s = [5.0]
+        call_steadily(world, 20.0, 5)
+        world.run(1.0)
+        world.servers["p"].is_unreachable = True
+        while not world.promoted:
+            world.run(0.01)
+        first = world.servers[world.leader]
+        world.servers["p"].is_unreachable = False
+        first.is_unreachable = True
+        world.run(7.0)
+        first.is_unreachable = False
+        world.run(8.0)
+        self.assertEqual(world.faults, [])
+        self.assertGreater(last_acknowledged(world), world.now - 2.0)
+
+    def test_new_primary_is_not_judged_by_its_past(self) -> None:
+        # The successor was out of reach shortly before it was promoted.
+        world = make_world()
+        call_steadily(world, 14.0, 7)
+        world.servers["r"].is_unreachable = True
+        world.run(1.0)
+        for name in ("p", "q"):
+            world.servers[name].is_unreachable = True
+        world.run(3.0)
+        world.servers["q"].is_unreachable = False
+        world.run(8.0)
+        self.assertEqual([name for _, name, _ in world.promoted], ["q"])
+
     def test_order_that_was_written_but_never_given(self) -> None:
         # The coordinator ends between the two; its successor gives the order.
         world = make_world()
@@ -202,11 +234,14 @@
     """Cuts, freezes, kills, late orders and outages in series and together."""
 
     WORLDS = 40
+    # 112: an order that got no answer was carried out after a newer one for
+    # another server, which was given since the new primary had been silent.
+    FAILED_ONCE = (112,)
     FAULTY_S = 14.0
     CALM_S = 10.0
 
     def test_no_promise_is_broken(self) -> None:
-        for seed in range(self.WORLDS):
+        for seed in (*range(self.WORLDS), *self.FAILED_ONCE):
             with self.subTest(seed=seed):
                 world = make_world(seed)
                 play(world, seed, self.FAULTY_S)
