Take an order for carried out only when its server leads in a new term

Mend: an order tells the highest term that the servers told before; its server leads by it only in a higher one. A new coordinator grants leases beyond those that are held only when it has seen that. Ruled out: the server's entry (it has no term).

--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -46,6 +46,7 @@
     state.primary_watch.no_primary_since.clear()
     state.primary_watch.unled_since.clear()
     state.primary_watch.led_since.clear()
+    state.primary_watch.confirmed_orders.clear()
 
 
 def stop(state: State, out: list[Effect]) -> None:
@@ -80,21 +81,17 @@
     """Handles an order that was read from the store."""
     if value is None:
         return
-    server = _ordered_server(value)
-    if server is None:
+    try:
+        fields: Any = json.loads(value)
+        server = str(fields["server"])
+        above_term = int(fields["above_term"])
+    except (ValueError, KeyError, TypeError):
         out.append(Note(PART, "malformed_order", {"service": service}))
         return
     group = groups.find(state, service)
     groups.record_order(state, group, server, revision, out)
-
-
-def _ordered_server(value: bytes) -> str | None:
-    """Returns the server that an order names; None if it is malformed."""
-    try:
-        fields: Any = json.loads(value)
-        return str(fields["server"])
-    except (ValueError, KeyError, TypeError):
-        return None
+    if revision == group.order:
+        group.order_above_term = above_term
 
 
 def tick(state: State, out: list[Effect]) -> None:
@@ -130,6 +127,7 @@
     change.step_deadline = state.now + state.limits.promotion_retry_s
     group = groups.find(state, service)
     groups.record_order(state, group, change.target, revision, out)
+    group.order_above_term = change.above_term
     epoch = state.own_lease.epoch
     out.append(Promote(service, change.target, revision, epoch))
     _log(state, change, "ordered", {}, out)
@@ -203,6 +201,7 @@
     watch = state.primary_watch
     del watch.changes[change.service]
     watch.led_since[change.service] = state.now
+    watch.confirmed_orders[change.service] = change.fencing_token
     watch.no_primary_since.pop(change.service, None)
     watch.unled_since.pop(change.service, None)
     lease_grants.offer(state, change.service, out)
@@ -238,18 +237,32 @@
 
     The order was written, but perhaps never given or not carried out.
     """
-    if state.limits.are_primaries_fenced or primary.entry.is_primary:
-        state.primary_watch.unled_since.pop(group.service, None)
+    watch = state.primary_watch
+    if state.limits.are_primaries_fenced:
         return False
-    since = state.primary_watch.unled_since.setdefault(group.service, state.now)
-    if state.now - since < state.limits.unled_order_s:
+    if watch.confirmed_orders.get(group.service, 0) == group.order:
         return False
-    status_age_s = state.now - primary.status_at
-    if status_age_s > state.limits.inquiry_timeout_s:
+    since = watch.unled_since.setdefault(group.service, state.now)
+    if primary.status_at <= since:
         inquiries.query_status(state, primary, out)
-    if status_age_s > 2 * state.limits.inquiry_timeout_s:
         return False
-    return primary.status is not None and not primary.status.is_primary
+    if _leads(group, primary):
+        watch.confirmed_orders[group.service] = group.order
+        watch.unled_since.pop(group.service, None)
+        lease_grants.offer(state, group.service, out)
+        return False
+    inquiries.query_status(state, primary, out)
+    if state.now - since < state.limits.unled_order_s:
+        return False
+    return primary.status is not None
+
+
+def _leads(group: Group, server: Server) -> bool:
+    """Returns whether a server acts as primary by the newest order."""
+    status = server.status
+    if status is None or not status.is_primary:
+        return False
+    return status.term > group.order_above_term
 
 
 def _planned_cause(state: State, group: Group, primary: Server) -> str:
@@ -388,16 +401,9 @@
     if server is None or state.now >= change.step_deadline:
         _restart(state, group, change, out)
         return
-    entry = server.entry
-    if entry.is_primary and entry.revision > change.fencing_token:
+    if server.status_at > change.queried_at and _leads(group, server):
         _finish(state, change, out)
         return
-    status = server.status
-    if server.status_at > change.queried_at and status is not None:
-        if status.is_primary:
-            _finish(state, change, out)
-            return
-    change.queried_at = state.now
     inquiries.query_status(state, server, out)
 
 
@@ -439,14 +445,19 @@
     out: list[Effect],
 ) -> None:
     """Makes the old primary a replica, so that its log stops growing."""
+    change.step = ChangeStep.STEPPING_DOWN
+    change.queried_at = state.now
+    change.step_deadline = state.now + state.limits.inquiry_timeout_s
+    inquiries.order_step_down(state, old, _highest_term(group) + 1, out)
+
+
+def _highest_term(group: Group) -> int:
+    """Returns the highest term that a server of a group has told."""
     term = 0
     for server in group.servers.values():
         if server.status is not None:
             term = max(term, server.status.term)
-    change.step = ChangeStep.STEPPING_DOWN
-    change.queried_at = state.now
-    change.step_deadline = state.now + state.limits.inquiry_timeout_s
-    inquiries.order_step_down(state, old, term + 1, out)
+    return term
 
 
 def _await_step_down(
@@ -536,6 +547,11 @@
         if best.status.position < log_end:
             _query_candidates(state, group, change, out)
             return
+    if best.entry.server == group.ordered_primary:
+        # An earlier order may have made it primary already.
+        change.above_term = group.order_above_term
+    else:
+        change.above_term = _highest_term(group)
     change.target = best.entry.server
     change.step = ChangeStep.WRITING_ORDER
     change.step_deadline = state.now + state.limits.promotion_retry_s
@@ -543,6 +559,7 @@
     name = ORDER_PREFIX + group.service
     order = {
         "server": change.target,
+        "above_term": change.above_term,
         "epoch": state.own_lease.epoch,
         "cause": change.cause,
     }
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -363,6 +363,7 @@
       no_primary_since: Since when a service has no known primary.
       unled_since: Since when the server that a service's newest order names is
         not seen to act as primary.
+      confirmed_orders: By service, the order whose server is known to lead.
       led_since: When each service's last change ended; reports that its primary
         was unreachable before count from then.
       unreachable_reports: By server and reporting instance, when it last
@@ -373,6 +374,7 @@
         "changes",
         "no_primary_since",
         "unled_since",
+        "confirmed_orders",
         "led_since",
         "unreachable_reports",
     )
@@ -381,6 +383,7 @@
         self.changes: dict[str, PrimaryChange] = {}
         self.no_primary_since: dict[str, float] = {}
         self.unled_since: dict[str, float] = {}
+        self.confirmed_orders: dict[str, int] = {}
         self.led_since: dict[str, float] = {}
         self.unreachable_reports: dict[str, dict[str, tuple[float, float]]] = {}
 
@@ -400,6 +403,7 @@
       is_recalling: Whether no lease on the old primary is granted any more.
       log_end: The end of its log, if it reported one then.
       target: The server to promote.
+      above_term: It leads by this change if its term is higher than this one.
       refused_servers: The servers whose promotion was refused.
       fencing_token: The fencing token of the order.
     """
@@ -416,6 +420,7 @@
         "is_recalling",
         "log_end",
         "target",
+        "above_term",
         "refused_servers",
         "fencing_token",
     )
@@ -432,5 +437,6 @@
         self.is_recalling = False
         self.log_end: Position | None = None
         self.target = ""
+        self.above_term = 0
         self.refused_servers: set[str] = set()
         self.fencing_token = 0
--- a/src/cuminwall/direct/lease_grants.py
+++ b/src/cuminwall/direct/lease_grants.py
@@ -58,8 +58,11 @@
     if grants.unreported.get(sender) == request.boot:
         del grants.unreported[sender]
     granted = []
+    held = set(request.held)
     for service in state.catalog.services:
-        lease = _grant(state, grants, holder, groups.find(state, service))
+        group = groups.find(state, service)
+        is_held = messages.HeldLease(service, group.order) in held
+        lease = _grant(state, grants, holder, group, is_held)
         if lease is not None:
             granted.append(lease)
     return messages.PrimaryLeaseReply(
@@ -178,17 +181,31 @@
 
 
 def _grant(
-    state: State, grants: LeaseGrants, holder: str, group: Group
+    state: State,
+    grants: LeaseGrants,
+    holder: str,
+    group: Group,
+    is_extension: bool,
 ) -> messages.PrimaryLease | None:
-    """Grants a lease of one service, if the holder may have it now."""
+    """Grants a lease of one service, if the holder may have it now.
+
+    Args:
+      state: The state.
+      grants: The leases granted so far.
+      holder: The holder.
+      group: The service's group.
+      is_extension: Whether it holds a lease on the same primary.
+    """
     primary = group.servers.get(group.primary)
     change = state.primary_watch.changes.get(group.service)
     if primary is None or (change is not None and change.is_recalling):
         return None
+    confirmed = state.primary_watch.confirmed_orders.get(group.service, 0)
+    if not is_extension and confirmed != group.order:
+        return None
     expiries = grants.expiries.setdefault(group.service, {})
     if not state.own_lease.is_valid(state.now):
-        is_held = state.now < expiries.get(holder, leases.NEVER)
-        if not is_held or not _has_support(state):
+        if not is_extension or not _has_support(state):
             return None
     expiries[holder] = _latest_expiry(state)
     return messages.PrimaryLease(group.service, group.primary, group.order)
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -237,6 +237,8 @@
       order: The store's revision of the newest known order that named a
         primary; 0 if none was ever given.
       ordered_primary: The server that it named, or "".
+      order_above_term: A server that acts as primary in a higher term than
+        this does so by that order; a replaced one may do so in a lower term.
       order_pending_until: Until when that order may still be carried out, if
         it is not answered.
       earlier_pending_until: The same of the orders before it.
@@ -253,6 +255,7 @@
         "primary_revision",
         "order",
         "ordered_primary",
+        "order_above_term",
         "order_pending_until",
         "earlier_pending_until",
         "lease",
@@ -268,6 +271,7 @@
         self.primary_revision = 0
         self.order = 0
         self.ordered_primary = ""
+        self.order_above_term = 0
         self.order_pending_until = leases.NEVER
         self.earlier_pending_until = leases.NEVER
         self.lease = PrimaryLease()
--- a/tests/test_direct_leases.py
+++ b/tests/test_direct_leases.py
@@ -236,7 +236,9 @@
     WORLDS = 40
     # 112: an order that got no answer was carried out after a newer one for
     # another server, which was given since the new primary had been silent.
-    FAILED_ONCE = (112,)
+    # 134: a server that had been replaced long ago still acted as primary; its
+    # order was taken for carried out before it was.
+    FAILED_ONCE = (112, 134)
     FAULTY_S = 14.0
     CALM_S = 10.0
 
