--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -435,6 +435,7 @@
         return
     change.step = ChangeStep.CHOOSING
     change.step_deadline = state.now
+    _choose(state, group, change, out)
 
 
 def _step_down(
--- a/src/cuminwall/direct/lease_grants.py
+++ b/src/cuminwall/direct/lease_grants.py
@@ -12,7 +12,13 @@
 """
 
 from cuminwall import leases
-from cuminwall.direct import groups, lender, messages, primary_leases
+from cuminwall.direct import (
+    follower,
+    groups,
+    lender,
+    messages,
+    primary_leases,
+)
 from cuminwall.direct.effects import Effect, Note, SendToPeer
 from cuminwall.direct.fleet_state import Coordinator, LeaseGrants
 from cuminwall.direct.servers_state import Group
@@ -68,7 +74,7 @@
     return messages.PrimaryLeaseReply(
         request.number,
         request.epoch,
-        state.limits.primary_lease_s,
+        _duration_s(state),
         tuple(granted),
     )
 
@@ -207,7 +213,7 @@
     if not state.own_lease.is_valid(state.now):
         if not is_extension or not _has_support(state):
             return None
-    expiries[holder] = _latest_expiry(state)
+    expiries[holder] = leases.lender_expiry(state.now, _duration_s(state))
     return messages.PrimaryLease(group.service, group.primary, group.order)
 
 
@@ -236,9 +242,20 @@
     return held
 
 
+def _duration_s(state: State) -> float:
+    """Returns the duration of a lease.
+
+    The loss of a coordinator and its successor are each seen with a delay that
+    grows with the fleet; leases should last until then.
+    """
+    limits = state.limits
+    delay_s = follower.pause_s(len(state.members))
+    return min(limits.max_primary_lease_s, limits.primary_lease_s + 2 * delay_s)
+
+
 def _latest_expiry(state: State) -> float:
-    """Returns when a lease that is granted now has expired for certain."""
-    return leases.lender_expiry(state.now, state.limits.primary_lease_s)
+    """Returns when any lease that is granted now has expired for certain."""
+    return leases.lender_expiry(state.now, state.limits.max_primary_lease_s)
 
 
 def _holder(instance: str, boot: str) -> str:
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -53,8 +53,11 @@
       inquiry_timeout_s: Timeout of an inquiry.
       are_primaries_fenced: Whether a replaced primary refuses to act as one. If
         not, instances use a primary only under a lease.
-      primary_lease_s: Duration of a lease on a primary. It outlasts a change of
-        coordinator; a failover waits for it when a holder can't be reached.
+      primary_lease_s: Duration of a lease on a primary in a small fleet. It
+        outlasts a change of coordinator; a failover waits for it when a holder
+        can't be reached.
+      max_primary_lease_s: The same in a large fleet, where changes of the store
+        are seen later.
       late_order_s: How long after an order that got no answer it may still be
         carried out.
       unled_order_s: How long a server that was ordered to be primary may not
@@ -96,7 +99,8 @@
     primary_unreachable_s: float = 0.3
     inquiry_timeout_s: float = 0.5
     are_primaries_fenced: bool = True
-    primary_lease_s: float = 3.0
+    primary_lease_s: float = 2.0
+    max_primary_lease_s: float = 3.0
     late_order_s: float = 7.0
     unled_order_s: float = 2.0
     stale_config_s: float = 0.3
--- a/src/cuminwall/jobs.py
+++ b/src/cuminwall/jobs.py
@@ -224,7 +224,17 @@
 def _choose_for_write(
     state: State, group: Group, job: Job
 ) -> Server | outcomes.Failure | None:
-    """Returns the primary if this instance may use it now."""
+    """Returns the primary if this instance may use it now.
+
+    A write may not run in place of telling its session that an earlier one was
+    lost: it would raise the floor beyond the loss, which nobody would tell any
+    more.
+    """
+    floor = job.request.floor
+    if floor is not None and groups.is_floor_lost(group, floor):
+        return outcomes.FLOOR_LOST
+    if floor is not None and not groups.is_floor_known(group, floor):
+        return None
     primary = group.primary
     if primary is None or not primary.reachable or group.pending_recall:
         return None
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -224,6 +224,14 @@
         found = self.home.receive_round(1, access=READ, floor=floor(1, 1001))
         self.assertIs(self.failure(found), outcomes.FLOOR_LOST)
 
+    def test_a_lost_floor_is_reported_to_a_write(self):
+        # It would raise the floor past the loss, which nobody would tell then.
+        self.replace()
+        self.home.grant_write_lease(2)
+        self.home.probe("sb", 1001, in_recovery=False, timeline=2)
+        found = self.home.receive_round(1, floor=floor(1, 1001))
+        self.assertIs(self.failure(found), outcomes.FLOOR_LOST)
+
     def test_a_floor_of_a_term_not_known_here_waits_and_is_refused(self):
         self.assertEqual(self.place(1, access=READ, floor=floor(2, 5)), "")
         found = self.home.tick(harness.TIMES.park_s)
