Report only what is held to a new coordinator; recover its pace in two seconds

At 2.4 s another took over and got 3,000 to 4,100 reports a second, most of them of workspaces of which nothing is held; its renewals took 503 ms, so it let the others ask 6 times less often, 0.56 s apart, while an operation waits 0.15 s for its token: 4,166 refused with 'no token in time'. The pace needed 9 s to recover. Ruled out: the part kept back for silent instances (the lender had settled at 5.0 s), the store (its answers took 12 ms afterwards). Mend: a complete report lists what is held or waited for; the pace recovers from its slowest in 2 s. Tests: tests.test_direct_scale.CoordinatorChangeTest, both failed before.

--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -45,7 +45,8 @@
 SLOW_RENEWAL_S = 0.1
 SLOWDOWN_STEP = 1.5
 MAX_SLOWDOWN = 6.0
-RECOVERY_STEP = 0.95
+# Back from the slowest pace in two seconds; meanwhile operations wait in vain.
+RECOVERY_STEP = 0.83
 CHECK_INTERVAL_S = 2.0  # Between checks for silent instances.
 DRIFT_S = 1.0  # Margin before the shares of a silent process count as void.
 
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -120,7 +120,7 @@
         if _has_reported_all(state):
             _lengthen_reply_timeout(pacing)
         interval_s = min(interval_s, pacing.reply_timeout_s)
-        send_share_request(state, list(state.buckets.values()), True, out)
+        send_share_request(state, _buckets_in_use(state), True, out)
         pacing.complete_again_at = state.now + interval_s
     else:
         send_share_request(state, _buckets_to_report(state), False, out)
@@ -182,6 +182,22 @@
     return found
 
 
+def _buckets_in_use(state: State) -> list[buckets.Bucket]:
+    """Returns the buckets that hold something or wait for tokens.
+
+    At a change of coordinator every instance reports all that it holds at the
+    same time, which must not fill the link of the new one.
+    """
+    found = []
+    for bucket in state.buckets.values():
+        share = bucket.share
+        is_empty = not any(share.held) and not any(share.floor)
+        if is_empty and bucket.level <= 0 and not bucket.waiting:
+            continue
+        found.append(bucket)
+    return found
+
+
 def _has_surplus(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether tokens or burst held here are of use elsewhere."""
     if buckets.surplus(bucket, state.now) >= SURPLUS:
--- a/tests/test_direct_scale.py
+++ b/tests/test_direct_scale.py
@@ -3,7 +3,7 @@
 import unittest
 from typing import Any
 
-from cuminwall.direct import catalog, messages, statements
+from cuminwall.direct import catalog, lender, messages, statements
 from tests import direct_world, slow_world
 
 WORKSPACES = 80
@@ -130,5 +130,54 @@
         )
 
 
+class CoordinatorChangeTest(unittest.TestCase):
+    """The coordinator loses the store while all instances are under load."""
+
+    INSTANCES = 84
+
+    def test_reports_do_not_hold_up_the_new_coordinator(self) -> None:
+        # All instances report to it in the same moment. It must go on renewing
+        # its lease, and the others must not have to ask less often than an
+        # operation may wait for its token.
+        names = tuple(f"edge{number}" for number in range(self.INSTANCES))
+        server = direct_world.FakeServer("p")
+        server.is_primary = True
+        server.slots = 1000
+        server.busy_until = [0.0] * server.slots
+        server.service_s = 0.002
+        world = slow_world.SlowWorld(names, (server,), 5, config=make_catalog())
+        crowd = Crowd(world, OPERATIONS_PER_S / 3)
+        crowd.start()
+        world.run(9.0)
+        former = world.coordinator()
+        former.has_store = False
+        world.run(5.5)
+        crowd.is_over = True
+        coordinator = world.coordinator()
+        self.assertIsNot(coordinator, former)
+        self.assertEqual(coordinator.log_fields("lease_lapsed"), [])
+        lines = coordinator.log_fields("load")
+        limits = world.limits
+        slowest_ms = max(line["slowest_renewal_ms"] for line in lines)
+        self.assertLess(slowest_ms, 1000 * limits.instance_lease_s / 2)
+        interval_s = self.INSTANCES / lender.MAX_REQUESTS_PER_S
+        for line in lines:
+            self.assertLess(line["slowdown"] * interval_s, limits.token_wait_s)
+
+    def test_pace_recovers_with_the_store(self) -> None:
+        # A slow store slows the renewals too. Two seconds after it is back, the
+        # instances ask as often as before.
+        world = direct_world.World(("a", "b"))
+        world.run(3.0)
+        known = world.coordinator().state
+        for _ in range(20):
+            lender.adapt_pace(known, 1.0)
+        renewals = int(SETTLED_S / known.limits.lease_renew_s)
+        for _ in range(renewals):
+            lender.adapt_pace(known, 0.01)
+        assert known.lender is not None
+        self.assertEqual(known.lender.slowdown, 1.0)
+
+
 if __name__ == "__main__":
     unittest.main()
