--- a/tests/test_direct_engine.py
+++ b/tests/test_direct_engine.py
@@ -1,10 +1,14 @@
 """Tests that an error in one event does not stop the engine of an instance."""
 
 import asyncio
+import socket
+import time
 import unittest
 from typing import Any, cast
 from unittest import mock
 
+import uvloop
+
 from cuminwall.direct import engine, events, journal, state
 from cuminwall.direct.state import TimerKind
 
@@ -63,5 +67,45 @@
         self.assertEqual(calls, [TimerKind.TOKENS, TimerKind.QUOTAS])
 
 
+class HeldUpTest(unittest.TestCase):
+    """The process did not get the processor for a while."""
+
+    def test_what_came_meanwhile_is_handled_before_overdue_timers(self) -> None:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            order = runner.run(self.hold_up())
+        self.assertEqual(order, ["answer", "timer"])
+
+    async def hold_up(self) -> list[str]:
+        """Returns in which order an answer and a timer are handled."""
+        loop = asyncio.get_running_loop()
+        order: list[str] = []
+        done = asyncio.Event()
+        made = ErrorTest().make_engine()
+        receiver, sender = socket.socketpair()
+
+        def read() -> None:
+            receiver.recv(1)
+            order.append("answer")
+
+        def handle(state_: Any, timer: Any, out: Any) -> None:
+            order.append("timer")
+            done.set()
+
+        loop.add_reader(receiver, read)
+        with mock.patch("cuminwall.direct.timers.handle_timer", handle):
+            made.state.set_timer(engine.boot_clock() + 0.02, TimerKind.QUOTAS)
+            made.handle_event(
+                events.StoreStatusReported(engine.boot_clock(), True, "")
+            )
+            await asyncio.sleep(0)
+            sender.send(b"x")
+            time.sleep(0.3)
+            await asyncio.wait_for(done.wait(), 1.0)
+        loop.remove_reader(receiver)
+        receiver.close()
+        sender.close()
+        return order
+
+
 if __name__ == "__main__":
     unittest.main()
