--- a/tests/test_direct_quotas.py
+++ b/tests/test_direct_quotas.py
@@ -1,8 +1,16 @@
 """Rate limits of direct service, under the expected loads."""
 
 import unittest
-
-from cuminwall.direct import answers, effects, events, quotas, statements
+from typing import Any
+
+from cuminwall.direct import (
+    answers,
+    effects,
+    events,
+    lender,
+    quotas,
+    statements,
+)
 from tests import direct_world, naive_bucket
 
 NAMES = ("a", "b", "c", "d", "e", "f", "g", "h", "i")
@@ -413,6 +421,33 @@
         self.assertEqual(requests, [True, True])
 
 
+class HeldUpRequestTest(unittest.TestCase):
+    """Requests that a partition held up arrive when it ends."""
+
+    def test_it_shows_no_support_for_the_coordinator(self) -> None:
+        # Their senders may have followed another coordinator since.
+        world = make_world(40.0, 40.0, 21)
+        Load(world, dict.fromkeys(NAMES, 1.0), 24.0).run(2.0)
+        coordinator = world.coordinator()
+        others = [name for name in NAMES if name != coordinator.name]
+        held: list[tuple[str, Any]] = []
+        deliver = coordinator.handle_event
+
+        def hold(event: Any) -> None:
+            if isinstance(event, events.PeerMessageReceived):
+                held.append((event.sender, event))
+                return
+            deliver(event)
+
+        coordinator.handle_event = hold  # type: ignore[method-assign]
+        world.run(3.0)
+        for _, event in held:
+            if event.now < world.now - 1.0:
+                deliver(event._replace(now=world.now))
+        self.assertGreaterEqual(len({name for name, _ in held}), len(others))
+        self.assertEqual(lender.count_supporters(coordinator.state), 1)
+
+
 class SilentZoneTest(unittest.TestCase):
     """The coordinator is replaced while a zone of many instances is cut off."""
 
