--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -438,7 +438,7 @@
         """Performs an effect."""
         handler = _PERFORMERS.get(type(effect))
         if handler is not None:
-            getattr(self, handler.__name__)(instance, effect)
+            handler(self, instance, effect)
 
     def record_run(self, server: FakeServer, request: str) -> None:
         """Records that a server runs a caller's statement."""
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -54,6 +54,14 @@
         super().__init__(names, tuple(servers), seed, LIMITS)
         self.promote_s = PROMOTE_S
 
+    def perform(self, instance: direct_world.Instance, effect: Any) -> None:
+        if isinstance(effect, effects.SendToPeer):
+            self._say(instance, effect)
+        elif isinstance(effect, effects.Promote):
+            self._promote(instance, effect)
+        else:
+            super().perform(instance, effect)
+
     def isolate(self, names: Iterable[str]) -> None:
         """Cuts off some instances and servers; the store is not among them."""
         self.islands.append(set(names))
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -31,8 +31,11 @@
         # The servers still count the connections of the instance that has
         # just ended.
         world = make_world(("a", "b", "c"))
-        world.instances["c"].handle_event(events.ShutdownRequested(world.now))
-        world.run(2.0)
+        ended = world.instances["c"]
+        ended.handle_event(events.ShutdownRequested(world.now))
+        while not ended.state.is_exiting:
+            world.run(0.05)
+        world.run(0.1)
         known = world.instances["a"].state
         self.assertEqual(len(known.members), 2, known.members)
         self.assertEqual(
