Let one piece of code serve both lenders: processes, holders, what is held

Found by reading the change once more: rates and leases on primaries each built the same table of other processes, dropped the ended ones from it, checked that a request comes from the latest process and named the holder; membership does it now, also for coordination.is_registered and register. Two functions of quotas asked the same of a bucket. A wrapper of one call is gone; the docstring of the lease world names the attributes that it has. No behaviour changes.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -13,6 +13,7 @@
     failover,
     lease_grants,
     lender,
+    membership,
     messages,
     workload,
 )
@@ -169,8 +170,7 @@
 
 def is_registered(state: State) -> bool:
     """Returns whether this process is registered in the store."""
-    own = state.members.get(state.instance)
-    return own is not None and own.boot == state.boot
+    return membership.is_current(state, state.instance, state.boot)
 
 
 def tick(state: State, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/lease_grants.py
+++ b/src/cuminwall/direct/lease_grants.py
@@ -16,6 +16,7 @@
     follower,
     groups,
     lender,
+    membership,
     messages,
     primary_leases,
 )
@@ -35,9 +36,7 @@
 def start(state: State, coordinator: Coordinator) -> None:
     """Starts to grant leases, as the new coordinator."""
     grants = state.lease_grants = LeaseGrants(coordinator.epoch)
-    for member in state.members.values():
-        if member.instance != state.instance:
-            grants.unreported[member.instance] = member.boot
+    grants.unreported = membership.other_processes(state)
     grants.earlier_until = _latest_expiry(state)
 
 
@@ -53,10 +52,9 @@
     grants = state.lease_grants
     if grants is None or request.epoch != grants.epoch:
         return None
-    member = state.members.get(sender)
-    if member is None or member.boot != request.boot:
+    if not membership.is_current(state, sender, request.boot):
         return None
-    holder = _holder(sender, request.boot)
+    holder = membership.process_name(sender, request.boot)
     if request.number <= grants.last_numbers.get(holder, 0):
         return None
     grants.last_numbers[holder] = request.number
@@ -86,7 +84,7 @@
     grants = state.lease_grants
     if grants is None or release.epoch != grants.epoch:
         return
-    holder = _holder(sender, release.boot)
+    holder = membership.process_name(sender, release.boot)
     if grants.last_numbers.get(holder, 0) > release.number:
         # It has asked again since.
         return
@@ -109,7 +107,7 @@
         if name != state.instance:
             out.append(SendToPeer(name, message))
     primary_leases.drop(state, group, "recalled", out)
-    own = _holder(state.instance, state.boot)
+    own = membership.process_name(state.instance, state.boot)
     grants.expiries.get(group.service, {}).pop(own, None)
 
 
@@ -122,7 +120,7 @@
         return True
     released = grants.released.get(service, set())
     for instance, boot in grants.unreported.items():
-        if _holder(instance, boot) not in released:
+        if membership.process_name(instance, boot) not in released:
             return state.now < grants.earlier_until
     return False
 
@@ -132,10 +130,7 @@
     grants = state.lease_grants
     if grants is None:
         return
-    for instance, boot in list(grants.unreported.items()):
-        member = state.members.get(instance)
-        if member is None or member.boot != boot:
-            del grants.unreported[instance]
+    membership.drop_ended(state, grants.unreported)
     if not grants.is_predecessor_gone:
         grants.earlier_until = _latest_expiry(state)
         grants.is_predecessor_gone = not lender.may_have_predecessor(state)
@@ -256,8 +251,3 @@
 def _latest_expiry(state: State) -> float:
     """Returns when any lease that is granted now has expired for certain."""
     return leases.lender_expiry(state.now, state.limits.max_primary_lease_s)
-
-
-def _holder(instance: str, boot: str) -> str:
-    """Returns the name of a process among the holders."""
-    return f"{instance}@{boot}"
--- a/src/cuminwall/direct/lease_requests.py
+++ b/src/cuminwall/direct/lease_requests.py
@@ -9,7 +9,6 @@
     primary_leases,
 )
 from cuminwall.direct.effects import Effect, SendToPeer
-from cuminwall.direct.servers_state import Group
 from cuminwall.direct.state import State, TimerKind
 
 # The wait for a reply doubles up to this when none comes in time. Only the
@@ -51,7 +50,9 @@
             continue
         if granted.order < group.order or state.now >= until:
             continue
-        _take(state, group, granted, until, out)
+        server, order = granted.server, granted.order
+        groups.record_order(state, group, server, order, out)
+        primary_leases.extend(state, group, server, order, until, out)
 
 
 def handle_recall(
@@ -111,17 +112,3 @@
         if state.now < group.lease.until:
             held.append(messages.HeldLease(group.service, group.lease.order))
     return tuple(held)
-
-
-def _take(
-    state: State,
-    group: Group,
-    granted: messages.PrimaryLease,
-    until: float,
-    out: list[Effect],
-) -> None:
-    """Takes a lease, or extends the one that is held."""
-    groups.record_order(state, group, granted.server, granted.order, out)
-    primary_leases.extend(
-        state, group, granted.server, granted.order, until, out
-    )
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -54,9 +54,7 @@
 def start(state: State, coordinator: Coordinator) -> None:
     """Starts to lend, as the new coordinator."""
     lender = state.lender = Lender(coordinator.epoch, state.now)
-    for member in state.members.values():
-        if member.instance != state.instance:
-            lender.unreported[member.instance] = member.boot
+    lender.unreported = membership.other_processes(state)
 
 
 def stop(state: State) -> None:
@@ -71,8 +69,7 @@
     lender = state.lender
     if lender is None or request.epoch != lender.epoch:
         return None
-    member = state.members.get(sender)
-    if member is None or member.boot != request.boot:
+    if not membership.is_current(state, sender, request.boot):
         return None
     lender.last_request_at[sender] = state.now
     lender.earlier_request_at[sender] = (
@@ -81,7 +78,7 @@
     lender.supported_at[sender] = request.sent_no_earlier_than
     if not _may_lend(state, lender):
         return None
-    holder = f"{sender}@{request.boot}"
+    holder = membership.process_name(sender, request.boot)
     grants = []
     for line in request.reports:
         limit = _find_limit(state, lender, line.name)
@@ -125,10 +122,7 @@
     lender = state.lender
     if lender is None or lender.is_recovered:
         return
-    for instance, boot in list(lender.unreported.items()):
-        member = state.members.get(instance)
-        if member is None or member.boot != boot:
-            del lender.unreported[instance]
+    membership.drop_ended(state, lender.unreported)
     if _may_use_earlier_lender(state, lender, len(lender.unreported)):
         lender.earlier_lender_until = state.now
         for limit in lender.limits.values():
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -37,8 +37,7 @@
     if not state.snapshot_count:
         # The revision of the record to replace is not known yet.
         return
-    own = state.members.get(state.instance)
-    if own is not None and own.boot == state.boot and state.secret:
+    if is_current(state, state.instance, state.boot) and state.secret:
         return
     name = record_name(state.instance)
     expected = {name: state.shared_revisions.get(name, 0)}
@@ -101,6 +100,33 @@
     return state.peak_members
 
 
+def is_current(state: State, instance: str, boot: str) -> bool:
+    """Returns whether a process is the latest known one of its instance."""
+    member = state.members.get(instance)
+    return member is not None and member.boot == boot
+
+
+def process_name(instance: str, boot: str) -> str:
+    """Returns the name under which a process holds shares and leases."""
+    return f"{instance}@{boot}"
+
+
+def other_processes(state: State) -> dict[str, str]:
+    """Returns the boot of each other instance's process."""
+    boots = {}
+    for member in state.members.values():
+        if member.instance != state.instance:
+            boots[member.instance] = member.boot
+    return boots
+
+
+def drop_ended(state: State, boots: dict[str, str]) -> None:
+    """Removes the processes that have been replaced or have left."""
+    for instance, boot in list(boots.items()):
+        if not is_current(state, instance, boot):
+            del boots[instance]
+
+
 def handle_secret(state: State, value: bytes | None, out: list[Effect]) -> None:
     """Handles the secret by which instances authenticate each other."""
     if value is None or value == state.secret:
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -190,14 +190,17 @@
     """
     found = []
     for bucket in state.buckets.values():
-        share = bucket.share
-        is_empty = not any(share.held) and not any(share.floor)
-        if is_empty and bucket.level <= 0 and not bucket.waiting:
-            continue
-        found.append(bucket)
+        if _holds_something(bucket) or bucket.waiting:
+            found.append(bucket)
     return found
 
 
+def _holds_something(bucket: buckets.Bucket) -> bool:
+    """Returns whether a bucket has a part of its limit, or tokens."""
+    share = bucket.share
+    return any(share.held) or any(share.floor) or bucket.level > 0
+
+
 def _has_surplus(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether tokens or burst held here are of use elsewhere."""
     if buckets.surplus(bucket, state.now) >= SURPLUS:
@@ -207,10 +210,7 @@
 
 def _is_worth_report(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether a share is held here, or the bucket is not needed."""
-    share = bucket.share
-    if any(share.held) or any(share.floor) or bucket.level > 0:
-        return True
-    return _is_idle(state, bucket)
+    return _holds_something(bucket) or _is_idle(state, bucket)
 
 
 def _is_idle(state: State, bucket: buckets.Bucket) -> bool:
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -29,7 +29,12 @@
       lost: The writes that a promotion has undone.
       deposed_commits: The writes that were committed at a replaced primary.
       sent_fences: The fencing tokens of the orders, as they were sent.
-      lose_orders: How many of the next orders are answered late or never.
+      held: What the cuts hold up: sender, receiver and message.
+      frozen: The events that wait for each suspended instance.
+      sent: When each read was sent, by request.
+      late_orders_s: By how much the next orders are carried out late, the last
+        one first; those are not answered.
+      counter: How many requests were made.
     """
 
     def __init__(self, names: tuple[str, ...], seed: int):
