Tell in the log how long a statement waited for its token and a connection

Before, the line of an answered statement told only its whole time, so that late tokens and openings of connections could not be told apart. No decision changes.

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -131,6 +131,9 @@
       target_at: When it should be answered, by the route's target latency.
       wait_until: Deadline of waiting for a token or for capacity.
       retry_at: When to retry on an overloaded primary, or None.
+      admitted_at: When it got its token or needed none, or None before that.
+      first_sent_at: When something was first sent to a server for it, or None.
+      is_opened_for: Whether its latest attempt was the first on its connection.
       sent_at: When it, or the opening of its transaction, was sent.
       min_position: Log position that the server must have reached, or None.
       server: The server chosen last, or "".
@@ -154,6 +157,9 @@
         "target_at",
         "wait_until",
         "retry_at",
+        "admitted_at",
+        "first_sent_at",
+        "is_opened_for",
         "sent_at",
         "min_position",
         "server",
@@ -183,6 +189,9 @@
         self.target_at = now + route.target_s
         self.wait_until = now
         self.retry_at: float | None = None
+        self.admitted_at: float | None = None
+        self.first_sent_at: float | None = None
+        self.is_opened_for = False
         self.sent_at = now
         self.min_position: Position | None = None
         self.server = ""
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -66,6 +66,10 @@
     session = operation.session
     operation.connection = connection
     operation.attempts += 1
+    operation.is_opened_for = connection.is_new
+    connection.is_new = False
+    if operation.first_sent_at is None:
+        operation.first_sent_at = state.now
     operation.server = connection.server.entry.server
     group = groups.find(state, operation.route.service)
     operation.primary_order = group.lease.order
--- a/src/cuminwall/direct/operations.py
+++ b/src/cuminwall/direct/operations.py
@@ -45,6 +45,7 @@
     operation.wait_until = max(
         target_based, state.now + state.limits.min_wait_s
     )
+    operation.admitted_at = state.now
     operation.stage = Stage.WAITING_FOR_CONNECTION
     state.unassigned.append(operation)
 
@@ -145,12 +146,35 @@
         "after": operation.min_position,
         "ms": round(1000 * (state.now - operation.arrived_at), 1),
         "config": state.catalog.version,
+        **_stage_times(operation, state.now),
     }
     if answer.failure is not None:
         fields["cause"] = answer.failure.detail
     return Note(PART, "answered", fields)
 
 
+def _stage_times(operation: Operation, now: float) -> dict[str, Any]:
+    """Returns for how long an operation was in each stage, in milliseconds.
+
+    They add up to the whole time. A stage that it did not reach is left out.
+    """
+    fields: dict[str, Any] = {}
+    since = operation.arrived_at
+    stages = (
+        ("token_ms", operation.admitted_at),
+        ("connection_ms", operation.first_sent_at),
+        ("server_ms", now),
+    )
+    for name, ended_at in stages:
+        if ended_at is None:
+            fields[name] = round(1000 * (now - since), 1)
+            return fields
+        fields[name] = round(1000 * (ended_at - since), 1)
+        since = ended_at
+    fields["opened"] = operation.is_opened_for
+    return fields
+
+
 def set_timer(state: State, operation: Operation, due_at: float) -> None:
     """Sets a timer for an operation."""
     state.set_timer(due_at, TimerKind.OPERATION, operation.number)
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -64,6 +64,7 @@
       prepared: The names of the prepared statements on it.
       last_used_at: When it was last used.
       last_sent_at: When its last command was sent.
+      is_new: Whether no statement was ever sent on it.
     """
 
     __slots__ = (
@@ -78,6 +79,7 @@
         "prepared",
         "last_used_at",
         "last_sent_at",
+        "is_new",
     )
 
     def __init__(self, number: int, server: Server, workspace: str):
@@ -92,6 +94,7 @@
         self.prepared: set[str] = set()
         self.last_used_at = 0.0
         self.last_sent_at = 0.0
+        self.is_new = True
 
 
 class Inquiry:
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -445,6 +445,7 @@
         return
     operation = operations.make(state, session, statement, writes)
     if transaction is not None and transaction.connection is not None:
+        operation.admitted_at = state.now
         dispatch.send_statement(state, operation, transaction.connection, out)
         return
     quotas.admit(state, operation, out)
