Let an instance of a large fleet ask for a token at once

Cause: the coordinator's pace was a minimum time between two requests of one instance, N/900 s, 0.22 s at 195. An operation that found no token waited for it, though the instance had not asked for a second. The class of fault: a bound on a sum, enforced on each part at each moment. Now an instance that has not used its pace may send three requests at once; the sum stays the same. Where the pace leaves little room (over 90 instances), a request for tokens serves as the regular one too. Ruled out: postponing the regular request everywhere. It changes nothing for the sum in a small fleet, and there tokens come back later.

--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -132,8 +132,9 @@
     """When this instance may send share requests to the coordinator.
 
     Attributes:
-      interval_s: The minimum time between two, as the coordinator told.
-      sent_at: When the latest was sent.
+      interval_s: The mean time between two, as the coordinator told.
+      allowance: How many may be sent at once.
+      allowance_at: When that was computed.
       next_timer_at: When the timer for the next one is due.
       wanted: The workspaces whose operations wait for tokens; a set in order.
       complete_epoch: To the coordinator of which epoch all shares were last
@@ -146,7 +147,8 @@
 
     __slots__ = (
         "interval_s",
-        "sent_at",
+        "allowance",
+        "allowance_at",
         "next_timer_at",
         "wanted",
         "complete_again_at",
@@ -158,7 +160,8 @@
 
     def __init__(self) -> None:
         self.interval_s = 0.0
-        self.sent_at = leases.NEVER
+        self.allowance = 0.0
+        self.allowance_at = leases.NEVER
         self.next_timer_at = leases.NEVER
         self.wanted: dict[str, None] = {}
         self.complete_again_at = leases.NEVER
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -44,6 +44,12 @@
 REPORT_INTERVALS = 20
 MAX_REPORT_FRACTION = 0.25  # Of a share's lease, for the same.
 SURPLUS = 0.25  # Tokens, or burst, beyond those needed that are reported.
+# Requests that an instance may send at once after a pause. In a large fleet an
+# instance rarely has an operation, and that one must not wait for the pace.
+MAX_ALLOWANCE = 3.0
+# Of the pace, for regular requests beside those for tokens.
+MAX_REGULAR_FRACTION = 0.25
+ROUNDING = 1e-6  # Requests; an allowance that is due may be this far off.
 # Bounds of the wait for a reply, which is longer the longer replies take. A
 # reply to any but the latest request is void, so asking again too soon would
 # make all replies of a slow coordinator void.
@@ -112,6 +118,8 @@
     """Sends the regular share request, or one that callers wait for."""
     if state.now < state.next_request_at:
         _send_wanted(state, out)
+        # Another request has postponed the regular one.
+        _set_request_timer(state, state.next_request_at)
         return
     interval_s = state.limits.share_request_interval_s
     if _must_report_all(state):
@@ -125,7 +133,7 @@
     else:
         send_share_request(state, _buckets_to_report(state), False, out)
     state.next_request_at = state.now + interval_s
-    state.set_timer(state.next_request_at, TimerKind.QUOTAS)
+    _set_request_timer(state, state.next_request_at)
     coordination.ask_peer_for_coordinator(state, out)
 
 
@@ -152,13 +160,38 @@
     pacing = state.request_pacing
     if not pacing.wanted:
         return
-    due_at = pacing.sent_at + pacing.interval_s
-    if state.now < due_at:
-        if pacing.next_timer_at < due_at:
-            pacing.next_timer_at = due_at
-            state.set_timer(due_at, TimerKind.QUOTAS)
+    allowance = _current_allowance(pacing, state.now)
+    if allowance < 1.0 - ROUNDING:
+        due_at = state.now + (1.0 - allowance) * pacing.interval_s
+        _set_request_timer(state, due_at)
         return
+    pacing.allowance = max(0.0, allowance - 1.0)
+    pacing.allowance_at = state.now
     send_share_request(state, _buckets_to_report(state), False, out)
+    interval_s = state.limits.share_request_interval_s
+    is_pace_slow = pacing.interval_s > MAX_REGULAR_FRACTION * interval_s
+    if is_pace_slow and _is_report_confirmed(state):
+        # It serves as the regular one, too.
+        state.next_request_at = max(
+            state.next_request_at, state.now + interval_s
+        )
+
+
+def _current_allowance(pacing: RequestPacing, now: float) -> float:
+    """Returns how many requests may be sent now."""
+    gained = MAX_ALLOWANCE
+    if pacing.interval_s > 0:
+        gained = (now - pacing.allowance_at) / pacing.interval_s
+    return min(MAX_ALLOWANCE, pacing.allowance + gained)
+
+
+def _set_request_timer(state: State, due_at: float) -> None:
+    """Sets the timer for the next request, unless one fires before then."""
+    pacing = state.request_pacing
+    if state.now < pacing.next_timer_at <= due_at:
+        return
+    pacing.next_timer_at = due_at
+    state.set_timer(due_at, TimerKind.QUOTAS)
 
 
 def _buckets_to_report(state: State) -> list[buckets.Bucket]:
@@ -221,13 +254,19 @@
 
 def _must_report_all(state: State) -> bool:
     """Returns whether the coordinator is to be told of every share again."""
-    pacing = state.request_pacing
-    coordinator = state.coordinator
-    if coordinator is None or pacing.reported_epoch == coordinator.epoch:
+    if state.coordinator is None or _is_report_confirmed(state):
         return False
     if not _has_reported_all(state):
         return True
-    return state.now >= pacing.complete_again_at
+    return state.now >= state.request_pacing.complete_again_at
+
+
+def _is_report_confirmed(state: State) -> bool:
+    """Returns whether the present coordinator knows all shares held here."""
+    coordinator = state.coordinator
+    if coordinator is None:
+        return False
+    return state.request_pacing.reported_epoch == coordinator.epoch
 
 
 def _has_reported_all(state: State) -> bool:
@@ -259,7 +298,6 @@
     number = state.next_number()
     reports = _make_reports(state, wanted, is_complete, number)
     pacing = state.request_pacing
-    pacing.sent_at = state.now
     pacing.wanted.clear()
     if is_complete:
         pacing.complete_epoch = coordinator.epoch
--- a/tests/test_direct_scale.py
+++ b/tests/test_direct_scale.py
@@ -15,15 +15,21 @@
 MAX_REQUESTS_PER_S = 1000.0
 
 
-def make_catalog() -> catalog.Catalog:
-    """Returns a configuration with a few large and many small workspaces."""
+def make_catalog(
+    total_rate: float = OPERATIONS_PER_S / 2,
+) -> catalog.Catalog:
+    """Returns a configuration with a few large and many small workspaces.
+
+    Args:
+      total_rate: Operations a second that all workspaces together may run.
+    """
     config = direct_world.make_catalog()
     workspaces = {}
     keys = {}
     weights = [1.0 / (3 + number) for number in range(WORKSPACES)]
     for number, weight in enumerate(weights):
         name = f"w{number}"
-        rate = max(3.0, OPERATIONS_PER_S / 2 * weight / sum(weights))
+        rate = max(3.0, total_rate * weight / sum(weights))
         workspaces[name] = catalog.Workspace(name, rate, rate, 1)
         keys[f"key{number}"] = name
     services = {"s": config.services["s"]._replace(connections=10_000)}
@@ -130,6 +136,50 @@
         )
 
 
+class TokenDelayTest(unittest.TestCase):
+    """Many instances, each with a few operations a second."""
+
+    INSTANCES = 195
+    OPERATIONS_PER_S = 586.0
+    TOKENS_PER_S = 2400.0  # So that no workspace is near its limit.
+    # Of the tightest target latency in the configuration.
+    MAX_FRACTION = 1 / 3
+
+    def test_tokens_do_not_come_late_in_a_large_fleet(self) -> None:
+        # Most operations find no token at their instance, and the next one
+        # comes much later than their targets.
+        names = tuple(f"edge{number}" for number in range(self.INSTANCES))
+        server = direct_world.FakeServer("p")
+        server.is_primary = True
+        server.slots = 1000
+        server.busy_until = [0.0] * server.slots
+        config = make_catalog(self.TOKENS_PER_S)
+        world = slow_world.SlowWorld(names, (server,), 7, config=config)
+        world.run(3.0)
+        crowd = Crowd(world, self.OPERATIONS_PER_S)
+        crowd.start()
+        world.run(1.0)
+        for instance in world.instances.values():
+            instance.notes.clear()
+        received = world.machine(world.coordinator()).received
+        received.clear()
+        world.run(OBSERVED_S)
+        crowd.is_over = True
+        delays = []
+        for instance in world.instances.values():
+            for fields in instance.log_fields("answered"):
+                delays.append(fields["token_ms"] / 1000)
+        delays.sort()
+        target_s = min(
+            route.target_s for route in world.config.routes.values()
+        )
+        self.assertGreater(len(delays), self.OPERATIONS_PER_S * OBSERVED_S / 2)
+        late = delays[int(0.9 * len(delays))]
+        self.assertLessEqual(late, self.MAX_FRACTION * target_s)
+        count = received[messages.ShareRequest]
+        self.assertLessEqual(count / OBSERVED_S, MAX_REQUESTS_PER_S)
+
+
 class CoordinatorChangeTest(unittest.TestCase):
     """The coordinator loses the store while all instances are under load."""
 
