Keep connections for a part of the time where there is less than one each

Cause: 135 connections for 195 instances give none an even share, and one beyond it was closed 0.25 s after its use. An opening takes a slot of the server for 12 ms, as long as a statement. So the busiest primaries were full of openings. Now an instance whose part is less than one connection keeps one for that part of the time (0.8 of it; unused time counts for 1.5 s), and gives it up at once as before when the server refuses connections.

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -4,7 +4,8 @@
 The servers limit the connections of all instances together, so each instance
 keeps an even share. It may open a few more while a server accepts them, so that
 a transaction which rests doesn't hold up its other work; those are given up
-soon after their use. At its limit an idle connection of one workspace is closed
+soon after their use. Where a server accepts fewer than there are instances,
+each keeps its part over time: one connection for a part of the time. At its limit an idle connection of one workspace is closed
 to open one for another.
 """
 
@@ -38,6 +39,13 @@
 DISPLACE_S = 0.08
 # Connections to a server that an instance may use even if its share is smaller.
 MIN_USABLE = 2
+# Of an even part of a server's connections, for those that are kept over time;
+# the rest is for those that are just opened or used.
+KEPT_FRACTION = 0.8
+# A part that was not used counts no longer. All instances may keep a connection
+# at once for this long, after a time in which none did.
+MAX_UNUSED_S = 1.5
+ROUNDING_S = 1e-6
 MAX_PREPARED = 200  # Prepared statements kept on one connection.
 
 
@@ -48,11 +56,48 @@
 
 def even_share(state: State, server: Server) -> int:
     """Returns how many connections every instance may keep to a server."""
+    return int(_exact_share(state, server))
+
+
+def _exact_share(state: State, server: Server) -> float:
+    """Returns an even part of the connections that a server accepts."""
     service = state.catalog.services.get(server.entry.service)
     if service is None:
-        return 0
+        return 0.0
     count = max(1, membership.count_members(state))
-    return (service.connections - RESERVED) // count
+    return (service.connections - RESERVED) / count
+
+
+def _kept_share(state: State, server: Server) -> float:
+    """Returns how many connections this instance may keep on average."""
+    return KEPT_FRACTION * _exact_share(state, server)
+
+
+def _has_unused_share(state: State, server: Server) -> bool:
+    """Returns whether one connection beyond the even share may be kept."""
+    if even_share(state, server) or len(server.connections) != 1:
+        return False
+    if server.refusals:
+        # The server has no room, so others need the connection now.
+        return False
+    _update_unused_share(state, server)
+    return server.unused_share_s > ROUNDING_S
+
+
+def _update_unused_share(state: State, server: Server) -> None:
+    """Adds up the part of a server's connections that was not used lately.
+
+    Must be called before the number of connections changes.
+    """
+    part = _kept_share(state, server)
+    elapsed_s = max(0.0, state.now - server.unused_share_at)
+    gained_s = MAX_UNUSED_S * part
+    if elapsed_s < MAX_UNUSED_S:
+        gained_s = elapsed_s * (part - len(server.connections))
+    limit_s = MAX_UNUSED_S * part
+    unused_s = max(-limit_s, server.unused_share_s + gained_s)
+    server.unused_share_s = min(limit_s, unused_s)
+    server.unused_share_at = state.now
 
 
 def acquire(
@@ -112,6 +157,7 @@
     number = state.next_number()
     connection = Connection(number, server, workspace)
     connection.last_sent_at = connection.last_used_at = state.now
+    _update_unused_share(state, server)
     server.connections.append(connection)
     state.connections[number] = connection
     out.append(make_open_effect(number, server, workspace))
@@ -142,6 +188,7 @@
     if state.connections.pop(connection.number, None) is None:
         return
     server = connection.server
+    _update_unused_share(state, server)
     server.connections.remove(connection)
     if len(server.waiting):
         state.freed_servers.append(server)
@@ -153,8 +200,20 @@
     connection.operation = None
     connection.session = None
     connection.last_used_at = state.now
-    due_at = state.now + _max_idle_s(state, connection.server)
-    state.set_timer(due_at, TimerKind.CONNECTION, connection.number)
+    _schedule_check(state, connection)
+
+
+def _schedule_check(state: State, connection: Connection) -> None:
+    """Sets the timer to check whether an idle connection is needed."""
+    server = connection.server
+    delay_s = _max_idle_s(state, server)
+    if _has_unused_share(state, server):
+        excess = len(server.connections) - _kept_share(state, server)
+        delay_s = max(
+            state.limits.borrowed_idle_s, server.unused_share_s / excess
+        )
+    connection.check_at = state.now + delay_s
+    state.set_timer(connection.check_at, TimerKind.CONNECTION, connection.number)
 
 
 def roll_back(state: State, connection: Connection, out: list[Effect]) -> None:
@@ -222,10 +281,13 @@
     state: State, connection: Connection, out: list[Effect]
 ) -> None:
     """Closes a connection that has been idle for too long."""
+    if connection.status is not ConnectionStatus.IDLE:
+        return
     unused_s = state.now - connection.last_used_at
-    is_idle = connection.status is ConnectionStatus.IDLE
-    if is_idle and unused_s >= _max_idle_s(state, connection.server):
+    if unused_s >= _max_idle_s(state, connection.server):
         close(state, connection, out)
+    elif state.now >= connection.check_at:
+        _schedule_check(state, connection)
 
 
 def next_waiting(
@@ -259,6 +321,8 @@
 
 def _max_idle_s(state: State, server: Server) -> float:
     """Returns how long a connection to a server may be idle."""
+    if _has_unused_share(state, server):
+        return state.limits.idle_connection_s
     if len(server.connections) > even_share(state, server):
         return state.limits.borrowed_idle_s
     return state.limits.idle_connection_s
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -65,6 +65,7 @@
       last_used_at: When it was last used.
       last_sent_at: When its last command was sent.
       is_new: Whether no statement was ever sent on it.
+      check_at: When it is next checked whether it is needed.
     """
 
     __slots__ = (
@@ -80,6 +81,7 @@
         "last_used_at",
         "last_sent_at",
         "is_new",
+        "check_at",
     )
 
     def __init__(self, number: int, server: Server, workspace: str):
@@ -95,6 +97,7 @@
         self.last_used_at = 0.0
         self.last_sent_at = 0.0
         self.is_new = True
+        self.check_at = 0.0
 
 
 class Inquiry:
@@ -141,6 +144,9 @@
       next_attempt_at: When it may next get an operation during its warm-up.
       unusable_since: Since when it gets no new operations, or None.
       connections: This instance's connections to it.
+      unused_share_s: For how long this instance may have one connection more
+        than its part of those that the server accepts, in connection seconds.
+      unused_share_at: When that was computed.
       waiting: The operations that wait for a connection.
       avoid_until: Until when it is avoided, since it was unreachable.
       lagging_until: Until when reads avoid it, since it had not reached the
@@ -165,6 +171,8 @@
         "next_attempt_at",
         "unusable_since",
         "connections",
+        "unused_share_s",
+        "unused_share_at",
         "waiting",
         "avoid_until",
         "lagging_until",
@@ -186,6 +194,8 @@
         self.next_attempt_at: float | None = None
         self.unusable_since: float | None = None
         self.connections: list[Connection] = []
+        self.unused_share_s = 0.0
+        self.unused_share_at = leases.NEVER
         self.waiting: wait_queue.WaitQueue[Operation] = wait_queue.WaitQueue()
         self.avoid_until = leases.NEVER
         self.lagging_until = leases.NEVER
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -90,6 +90,7 @@
     WORKSPACES = 20
     OPERATIONS_PER_S = 25.0  # At one primary; a third of what its slots run.
     REFUSED_FRACTION = 0.02
+    OPENED_FRACTION = 0.6  # Of the statements.
 
     def make_world(self) -> direct_world.World:
         """Returns a world with one primary that accepts few connections."""
@@ -154,6 +155,30 @@
         refused = outcomes.count(False) / len(outcomes)
         self.assertLessEqual(refused, self.REFUSED_FRACTION)
 
+    def test_statements_need_not_each_open_a_connection(self) -> None:
+        # Each instance has a statement a second for one primary. It may have a
+        # connection for two thirds of the time.
+        world = self.make_world()
+        server = world.servers["p"]
+        count = 0
+        outcomes = []
+
+        def start(number: int) -> None:
+            name = world.random.choice(list(world.instances))
+            caller = world.instances[name].caller("db", "key0")
+            caller.on_answer = outcomes.append
+            caller.send(statements.Write(f"w{number}", "WRITE 1 x"))
+
+        for count in range(12 * self.INSTANCES):
+            delay_s = count / self.INSTANCES
+            world.schedule(delay_s, functools.partial(start, count))
+        world.run(13.0)
+        opened = sum(each.opened for each in world.instances.values())
+        failed = [each for each in outcomes if each.failure is not None]
+        self.assertLessEqual(opened / len(outcomes), self.OPENED_FRACTION)
+        self.assertLessEqual(len(failed), self.REFUSED_FRACTION * len(outcomes))
+        self.assertLessEqual(server.refused, self.REFUSED_FRACTION * opened)
+
     def test_idle_connections_beyond_the_share_are_given_up(self) -> None:
         world = self.make_world()
         self.run_transactions(world)
