Let the largest instances coordinate

Cause: all instances report to the new coordinator at once, and it was any instance, mostly one with 0.5 cores: its renewals took 175 ms, its timers were 107 ms late. A fleet has few large machines; rank did not consider the size. Now each instance tells its cores in its record, and the largest come first. The test failed before: the large instance did not take over.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -294,6 +294,9 @@
 def _schedule_attempt(state: State) -> None:
     """Schedules the next attempt, staggered by rank across the instances."""
     ranked = placement.ranked(f"epoch {state.epoch}", state.members)
+    # All instances send their requests to the coordinator, so the largest ones
+    # come first.
+    ranked.sort(key=lambda name: state.members[name].cores, reverse=True)
     rank = MAX_RANK
     if state.instance in ranked:
         rank = min(MAX_RANK, ranked.index(state.instance))
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -19,6 +19,7 @@
       host: The IP number on which its peers reach it.
       port: The port on which its peers reach it.
       revision: The store's revision of its record.
+      cores: How many processor cores it may use, in full cores.
     """
 
     instance: str
@@ -27,6 +28,7 @@
     host: str
     port: int
     revision: int
+    cores: float = 1.0
 
 
 class Coordinator(NamedTuple):
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -170,6 +170,7 @@
         "zone": state.zone,
         "host": state.peer_host,
         "port": state.peer_port,
+        "cores": state.cores,
     }
     return json.dumps(record).encode()
 
@@ -185,6 +186,7 @@
             str(record["host"]),
             int(record["port"]),
             revision,
+            float(record.get("cores", 1.0)),
         )
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError):
         return None
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -40,6 +40,21 @@
         world.run(self.SOON_S)
         self.assertEqual(world.epochs(), [0, 0, 0, 0, 2])
 
+    def test_small_instance_does_not_take_over_from_a_large_fleet(self) -> None:
+        # All others send it their requests, which a small one is slow to serve.
+        for large in NAMES:
+            world = direct_world.World(NAMES)
+            for name in NAMES:
+                world.instances[name].state.cores = 0.5
+            world.instances[large].state.cores = 2.0
+            world.run(4.0)
+            holder = world.coordinator()
+            if holder.name == large:
+                continue
+            holder.has_store = False
+            world.run(3.0)
+            self.assertEqual(world.instances[large].state.own_lease.epoch, 2)
+
     def test_claim_is_written_once_though_it_is_seen_late(self) -> None:
         # A second one would be taken for another coordinator's.
         world = direct_world.World(NAMES)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -41,6 +41,9 @@
 [ListenAddrs]
 Frontend = "10.1.0.26:8465"
 Ready = "10.1.0.26:8460"
+[Limits]
+CpuQuota = 0.5
+Cores = 3
 [Bounds]
 GracePeriodS = 9
 [platform]
@@ -248,6 +251,7 @@
         self.assertEqual(own.callers, ("10.1.0.26", 8465))
         self.assertEqual(own.peers, ("10.1.0.26", 7560))
         self.assertEqual(own.limits.grace_s, 9.0)
+        self.assertEqual(own.cores, 1.5)
 
     def test_faults(self) -> None:
         for text in ("", "x = ", SETTINGS.replace("Zone", "Zine")):
