Keep revisions in order when the store comes back from a copy

What callers would see (CONFIG): after a restore an entry or a change that was written again is not in force, since its number is lower than a known one. Cause: the store's numbers were taken for an order in time. A restored store gives them out again, and leases and epochs as well. The class of fault: an identifier trusted beyond the life of what gave it. Now the adapter reads the era that each answer tells and makes revisions of era and number, so all comparisons hold. A watch or a condition of an earlier era is not used, an answer of an earlier era is not taken. A lease is renewed only if its value was still bound to it when the whole store was read. Epochs of a later era are higher than all before; fencing tokens are revisions and so rise too. Ruled out: giving up the lease at each restore.

Tests: five of RestoredStoreTest fail if the era is not read.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -15,6 +15,7 @@
     lender,
     membership,
     messages,
+    revisions,
     workload,
 )
 from cuminwall.direct.effects import (
@@ -267,10 +268,11 @@
 
 def _write_claim(state: State, out: list[Effect]) -> None:
     """Writes the value that makes this instance the coordinator."""
+    epoch = _next_epoch(state)
     value = {
         "instance": state.instance,
         "boot": state.boot,
-        "epoch": state.epoch + 1,
+        "epoch": epoch,
     }
     state.compare_and_swap(
         SwapPurpose.COORDINATE,
@@ -282,7 +284,7 @@
         },
         {
             COORDINATOR_NAME: json.dumps(value).encode(),
-            EPOCH_NAME: str(state.epoch + 1).encode(),
+            EPOCH_NAME: str(epoch).encode(),
         },
         frozenset({COORDINATOR_NAME}),
         state.own_lease.lease_id,
@@ -291,6 +293,18 @@
     _schedule_attempt(state)
 
 
+def _next_epoch(state: State) -> int:
+    """Returns an epoch that is higher than any before.
+
+    A restored store may have lost epochs that only other processes know, so
+    those of a later era of the store are higher than all of earlier ones.
+    """
+    record = membership.record_name(state.instance)
+    era = revisions.era_of(state.shared_revisions.get(record, 0))
+    lowest = revisions.start_of(max(0, era - revisions.FIRST_ERA))
+    return max(state.epoch, lowest) + 1
+
+
 def _schedule_attempt(state: State) -> None:
     """Schedules the next attempt, staggered by rank across the instances."""
     ranked = placement.ranked(f"epoch {state.epoch}", state.members)
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -27,10 +27,17 @@
 
 
 class Response(NamedTuple):
-    """The status and the body of a response."""
+    """A response.
+
+    Attributes:
+      status: The status.
+      body: The body.
+      headers: Names in lower case and values.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class Request(NamedTuple):
@@ -163,6 +170,7 @@
         data += self.protocol.send(h11.EndOfMessage()) or b""
         self.writer.write(data)
         status = 0
+        headers: tuple[tuple[str, str], ...] = ()
         parts: list[bytes] = []
         size = 0
         while True:
@@ -171,13 +179,14 @@
                 self.protocol.receive_data(await self.reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = _decode_headers(event)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
                 if size > MAX_BODY_BYTES:
                     raise EOFError(f"answer longer than {MAX_BODY_BYTES} bytes")
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(parts))
+                return Response(status, b"".join(parts), headers)
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError("connection closed before the end of the answer")
 
@@ -197,6 +206,14 @@
         self.writer.transport.abort()
 
 
+def _decode_headers(head: h11.Response) -> tuple[tuple[str, str], ...]:
+    """Returns the headers of a response; their names are in lower case."""
+    decoded = []
+    for name, value in head.headers:
+        decoded.append((name.decode("latin-1"), value.decode("latin-1")))
+    return tuple(decoded)
+
+
 def _abort(connection: _ClientConnection | None) -> None:
     if connection is not None:
         connection.abort()
@@ -264,6 +281,7 @@
     headers = [
         ("Content-Type", "text/plain; charset=utf-8"),
         ("Content-Length", str(len(response.body))),
+        *response.headers,
     ]
     head = h11.Response(status_code=response.status, headers=headers)
     data = protocol.send(head) or b""
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -2,7 +2,16 @@
 
 import unittest
 
-from cuminwall.direct import coordination, effects, events, messages
+from cuminwall.direct import (
+    coordination,
+    effects,
+    events,
+    fleet_state,
+    membership,
+    messages,
+    revisions,
+    state,
+)
 from tests import direct_world
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -55,6 +64,29 @@
             world.run(3.0)
             self.assertEqual(world.instances[large].state.own_lease.epoch, 2)
 
+    def test_epochs_lost_with_a_copy_are_not_given_out_again(self) -> None:
+        # Only a process that started since the store was restored takes part;
+        # it can't know the epochs that the copy lacks.
+        known = state.State("a", "z1")
+        known.now = 1.0
+        known.is_store_up = True
+        known.members["a"] = fleet_state.Member("a", "", "z1", "h", 1, 1)
+        claimed = []
+        for era in (1, 2, 3):
+            record = membership.record_name("a")
+            known.shared_revisions[record] = revisions.compose(era, 7)
+            known.epoch = 4
+            known.own_lease = fleet_state.CoordinatorLease()
+            known.own_lease.is_grant_pending = True
+            known.pending_swaps.clear()
+            out: list[effects.Effect] = []
+            coordination.handle_lease_result(known, 5, known.now, 1.0, out)
+            calls = [e for e in out if isinstance(e, effects.CompareAndSwap)]
+            claimed.append(int(calls[0].values[coordination.EPOCH_NAME]))
+        self.assertEqual(claimed[0], 5)
+        self.assertGreater(claimed[1], 1_000_000)
+        self.assertGreater(claimed[2], claimed[1])
+
     def test_claim_is_written_once_though_it_is_seen_late(self) -> None:
         # A second one would be taken for another coordinator's.
         world = direct_world.World(NAMES)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,9 @@
     events,
     follower,
     ports,
+    reducer,
+    revisions,
+    state,
     statements,
 )
 from cuminwall.direct.answers import (
@@ -265,11 +268,15 @@
     async def asyncSetUp(self) -> None:
         self.answers: list[tuple[int, object]] = []
         self.paths: list[str] = []
+        self.era = 0
 
         async def answer(request: plainhttp.Request) -> plainhttp.Response:
             self.paths.append(request.path)
             status, body = self.answers.pop(0)
-            return plainhttp.Response(status, json.dumps(body).encode())
+            headers = (("Store-Era", str(self.era)),) if self.era else ()
+            return plainhttp.Response(
+                status, json.dumps(body).encode(), headers
+            )
 
         self.server = await plainhttp.serve("127.0.0.1", 0, answer)
         port = self.server.sockets[0].getsockname()[1]
@@ -306,7 +313,9 @@
         self.assertEqual(await self.swap(), 0)
 
     async def test_lease_over(self) -> None:
-        self.answers = [(404, {}), (404, {})]
+        granted = {"Lease": 3, "TtlMs": 1000}
+        self.answers = [(200, granted), (404, {}), (404, {})]
+        await self.store.grant_lease(1.0)
         self.assertEqual(await self.swap(), 0)
         self.assertEqual(await self.store.keep_lease(3), 0.0)
 
@@ -337,6 +346,132 @@
             await self.provider.promote("a", "s", "i-7", 4, lambda: True)
 
 
+class RestoredStoreTest(StoreTest):
+    """The store comes back from a copy: it has lost its latest changes.
+
+    Numbers of revisions and ids of leases are given out again.
+    """
+
+    async def read_all(self, number: int, *items: object) -> ports.StoreItems:
+        """Reads the whole store, whose newest change has this number."""
+        page = {"items": items, "HasMore": False, "AsOf": number}
+        self.answers.append((200, page))
+        return await self.store.read_all()
+
+    async def restore(self) -> None:
+        """Makes an answer tell of the next era."""
+        self.era += 1
+        self.answers.append((503, {}))
+        with self.assertRaises(exceptions.StoreUnavailableError):
+            await self.store.grant_lease(1.0)
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.era = 1
+
+    def server_item(self, number: int, **changes: object) -> object:
+        """Returns the item of a server's entry."""
+        value = json.dumps({**ENTRY, **changes}).encode()
+        text = base64.b64encode(value).decode()
+        return {"Key": "servers/i-7", "Value": text, "Revision": number}
+
+    async def test_swap(self) -> None:
+        self.answers = [(200, {"Revision": 412}), (412, {"items": []})]
+        self.assertEqual(revisions.number_of(await self.swap()), 412)
+        self.assertEqual(await self.swap(), 0)
+
+    async def test_pages(self) -> None:
+        result = await self.read_all(7)
+        self.assertEqual(result.revision, revisions.compose(1, 7))
+
+    async def test_lost_history(self) -> None:
+        result = await self.read_all(3)
+        self.answers = [(410, {})]
+        with self.assertRaises(ports.HistoryLostError):
+            await self.store.watch(result.revision, 0.1)
+
+    async def test_tombstone(self) -> None:
+        result = await self.read_all(3)
+        event = {"Key": "servers/i-7", "Revision": 9, "Tombstone": True}
+        self.answers = [(200, {"events": [event], "AsOf": 9})]
+        changes = await self.store.watch(result.revision, 0.1)
+        self.assertEqual(changes.items[0].value, None)
+
+    async def test_entry_written_again_counts_as_newer(self) -> None:
+        # The entry of before had a higher number than the one written since.
+        known = state.State("a", "sediu")
+        before = await self.read_all(30, self.server_item(30))
+        self.era = 2
+        changed = self.server_item(21, State="draining")
+        after = await self.read_all(21, changed)
+        for result in (before, after):
+            for item in result.items:
+                event = events.ServerSeen(1.0, item.value)
+                reducer.reduce(known, event)
+        self.assertTrue(known.servers["i-7"].entry.is_leaving)
+
+    async def test_watch_does_not_go_on_from_a_number_given_out_twice(
+        self,
+    ) -> None:
+        before = await self.read_all(30)
+        self.era = 2
+        self.answers = [(200, {"events": [], "AsOf": 35})]
+        with self.assertRaises(ports.HistoryLostError):
+            await self.store.watch(before.revision, 0.1)
+
+    async def test_condition_on_a_number_given_out_twice_does_not_hold(
+        self,
+    ) -> None:
+        await self.read_all(30)
+        known = revisions.compose(1, 30)
+        await self.restore()
+        call = effects.CompareAndSwap(
+            1, {"a": known}, {"a": b"v"}, frozenset(), 0, frozenset()
+        )
+        self.answers = [(200, {"Revision": 31})]
+        self.assertEqual(await self.store.swap(call), 0)
+
+    async def test_answer_of_before_is_not_taken(self) -> None:
+        await self.read_all(30)
+        await self.restore()
+        self.era = 1
+        with self.assertRaises(exceptions.StoreUnavailableError):
+            await self.read_all(30)
+
+    async def hold_lease(self) -> dict[str, object]:
+        """Writes a value under a lease; returns its item."""
+        self.answers = [(200, {"Lease": 3, "TtlMs": 1000})]
+        lease, _ = await self.store.grant_lease(1.0)
+        self.answers = [(200, {"Revision": 31})]
+        await self.store.swap(
+            effects.CompareAndSwap(
+                1, {"a": 0}, {"a": b"v"}, frozenset({"a"}), lease, frozenset()
+            )
+        )
+        value = base64.b64encode(b"v").decode()
+        key = "cuminwall/a"
+        return {"Key": key, "Value": value, "Revision": 31, "Lease": lease}
+
+    async def test_lost_lease_is_not_renewed_under_its_id(self) -> None:
+        # Another process may have been granted the same id since.
+        item = await self.hold_lease()
+        await self.restore()
+        self.answers = [(200, {"TtlMs": 1000})]
+        with self.assertRaises(exceptions.StoreUnavailableError):
+            await self.store.keep_lease(3)
+        self.answers.clear()
+        other = base64.b64encode(b"other").decode()
+        await self.read_all(21, {**item, "Value": other})
+        self.assertEqual(await self.store.keep_lease(3), 0.0)
+
+    async def test_lease_that_was_in_the_copy_is_renewed(self) -> None:
+        item = await self.hold_lease()
+        await self.restore()
+        await self.read_all(31, item)
+        self.answers = [(200, {"TtlMs": 1000})]
+        self.assertEqual(await self.store.keep_lease(3), 1.0)
+
+
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     """Following the store."""
 
