Let an odd entry change nothing

Reported by other operators: processes that read the list of servers ended or stopped following it. Here: a port of 70000 or -1 and a capacity of 10^400 were taken, a warm-up or a rate of 10^400 raised OverflowError, which nothing caught, so the list was read again and again and never taken. An odd entry also removed the server that its earlier entry had described.

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -213,7 +213,9 @@
             state.limits.borrowed_idle_s, server.unused_share_s / excess
         )
     connection.check_at = state.now + delay_s
-    state.set_timer(connection.check_at, TimerKind.CONNECTION, connection.number)
+    state.set_timer(
+        connection.check_at, TimerKind.CONNECTION, connection.number
+    )
 
 
 def roll_back(state: State, connection: Connection, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -115,7 +115,7 @@
         for kind in ports.ItemKind:
             names[kind] = set()
         for item in result.items:
-            if item.value is not None:
+            if item.value is not None or item.is_malformed:
                 names[item.kind].add(item.name)
         self.on_event(
             events.SnapshotRead(
@@ -140,6 +140,8 @@
     def _report_items(self, items: Iterable[ports.StoreItem]) -> None:
         """Turns items into events, in their order."""
         for item in items:
+            if item.is_malformed:
+                continue
             self.on_event(_event_of(item.value, item, self.clock()))
 
     def _report_store(self, is_up: bool, cause: str) -> None:
--- a/src/cuminwall/direct/ports.py
+++ b/src/cuminwall/direct/ports.py
@@ -86,12 +86,15 @@
       value: The decoded value, whose type depends on the kind; None if the
         item was removed.
       revision: The store's revision of the change.
+      is_malformed: Whether there is a value that can't be decoded. It changes
+        nothing.
     """
 
     kind: "ItemKind"
     name: str
     value: object
     revision: int
+    is_malformed: bool = False
 
 
 class ItemKind(enum.Enum):
--- a/tests/test_direct_scale.py
+++ b/tests/test_direct_scale.py
@@ -170,9 +170,7 @@
             for fields in instance.log_fields("answered"):
                 delays.append(fields["token_ms"] / 1000)
         delays.sort()
-        target_s = min(
-            route.target_s for route in world.config.routes.values()
-        )
+        target_s = min(route.target_s for route in world.config.routes.values())
         self.assertGreater(len(delays), self.OPERATIONS_PER_S * OBSERVED_S / 2)
         late = delays[int(0.9 * len(delays))]
         self.assertLessEqual(late, self.MAX_FRACTION * target_s)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import math
 import pathlib
 import sys
 import unittest
@@ -226,10 +227,34 @@
                 continue
             for value in (None, [], {}, -1, True):
                 with self.subTest(f"{name} {value}"):
-                    item = self.decode("servers/i-7", {**ENTRY, name: value})
-                    self.assertIsNone(item.value)
-        self.assertIsNone(store_items.decode("servers/i-7", b"\xff{", 5).value)
-        self.assertIsNone(self.decode("servers/i-7", [1]).value)
+                    self.check_malformed({**ENTRY, name: value})
+        self.check_malformed([1])
+        item = store_items.decode("servers/i-7", b"\xff{", 5)
+        self.assertEqual((item.value, item.is_malformed), (None, True))
+
+    def check_malformed(self, value: object) -> None:
+        """Checks that an entry names no server and counts as malformed."""
+        item = self.decode("servers/i-7", value)
+        self.assertEqual((item.value, item.is_malformed), (None, True))
+
+    def test_entry_with_a_number_out_of_range_names_no_server(self) -> None:
+        for port in ("70000", "-1", "0", "1e3", "9" * 400):
+            with self.subTest(port[:9]):
+                address = f"10.128.0.9:{port}"
+                self.check_malformed({**ENTRY, "Address": address})
+        for name in ("Capacity", "WarmupLeftMs", "born"):
+            with self.subTest(name):
+                self.check_malformed({**ENTRY, name: 10**400})
+        deep = b"[" * 100_000
+        item = store_items.decode("servers/i-7", deep, 5)
+        self.assertEqual((item.value, item.is_malformed), (None, True))
+
+    def test_configuration_with_a_number_too_large_is_ignored(self) -> None:
+        tenant = {**CONFIG["Tenants"][0], "RatePerS": 10**400}
+        changed = {**CONFIG, "Tenants": [tenant]}
+        self.assertIsNone(self.decode("op/config", changed))
+        text = json.dumps({**CONFIG, "Version": math.inf}).encode()
+        self.assertIsNone(store_items.decode("op/config", text, 5))
 
     def test_catalog(self) -> None:
         catalog = self.decode("op/config", CONFIG).value
@@ -284,6 +309,8 @@
         self.provider = provider.Provider("127.0.0.1", port)
 
     async def asyncTearDown(self) -> None:
+        for client in (self.store.client, self.store.watcher):
+            client.close_idle()
         self.server.close()
 
     async def swap(self) -> int:
@@ -475,6 +502,40 @@
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     """Following the store."""
 
+    async def test_odd_entry_hides_no_other_and_removes_no_server(self) -> None:
+        # Another writer replaces the entry of one server by an odd one, which
+        # is there when the whole store is read again.
+        known = state.State("a", "sediu")
+        entries = {"servers/i-7": ENTRY, "servers/i-8": ENTRY}
+        odd = {**ENTRY, "WarmupLeftMs": 10**400}
+        stores = [entries, {**entries, "servers/i-7": odd}]
+
+        class Fake:
+            async def read_all(self) -> ports.StoreItems:
+                if not stores:
+                    await asyncio.sleep(30)
+                items = []
+                for key, entry in stores.pop(0).items():
+                    value = json.dumps(entry).encode()
+                    items.append(store_items.decode(key, value, 5))
+                return ports.StoreItems(items, 7)
+
+            async def watch(
+                self, after: int, wait_s: float
+            ) -> ports.StoreItems:
+                raise ports.HistoryLostError("gone")
+
+        follow = follower.Follower(
+            Fake(), lambda event: reducer.reduce(known, event), lambda: 1.0
+        )
+        task = asyncio.create_task(follow.follow())
+        await asyncio.sleep(0.1)
+        task.cancel()
+        self.assertEqual(stores, [])
+        self.assertEqual(sorted(known.servers), ["i-7", "i-8"])
+        for server in known.servers.values():
+            self.assertFalse(server.is_gone)
+
     async def test_lost_history_is_read_anew(self) -> None:
         calls: list[str] = []
         received: list[object] = []
