--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -5,8 +5,8 @@
 keeps an even share. It may open a few more while a server accepts them, so that
 a transaction which rests doesn't hold up its other work; those are given up
 soon after their use. Where a server accepts fewer than there are instances,
-each keeps its part over time: one connection for a part of the time. At its limit an idle connection of one workspace is closed
-to open one for another.
+each keeps its part over time: one connection for a part of the time. At its
+limit an idle connection of one workspace is closed to open one for another.
 """
 
 from cuminwall.direct import groups, membership
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -170,7 +170,7 @@
         "zone": state.zone,
         "host": state.peer_host,
         "port": state.peer_port,
-        "cores": state.cores,
+        "cores": state.limits.cores,
     }
     return json.dumps(record).encode()
 
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -54,7 +54,6 @@
       store: The platform's store.
       provider: The service that promotes backend servers.
       limits: Durations and bounds.
-      cores: How many processor cores the process may use, in full cores.
     """
 
     instance: str
@@ -66,7 +65,6 @@
     store: Address
     provider: Address
     limits: limits.Limits
-    cores: float = 1.0
 
 
 class Platform(NamedTuple):
@@ -115,7 +113,6 @@
         state_.secret_candidate = secrets.token_bytes(ENTROPY_BYTES)
         state_.boot = secrets.token_hex(BOOT_BYTES)
         state_.peer_host, state_.peer_port = settings.peers
-        state_.cores = settings.cores
         self.engine = engine.Engine(
             state_,
             platform.make_store(*settings.store),
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -109,7 +109,6 @@
         is none.
       peer_host: The host on which other instances reach this one.
       peer_port: The port on which they do.
-      cores: How many processor cores this instance may use, in full cores.
       secret: The secret by which instances authenticate each other; empty
         until it is read.
       members: The instances of the system, by name.
@@ -170,7 +169,6 @@
         self.secret_candidate = b""
         self.peer_host = ""
         self.peer_port = 0
-        self.cores = 1.0
         self.secret = b""
         self.members: dict[str, Member] = {}
         self.peak_members = 0
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -53,9 +53,10 @@
         # All others send it their requests, which a small one is slow to serve.
         for large in NAMES:
             world = direct_world.World(NAMES)
-            for name in NAMES:
-                world.instances[name].state.cores = 0.5
-            world.instances[large].state.cores = 2.0
+            for name, instance in world.instances.items():
+                cores = 2.0 if name == large else 0.5
+                limits = world.limits._replace(cores=cores)
+                instance.state.limits = limits
             world.run(4.0)
             holder = world.coordinator()
             if holder.name == large:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -279,7 +279,7 @@
         self.assertEqual(own.callers, ("10.1.0.26", 8465))
         self.assertEqual(own.peers, ("10.1.0.26", 7560))
         self.assertEqual(own.limits.grace_s, 9.0)
-        self.assertEqual(own.cores, 1.5)
+        self.assertEqual(own.limits.cores, 1.5)
 
     def test_faults(self) -> None:
         for text in ("", "x = ", SETTINGS.replace("Zone", "Zine")):
