--- a/bench/stage_times.py
+++ b/bench/stage_times.py
@@ -1,9 +1,9 @@
 """Summarizes how long operations were in each stage, from log lines.
 
 Reads the lines of all instances from standard input; text before a line's JSON
-object is ignored. Prints, for the operations that began outside a transaction
-and for the later statements of transactions, the quantiles of each stage, the
-share that opened a connection, and how often each cause of a failure occurred.
+object is ignored. Prints the quantiles of each stage of the statements that
+were run, the share of them that opened a connection, and how often each cause
+of a failure occurred.
 """
 
 import collections
@@ -14,6 +14,7 @@
 
 STAGES = ("token_ms", "connection_ms", "server_ms", "ms")
 QUANTILES = (0.5, 0.75, 0.9, 0.99)
+MAX_CAUSES = 12  # Of failures that are printed.
 
 
 def read_answers(lines: Iterable[str]) -> list[dict[str, Any]]:
@@ -28,7 +29,7 @@
         except ValueError:
             # The output of a process that was killed ends within a line.
             continue
-        if fields.get("event") == "answered" and "ms" in fields:
+        if fields.get("event") == "answered" and "outcome" in fields:
             found.append(fields)
     return found
 
@@ -45,10 +46,9 @@
     """Returns the lines of the summary."""
     lines = []
     done = [each for each in answers if each["outcome"] == "done"]
-    first = [each for each in done if each.get("token_ms") is not None]
     lines.append(f"{len(answers)} answered, {len(done)} done")
     for stage in STAGES:
-        values = [each[stage] for each in first if stage in each]
+        values = [each[stage] for each in done if stage in each]
         quantiles = []
         for fraction in QUANTILES:
             value = quantile(values, fraction)
@@ -61,7 +61,7 @@
         if each["outcome"] != "done":
             cause = str(each.get("cause", "")).partition(";")[0]
             causes[f"{each['outcome']}: {cause}"] += 1
-    for cause, count in causes.most_common(12):
+    for cause, count in causes.most_common(MAX_CAUSES):
         lines.append(f"{count:7} {cause}")
     return lines
 
--- a/src/cuminwall/direct/revisions.py
+++ b/src/cuminwall/direct/revisions.py
@@ -7,8 +7,6 @@
 """
 
 NUMBER_BITS = 40  # Of the store's number; with the era, exact as a double.
-
-
 FIRST_ERA = 1  # Of a store that was never restored.
 
 
