--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -206,12 +206,13 @@
 def _schedule_check(state: State, connection: Connection) -> None:
     """Sets the timer to check whether an idle connection is needed."""
     server = connection.server
-    delay_s = _max_idle_s(state, server)
     if _has_unused_share(state, server):
         excess = len(server.connections) - _kept_share(state, server)
         delay_s = max(
             state.limits.borrowed_idle_s, server.unused_share_s / excess
         )
+    else:
+        delay_s = _max_idle_s(state, server)
     connection.check_at = state.now + delay_s
     state.set_timer(
         connection.check_at, TimerKind.CONNECTION, connection.number
@@ -285,8 +286,10 @@
     """Closes a connection that has been idle for too long."""
     if connection.status is not ConnectionStatus.IDLE:
         return
+    server = connection.server
     unused_s = state.now - connection.last_used_at
-    if unused_s >= _max_idle_s(state, connection.server):
+    is_old = unused_s >= _max_idle_s(state, server)
+    if is_old and not _has_unused_share(state, server):
         close(state, connection, out)
     elif state.now >= connection.check_at:
         _schedule_check(state, connection)
@@ -322,9 +325,7 @@
 
 
 def _max_idle_s(state: State, server: Server) -> float:
-    """Returns how long a connection to a server may be idle."""
-    if _has_unused_share(state, server):
-        return state.limits.idle_connection_s
+    """Returns how long a connection may be idle without an unused share."""
     if len(server.connections) > even_share(state, server):
         return state.limits.borrowed_idle_s
     return state.limits.idle_connection_s
--- a/tests/test_direct_connections.py
+++ b/tests/test_direct_connections.py
@@ -160,7 +160,6 @@
         # connection for two thirds of the time.
         world = self.make_world()
         server = world.servers["p"]
-        count = 0
         outcomes = []
 
         def start(number: int) -> None:
--- a/tests/test_direct_scale.py
+++ b/tests/test_direct_scale.py
@@ -36,6 +36,20 @@
     return config._replace(workspaces=workspaces, keys=keys, services=services)
 
 
+def make_server(service_s: float = 0.01) -> direct_world.FakeServer:
+    """Returns a primary that runs any number of statements at once.
+
+    Args:
+      service_s: The mean time that one statement takes.
+    """
+    server = direct_world.FakeServer("p")
+    server.is_primary = True
+    server.slots = 1000
+    server.busy_until = [0.0] * server.slots
+    server.service_s = service_s
+    return server
+
+
 class Crowd:
     """Callers of all workspaces that come back when they are refused."""
 
@@ -98,11 +112,7 @@
 
     def check(self, size: int) -> None:
         names = tuple(f"edge{number}" for number in range(size))
-        server = direct_world.FakeServer("p")
-        server.is_primary = True
-        server.slots = 1000
-        server.busy_until = [0.0] * server.slots
-        server.service_s = 0.002
+        server = make_server(0.002)
         world = slow_world.SlowWorld(
             names, (server,), size, config=make_catalog()
         )
@@ -149,10 +159,7 @@
         # Most operations find no token at their instance, and the next one
         # comes much later than their targets.
         names = tuple(f"edge{number}" for number in range(self.INSTANCES))
-        server = direct_world.FakeServer("p")
-        server.is_primary = True
-        server.slots = 1000
-        server.busy_until = [0.0] * server.slots
+        server = make_server()
         config = make_catalog(self.TOKENS_PER_S)
         world = slow_world.SlowWorld(names, (server,), 7, config=config)
         world.run(3.0)
@@ -188,11 +195,7 @@
         # its lease, and the others must not have to ask less often than an
         # operation may wait for its token.
         names = tuple(f"edge{number}" for number in range(self.INSTANCES))
-        server = direct_world.FakeServer("p")
-        server.is_primary = True
-        server.slots = 1000
-        server.busy_until = [0.0] * server.slots
-        server.service_s = 0.002
+        server = make_server(0.002)
         world = slow_world.SlowWorld(names, (server,), 5, config=make_catalog())
         crowd = Crowd(world, OPERATIONS_PER_S / 3)
         crowd.start()
