--- a/review/standins.py
+++ b/review/standins.py
@@ -276,6 +276,9 @@
       work_s: How long a read, write or commit takes.
       loses_answer: Called with a connection's requester name, id and text;
         whether the answer is lost. The statement runs all the same.
+      disturb: Called with a statement before it runs; returns "", the code of
+        an error, "cut" to close the connection or "cut after" to do so once
+        it has run.
       taken: The statements that arrived: id, text, connection's number.
       runs: Those of them that ran.
       open_now: The connections that are open.
@@ -294,8 +297,10 @@
         self.capacity = 3
         self.max_conns = 22
         self.loses_answer = lambda who, request, text: False
+        self.disturb = lambda request, text, state: ""
         self.taken: list[tuple[str, str, int]] = []
         self.runs: list[tuple[str, str, int]] = []
+        self.details: list[tuple] = []
         self.data: dict[str, str] = {}
         self.open_now: set[int] = set()
         self.conn_count = 0
@@ -362,6 +367,8 @@
         state = "I"
         writes: dict[str, str] = {}
         prepared: dict[str, str] = {}
+        values: dict[str, str] = {}
+        history: list[str] = []  # The ids that ran in the open transaction.
         while True:
             line = (await reader.readuntil(b"\r\n"))[:-2].decode()
             word, _, rest = line.partition(" ")
@@ -387,6 +394,14 @@
                     error = "NOSTMT"
                 else:
                     kind = prepared[name].split(" ", 1)[0]
+            shape = prepared.get(text.split(" ")[1], "") if verb == "EXECUTE" else ""
+            trouble = self.disturb(request, text, state)
+            if trouble == "cut":
+                return
+            if state == "E" and verb not in ("ROLLBACK", "COMMIT"):
+                error = error or "MALFORMED"
+            if trouble and trouble != "cut after":
+                error = error or trouble
             if error:
                 pass
             elif verb == "STATUS":
@@ -404,12 +419,14 @@
                     error = "READONLY"
                 else:
                     state = "T"
+                    history = []
             elif verb == "ROLLBACK":
                 state, writes = "I", {}
             elif verb == "RESET":
-                prepared = {}
+                prepared, values = {}, {}
             elif verb == "SET":
-                pass
+                name, _, value = tail.partition(" ")
+                values[name] = value
             elif verb == "PREPARE":
                 name, _, definition = tail.partition(" ")
                 prepared[name] = definition
@@ -421,13 +438,27 @@
                 if kind == "WRITE" and self.role != "primary":
                     error = "READONLY"
                 elif kind == "READ":
-                    rows.append(self.data.get(tail, "none"))
+                    rows.append(self.data.get(tail, "none") + " " + request)
                 elif kind == "WRITE":
                     item, _, data = tail.partition(" ")
                     writes[item] = data
                 if not error:
                     proof = f"p{self.name}.{number}.{len(self.runs)}"
                     self.runs.append((request, text, number))
+                    if state == "T":
+                        history.append(request)
+                    self.details.append(
+                        (
+                            request,
+                            text,
+                            state,
+                            dict(values),
+                            shape,
+                            list(history),
+                            who,
+                            self.number,
+                        )
+                    )
                     self.record.add(
                         self.name, f"conn {number} ran {request} {text!r}"
                     )
@@ -438,6 +469,8 @@
                 error = "MALFORMED"
             if error and state == "T":
                 state = "E"
+            if trouble == "cut after":
+                return
             if request != "-" and self.loses_answer(who, request, text):
                 self.record.add(self.name, f"answer to {request} is lost")
                 # The connection stays open; nothing more comes on it.
