--- a/review/standins.py
+++ b/review/standins.py
@@ -83,7 +83,9 @@
         self.tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
-        server = await asyncio.start_server(self._serve, HOST, 0)
+        server = await asyncio.start_server(
+            self._serve, HOST, 0, limit=4 << 20
+        )
         self.port = server.sockets[0].getsockname()[1]
         self.tasks.append(asyncio.create_task(self._expire()))
 
@@ -294,6 +296,7 @@
         self.term = 1
         self.number = 1000
         self.work_s = 0.005
+        self.row_count = 1  # Of the answer to a read.
         self.capacity = 3
         self.max_conns = 22
         self.loses_answer = lambda who, request, text: False
@@ -311,7 +314,9 @@
         platform.backends[name] = self
 
     async def start(self) -> None:
-        server = await asyncio.start_server(self._serve, HOST, 0)
+        server = await asyncio.start_server(
+            self._serve, HOST, 0, limit=4 << 20
+        )
         self.port = server.sockets[0].getsockname()[1]
         await self.beat()
 
@@ -438,7 +443,8 @@
                 if kind == "WRITE" and self.role != "primary":
                     error = "READONLY"
                 elif kind == "READ":
-                    rows.append(self.data.get(tail, "none") + " " + request)
+                    row = self.data.get(tail, "none") + " " + request
+                    rows.extend([row] * self.row_count)
                 elif kind == "WRITE":
                     item, _, data = tail.partition(" ")
                     writes[item] = data
@@ -627,7 +633,9 @@
 
     @classmethod
     async def open(cls, port: int, database: str, key: str) -> "Client":
-        reader, writer = await asyncio.open_connection(HOST, port)
+        reader, writer = await asyncio.open_connection(
+            HOST, port, limit=4 << 20
+        )
         client = cls(reader, writer)
         writer.write(f"STARTUP {database} {key}\r\n".encode())
         line = await client.line()
