Review case 5: a daemon hangs when nobody reads its logs

Seen: no request later than RecoveryS is served and no daemon answers its readiness probe; with reading readers all are served.

--- a/review/standins.py
+++ b/review/standins.py
@@ -517,7 +517,7 @@
         self.path.write_text(self.settings(), encoding="utf-8")
         self.process: asyncio.subprocess.Process | None = None
         self.exits: list[int] = []  # Exit codes; below 0: minus the signal.
-        self.expects_exit = False
+        self.log_pipe = 0  # What takes its logs in place of a file, or 0.
 
     def settings(self) -> str:
         return f"""
@@ -568,11 +568,13 @@
         environment["CUMINWALL_CONFIG"] = str(self.path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
-        log = (self.folder / "log").open("ab")
+        log = os.dup(self.log_pipe) if self.log_pipe else os.open(
+            self.folder / "log", os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        )
         self.process = await asyncio.create_subprocess_exec(
             *COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log
         )
-        log.close()
+        os.close(log)
         self.record.add(self.name, "process started")
 
     def signal(self, number: int) -> None:
@@ -736,6 +738,8 @@
         self.daemon_count = daemons
         self.backends: list[Backend] = []
         self.daemons: list[Daemon] = []
+        self.has_log_reader = False
+        self.log_readers: list[asyncio.subprocess.Process] = []
 
     async def start(self) -> bool:
         """Starts all; returns whether every daemon is ready."""
@@ -755,10 +759,23 @@
                 self.platform, self.record, f"edge-z1-{number + 1}", "z1"
             )
             self.daemons.append(daemon)
+            if self.has_log_reader:
+                daemon.log_pipe = await self._start_log_reader()
             await daemon.start()
         ready = [await each.wait_ready() for each in self.daemons]
         return all(ready)
 
+    async def _start_log_reader(self) -> int:
+        """Starts a process that reads logs; returns the pipe to it."""
+        reading, writing = os.pipe()
+        text = "import os\nwhile os.read(0, 65536): pass"
+        process = await asyncio.create_subprocess_exec(
+            "python3", "-c", text, stdin=reading
+        )
+        os.close(reading)
+        self.log_readers.append(process)
+        return writing
+
     @property
     def primary(self) -> Backend:
         return next(each for each in self.backends if each.role == "primary")
@@ -766,6 +783,9 @@
     async def end(self) -> None:
         for daemon in self.daemons:
             await daemon.remove()
+        for reader in self.log_readers:
+            reader.kill()
+            await reader.wait()
         self.record.write()
 
 
