Review case: a failover passes over the draining replica that has the commits

Tried: SyncReplicas 1, one replica drains, the primary crashes 2 s later. Seen: the other replica is promoted without 13 acknowledged commits that the draining one has; without the crash nothing is promoted.

--- a/review/standins.py
+++ b/review/standins.py
@@ -79,6 +79,7 @@
         self.changed = asyncio.Condition()
         self.backends: dict[str, "Backend"] = {}
         self.fences: dict[str, int] = {}
+        self.promoted: list[tuple[str, tuple[str, ...]]] = []  # With its log.
         self.port = 0
         self.tasks: list[asyncio.Task] = []
 
@@ -97,6 +98,11 @@
         await self._notify()
         return self.revision
 
+    async def remove(self, key: str) -> None:
+        self.revision += 1
+        self._remove(key)
+        await self._notify()
+
     def _put(self, key: str, value: str, lease: int) -> None:
         before = self.items.get(key)
         item = {
@@ -259,13 +265,14 @@
             return 409, {}
         if chosen.role == "primary":
             return 200, {}
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(0.6)
         term = 1 + max(each.term for each in self.backends.values())
         for each in self.backends.values():
             if each.service == service and each.role == "primary":
                 each.role = "replica"
                 await each.beat()
         chosen.role, chosen.term = "primary", term
+        self.promoted.append((name, tuple(chosen.log)))
         await chosen.beat()
         self.record.add("platform", f"{name} leads term {term}")
         return 200, {}
@@ -311,15 +318,30 @@
         self.peers: list["Backend"] = []
         self.slots = asyncio.Semaphore(self.capacity)
         self.port = 0
+        self.state = "ready"
+        self.sync_replicas = 0
+        self.receive_s = 0.0  # Until a commit has been received here.
+        self.log: list[str] = []  # The ids of the commits.
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
         platform.backends[name] = self
 
     async def start(self) -> None:
-        server = await asyncio.start_server(
+        self.server = await asyncio.start_server(
             self._serve, HOST, 0, limit=4 << 20
         )
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = self.server.sockets[0].getsockname()[1]
         await self.beat()
 
+    def crash(self) -> None:
+        """Ends at once; what it has not sent to its replicas is lost."""
+        self.record.add(self.name, "crashes")
+        self.is_running = False
+        assert self.server is not None
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def beat(self) -> None:
         await self.platform.put(
             f"servers/{self.name}",
@@ -329,7 +351,7 @@
                 "Zone": self.zone,
                 "Version": "v1",
                 "Capacity": self.capacity,
-                "State": "ready",
+                "State": self.state,
                 "WarmupLeftMs": 0,
                 "DbRole": self.role,
                 "Sequence": 1,
@@ -343,12 +365,14 @@
     async def _serve(self, reader, writer) -> None:
         self.conn_count += 1
         number = self.conn_count
+        self.writers.add(writer)
         try:
             await self._session(number, reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             self.open_now.discard(number)
+            self.writers.discard(writer)
             writer.close()
 
     async def _session(self, number, reader, writer) -> None:
@@ -469,7 +493,7 @@
                         self.name, f"conn {number} ran {request} {text!r}"
                     )
                     if kind == "COMMIT" or (kind == "WRITE" and state == "I"):
-                        self._commit(writes)
+                        await self._commit(request, writes)
                         state, writes = "I", {}
             else:
                 error = "MALFORMED"
@@ -492,15 +516,35 @@
             send(f"READY {state} {self.position()}")
             await writer.drain()
 
-    def _commit(self, writes: dict[str, str]) -> None:
+    async def _commit(self, request: str, writes: dict[str, str]) -> None:
         if not writes:
             return
         self.number += 1
+        self.log.append(request)
         self.data.update(writes)
+        position = (self.term, self.number)
+        received = []
         for peer in self.peers:
-            if peer is not self:
-                peer.term, peer.number = self.term, self.number
-                peer.data.update(writes)
+            if peer is self:
+                continue
+            if not peer.receive_s:
+                peer.take(position, request, writes)
+                continue
+            receiving = peer.receive(self, position, request, writes)
+            received.append(asyncio.create_task(receiving))
+        if self.sync_replicas and received:
+            await asyncio.wait(received, return_when=asyncio.FIRST_COMPLETED)
+
+    async def receive(self, source, position, request, writes) -> None:
+        """Receives a commit of the primary after this one's delay."""
+        await asyncio.sleep(self.receive_s)
+        if source.is_running and source.role == "primary":
+            self.take(position, request, writes)
+
+    def take(self, position, request, writes) -> None:
+        self.term, self.number = position
+        self.log.append(request)
+        self.data.update(writes)
 
 
 class Daemon:
