--- a/review/standins.py
+++ b/review/standins.py
@@ -783,6 +783,7 @@
         self.backends: list[Backend] = []
         self.daemons: list[Daemon] = []
         self.has_log_reader = False
+        self.sync_replicas = 0
         self.log_readers: list[asyncio.subprocess.Process] = []
 
     async def start(self) -> bool:
@@ -793,11 +794,14 @@
                 self.platform, self.record, "svc", f"i-{number + 1}", role
             )
             backend.max_conns = self.max_conns
+            backend.sync_replicas = self.sync_replicas
             self.backends.append(backend)
         for backend in self.backends:
             backend.peers = self.backends
             await backend.start()
-        await self.platform.put("op/config", config(7, "svc", self.max_conns))
+        first = config(7, "svc", self.max_conns)
+        first["Services"][0]["SyncReplicas"] = self.sync_replicas
+        await self.platform.put("op/config", first)
         for number in range(self.daemon_count):
             daemon = Daemon(
                 self.platform, self.record, f"edge-z1-{number + 1}", "z1"
