--- a/review/standins.py
+++ b/review/standins.py
@@ -298,8 +298,6 @@
         self.term = 1
         self.number = 1000
         self.work_s = 0.005
-        self.begin_delay_s = 0.0
-        self.in_tx = {}
         self.capacity = 3
         self.max_conns = 22
         self.loses_answer = lambda who, request, text: False
@@ -367,7 +365,6 @@
             pass
         finally:
             self.open_now.discard(number)
-            self.in_tx.pop(number, None)
             self.writers.discard(writer)
             writer.close()
 
@@ -438,8 +435,6 @@
                     error = "READONLY"
                 else:
                     state = "T"
-                if self.begin_delay_s:
-                    await asyncio.sleep(self.begin_delay_s)
             elif verb == "ROLLBACK":
                 state, writes = "I", {}
             elif verb == "RESET":
@@ -487,10 +482,6 @@
             else:
                 send(f"COMPLETE {proof}")
             send(f"READY {state} {self.position()}")
-            if state == "T":
-                self.in_tx.setdefault(number, asyncio.get_running_loop().time())
-            else:
-                self.in_tx.pop(number, None)
             await writer.drain()
 
     async def _commit(self, request: str, writes: dict[str, str]) -> None:
