Promote only a server that has all acknowledged commits

Cause: the choice of a primary did not know how commits are acknowledged. SyncReplicas was not read; candidates were the servers that may get new operations, warm ones before longer logs, and the choice went on without those that had not answered. Ruled out: the order (one, carried out at once, with a rising token) and the stand-ins.

Now direct/durability.py tells the position that a new primary must have: of the replicas fewer than SyncReplicas may be missing, or the old primary has stepped down and told the end of its log. Then every acknowledged commit is in the longest of the known logs, so the fix does not rest on why a server is unusable. Without SyncReplicas nothing waits longer.

--- a/src/cuminwall/direct/catalog.py
+++ b/src/cuminwall/direct/catalog.py
@@ -66,11 +66,14 @@
       connections: Connections to one server, from all instances together.
       warmup_rate: Requests a second that a cold server may get, from all
         instances together; 0 for no limit.
+      sync_replicas: How many replicas must have received a commit before it is
+        acknowledged.
     """
 
     name: str
     connections: int
     warmup_rate: float
+    sync_replicas: int = 0
 
 
 class Catalog(NamedTuple):
--- /dev/null
+++ b/src/cuminwall/direct/durability.py
@@ -0,0 +1,79 @@
+"""Which logs surely hold every acknowledged commit.
+
+A service may acknowledge a commit only once some of its replicas have received
+it; any of these may then be the only server that still has it. If fewer than
+that number have not told the end of their log, the longest of the other logs
+holds every acknowledged commit. So does a log that reaches the end of the old
+primary's, once that has stepped down.
+"""
+
+from cuminwall.direct import groups
+from cuminwall.direct.answers import Position
+from cuminwall.direct.fleet_state import PrimaryChange
+from cuminwall.direct.servers_state import Group, Server
+from cuminwall.direct.state import State
+
+START = Position(0, 0)  # Every log has reached it.
+
+
+def sync_replicas(state: State, group: Group) -> int:
+    """Returns how many replicas must have received an acknowledged commit."""
+    service = state.catalog.services.get(group.service)
+    return 0 if service is None else service.sync_replicas
+
+
+def must_keep_commits(state: State, group: Group) -> bool:
+    """Returns whether a promotion must not lose an acknowledged commit."""
+    return sync_replicas(state, group) > 0
+
+
+def find_required_position(
+    state: State, group: Group, change: PrimaryChange
+) -> Position | None:
+    """Returns the position that a new primary must have; None if unknown."""
+    if not must_keep_commits(state, group):
+        return START
+    known = []
+    for server in _replicas(group, change):
+        if server.status is not None and _has_answered(server, change):
+            known.append(server.status.position)
+    missing = missing_logs(state, group, change)
+    if known and len(missing) < sync_replicas(state, group):
+        return max(known)
+    return change.log_end
+
+
+def missing_logs(
+    state: State, group: Group, change: PrimaryChange
+) -> list[str]:
+    """Returns the replicas that have not told the end of their log."""
+    missing = []
+    for server in _replicas(group, change):
+        if server.status is None or not _has_answered(server, change):
+            missing.append(server.entry.server)
+    for name, departed in group.departed.items():
+        if name == _old_primary(group, change):
+            continue
+        if state.now - departed.departed_at < groups.DEPARTED_S:
+            missing.append(name)
+    return missing
+
+
+def _has_answered(server: Server, change: PrimaryChange) -> bool:
+    """Returns whether a server has told the end of its log in a change."""
+    return server.status_asked_at >= change.logs_since
+
+
+def _replicas(group: Group, change: PrimaryChange) -> list[Server]:
+    """Returns the servers that may have received commits, but the primary."""
+    result = []
+    for server in group.servers.values():
+        if server.is_gone or server.entry.server == _old_primary(group, change):
+            continue
+        result.append(server)
+    return result
+
+
+def _old_primary(group: Group, change: PrimaryChange) -> str:
+    """Returns the latest known primary before a change."""
+    return change.old_primary or group.former_primary
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -15,7 +15,13 @@
 from typing import Any
 
 from cuminwall import leases
-from cuminwall.direct import groups, inquiries, lease_grants, lender
+from cuminwall.direct import (
+    durability,
+    groups,
+    inquiries,
+    lease_grants,
+    lender,
+)
 from cuminwall.direct.answers import Position
 from cuminwall.direct.effects import Effect, Note, Promote
 from cuminwall.direct.events import PromotionOutcome
@@ -35,7 +41,11 @@
 REPORT_AGE_S = 1.5  # How long an instance's report counts.
 MIN_REPORTERS = 2  # Fewer if there are fewer instances.
 NO_PRIMARY_S = 0.8  # How long a service may lack a known primary.
-UNLED = "the ordered server does not lead"  # A cause of a change.
+# Causes of a change.
+UNLED = "the ordered server does not lead"
+LEAVING = "the primary leaves"
+EVACUATED = "its zone is taken out"
+PLANNED_CAUSES = (LEAVING, EVACUATED)
 RECALL_INTERVAL_S = 0.3  # Between repeated recalls of leases.
 STORE_SETTLE_S = 2.2  # For entries to reappear after a store outage.
 
@@ -267,11 +277,11 @@
 
 def _planned_cause(state: State, group: Group, primary: Server) -> str:
     """Returns why a running primary is to be replaced, or ""."""
-    if not _has_candidate(state, group):
+    if not _has_usable_candidate(state, group):
         return ""
     if primary.entry.is_leaving:
-        return "the primary leaves"
-    return "its zone is taken out"
+        return LEAVING
+    return EVACUATED
 
 
 def _unreachable_cause(
@@ -336,8 +346,21 @@
     return False
 
 
+def _has_usable_candidate(state: State, group: Group) -> bool:
+    """Returns whether some server that is to stay may become primary."""
+    for server in group.servers.values():
+        if not _is_candidate(state, group, server):
+            continue
+        if groups.is_usable(state, server):
+            return True
+    return False
+
+
 def _is_candidate(state: State, group: Group, server: Server) -> bool:
-    """Returns whether a server may become primary in place of the current."""
+    """Returns whether a server may become primary in place of the current.
+
+    One that is to leave may be the only one that has all acknowledged commits.
+    """
     change = state.primary_watch.changes.get(group.service)
     replaced = group.primary
     if change is not None and not state.limits.are_primaries_fenced:
@@ -345,6 +368,8 @@
         replaced = "" if change.cause == UNLED else change.old_primary
     if server.entry.server == replaced:
         return False
+    if durability.must_keep_commits(state, group):
+        return not server.is_gone
     return groups.is_usable(state, server)
 
 
@@ -362,6 +387,7 @@
     """Starts over with asking every candidate for the end of its log."""
     change.step = ChangeStep.QUERYING
     change.step_deadline = state.now + state.limits.inquiry_timeout_s
+    change.logs_since = state.now
     _query_candidates(state, group, change, out)
 
 
@@ -428,7 +454,12 @@
     old = state.servers.get(change.old_primary)
     if old is not None and not change.is_fenced and not old.is_gone:
         if old.unreachable_since is None:
-            _step_down(state, group, change, old, out)
+            if _may_step_down(state, group, change, old):
+                _step_down(state, group, change, old, out)
+                return
+            is_goal_new = change.catch_up_goal_at == state.now
+            if is_goal_new or state.now >= change.step_deadline:
+                _restart(state, group, change, out)
             return
     if _must_recall(state, change):
         _recall(state, group, change, out)
@@ -438,6 +469,36 @@
     _choose(state, group, change, out)
 
 
+def _may_step_down(
+    state: State, group: Group, change: PrimaryChange, old: Server
+) -> bool:
+    """Returns whether a candidate can catch up once the primary stepped down.
+
+    Where commits must be kept, nothing could be promoted until then. An
+    unplanned change does not wait: its old primary serves few callers.
+    """
+    if change.cause not in PLANNED_CAUSES:
+        return True
+    if not durability.must_keep_commits(state, group):
+        return True
+    goal = change.catch_up_goal
+    for server in group.servers.values():
+        if goal is None or server.status is None:
+            continue
+        if not _is_candidate(state, group, server):
+            continue
+        if not groups.is_usable(state, server):
+            continue
+        if server.status.position >= goal:
+            return True
+    goal_age_s = state.now - change.catch_up_goal_at
+    if goal is None or goal_age_s >= state.limits.catch_up_timeout_s:
+        if old.status is not None and old.status_at >= change.queried_at:
+            change.catch_up_goal = old.status.position
+            change.catch_up_goal_at = state.now
+    return False
+
+
 def _step_down(
     state: State,
     group: Group,
@@ -469,6 +530,12 @@
     is_pending = old is not None and old.status_at < change.queried_at
     if is_pending and state.now < change.step_deadline:
         return
+    if old is not None and not is_pending:
+        is_refused = old.status is None and old.status_alive
+        if is_refused and durability.must_keep_commits(state, group):
+            # It may acknowledge more commits.
+            _step_down(state, group, change, old, out)
+            return
     change.is_fenced = True
     if old is not None and not is_pending and old.status is not None:
         change.log_end = old.status.position
@@ -479,6 +546,7 @@
             return
     change.step = ChangeStep.CHOOSING
     change.step_deadline = state.now + state.limits.catch_up_timeout_s
+    change.logs_since = state.now
     _query_candidates(state, group, change, out)
 
 
@@ -527,8 +595,10 @@
 ) -> None:
     """Asks the candidates for their status, while they catch up."""
     change.queried_at = state.now
+    keeps_commits = durability.must_keep_commits(state, group)
     for server in group.servers.values():
-        if _is_candidate(state, group, server):
+        is_old = server.entry.server == change.old_primary
+        if _is_candidate(state, group, server) or (is_old and keeps_commits):
             inquiries.query_status(state, server, out)
 
 
@@ -536,16 +606,23 @@
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
     """Chooses the server with the longest log and writes the order."""
-    best = _best_candidate(state, group, change)
+    best = None
+    required = durability.find_required_position(state, group, change)
+    if required is not None:
+        best = _best_candidate(state, group, change, required)
     may_wait = state.now < change.step_deadline
     if best is None or best.status is None:
-        if not may_wait:
+        if may_wait and change.log_end is not None:
+            _query_candidates(state, group, change, out)
+        elif not may_wait and not _is_waiting_for_logs(state, group, change):
+            _log_missing_logs(state, group, change, required, out)
             change.refused_servers.clear()
             _restart(state, group, change, out)
         return
     log_end = change.log_end
     if may_wait and log_end is not None:
-        if best.status.position < log_end:
+        is_behind = best.status.position < log_end
+        if is_behind or not groups.is_usable(state, best):
             _query_candidates(state, group, change, out)
             return
     if best.entry.server == group.ordered_primary:
@@ -585,17 +662,46 @@
     )
 
 
-def _best_candidate(
+def _is_waiting_for_logs(
     state: State, group: Group, change: PrimaryChange
+) -> bool:
+    """Returns whether servers that must tell their logs may yet answer."""
+    if not durability.must_keep_commits(state, group):
+        return False
+    return state.now < change.queried_at + state.limits.inquiry_timeout_s
+
+
+def _log_missing_logs(
+    state: State,
+    group: Group,
+    change: PrimaryChange,
+    required: Position | None,
+    out: list[Effect],
+) -> None:
+    """Logs why no server can be promoted without losing commits."""
+    if not durability.must_keep_commits(state, group):
+        return
+    fields = {
+        "required": required,
+        "missing": durability.missing_logs(state, group, change),
+        "sync_replicas": durability.sync_replicas(state, group),
+    }
+    _log(state, change, "awaiting_logs", fields, out)
+
+
+def _best_candidate(
+    state: State, group: Group, change: PrimaryChange, required: Position
 ) -> Server | None:
-    """Returns the best candidate: warm first, then by log, then by zone.
+    """Returns the best candidate whose log reaches a position, or None.
+
+    Servers that are to stay go first, then warm ones, then by log and by zone.
 
     An order that was not answered may be carried out late. Where the platform
     does not check the fencing token, that would undo a newer order for another
     server, so the same server is ordered again.
     """
     best = None
-    best_rank: tuple[bool, Position, bool] | None = None
+    best_rank: tuple[bool, bool, Position, bool] | None = None
     pending = _pending_target(state, group)
     for server in group.servers.values():
         if not _is_candidate(state, group, server) or server.status is None:
@@ -607,9 +713,12 @@
             continue
         if state.now - server.status_at > 4 * state.limits.inquiry_timeout_s:
             continue
+        if server.status.position < required:
+            continue
+        is_usable = groups.is_usable(state, server)
         is_warm = server.entry.cold_s <= 0
         is_near = server.entry.zone == state.zone
-        rank = (is_warm, server.status.position, is_near)
+        rank = (is_usable, is_warm, server.status.position, is_near)
         if best_rank is None or rank > best_rank:
             best = server
             best_rank = rank
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -403,10 +403,14 @@
       started_at: When it began.
       step: The current step.
       queried_at: When the servers were last asked.
+      logs_since: The ends of logs count that were asked for since then.
       step_deadline: The deadline of the step.
       is_fenced: Whether the old primary was told to step down.
       is_recalling: Whether no lease on the old primary is granted any more.
       log_end: The end of its log, if it reported one then.
+      catch_up_goal: An earlier end of its log, which a candidate must reach
+        before it is told to step down.
+      catch_up_goal_at: When it reported that.
       target: The server to promote.
       above_term: It leads by this change if its term is higher than this one.
       refused_servers: The servers whose promotion was refused.
@@ -420,10 +424,13 @@
         "started_at",
         "step",
         "queried_at",
+        "logs_since",
         "step_deadline",
         "is_fenced",
         "is_recalling",
         "log_end",
+        "catch_up_goal",
+        "catch_up_goal_at",
         "target",
         "above_term",
         "refused_servers",
@@ -437,10 +444,13 @@
         self.started_at = now
         self.step = ChangeStep.QUERYING
         self.queried_at = now
+        self.logs_since = now
         self.step_deadline = now
         self.is_fenced = False
         self.is_recalling = False
         self.log_end: Position | None = None
+        self.catch_up_goal: Position | None = None
+        self.catch_up_goal_at = leases.NEVER
         self.target = ""
         self.above_term = 0
         self.refused_servers: set[str] = set()
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -10,11 +10,20 @@
 from cuminwall.direct import primary_leases
 from cuminwall.direct.catalog import ServerEntry
 from cuminwall.direct.effects import CloseConnection, Effect, Note
-from cuminwall.direct.servers_state import ConnectionStatus, Group, Server
+from cuminwall.direct.servers_state import (
+    ConnectionStatus,
+    DepartedServer,
+    Group,
+    Server,
+)
 from cuminwall.direct.state import State, TimerKind
 
 PART = "groups"
 
+# For how long a server whose entry was removed may still run, or its log be
+# transferred to a new server at its address.
+DEPARTED_S = 8.0
+
 
 def find(state: State, service: str) -> Group:
     """Returns the group of a service, creating it if necessary."""
@@ -26,6 +35,7 @@
 
 def handle_entry(state: State, entry: ServerEntry, out: list[Effect]) -> None:
     """Handles a new or changed entry of a server."""
+    _forget_departed(find(state, entry.service), entry)
     known = state.servers.get(entry.server)
     if known is not None and known.entry.revision >= entry.revision:
         known.is_gone = False
@@ -78,12 +88,31 @@
     )
     close_idle_if_unusable(state, known, out)
     group = find(state, known.entry.service)
+    _record_departed(state, group, known.entry)
     if group.primary == server:
         set_primary(state, group, "", "entry gone", out)
     if not known.connections:
         _remove(state, known, out)
 
 
+def _record_departed(state: State, group: Group, entry: ServerEntry) -> None:
+    """Remembers a server whose entry was removed, for `DEPARTED_S`."""
+    for server, departed in list(group.departed.items()):
+        if state.now - departed.departed_at >= DEPARTED_S:
+            del group.departed[server]
+    group.departed[entry.server] = DepartedServer(
+        entry.host, entry.port, state.now
+    )
+
+
+def _forget_departed(group: Group, entry: ServerEntry) -> None:
+    """Forgets a departed server that is back or has a successor."""
+    for server, departed in list(group.departed.items()):
+        is_successor = departed[:2] == (entry.host, entry.port)
+        if server == entry.server or is_successor:
+            del group.departed[server]
+
+
 def set_primary(
     state: State, group: Group, server: str, cause: str, out: list[Effect]
 ) -> None:
@@ -103,6 +132,7 @@
             },
         )
     )
+    group.former_primary = "" if server else group.primary
     group.primary = server
     if not server:
         primary_leases.expect_primary(state, group, state.limits.switchover_s)
--- a/src/cuminwall/direct/inquiries.py
+++ b/src/cuminwall/direct/inquiries.py
@@ -100,6 +100,7 @@
     server = inquiry.server
     server.status = status
     server.status_at = state.now
+    server.status_asked_at = inquiry.sent_at
     server.status_alive = is_alive
     out.append(
         Note(
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -161,6 +161,7 @@
       is_unreachable: Whether it was unreachable since it last answered.
       status: Its latest answer to a status query, or None.
       status_at: When it answered the latest query, or failed to.
+      status_asked_at: When that query was sent.
       status_alive: Whether it answered that query at all.
     """
 
@@ -184,6 +185,7 @@
         "is_unreachable",
         "status",
         "status_at",
+        "status_asked_at",
         "status_alive",
     )
 
@@ -207,6 +209,7 @@
         self.is_unreachable = False
         self.status: Status | None = None
         self.status_at = leases.NEVER
+        self.status_asked_at = leases.NEVER
         self.status_alive = True
 
 
@@ -238,13 +241,29 @@
         self.ignored_up_to_request = 0
 
 
+class DepartedServer(NamedTuple):
+    """A server whose entry was removed; it may still run.
+
+    Attributes:
+      host: Its IP number.
+      port: Its port. A server that later uses this address has its log.
+      departed_at: When the entry was removed.
+    """
+
+    host: str
+    port: int
+    departed_at: float
+
+
 class Group:
     """The servers of one database service.
 
     Attributes:
       service: The service.
       servers: By id.
+      departed: The servers whose entries were removed lately, by id.
       primary: The id of the primary, or "" if it is unknown.
+      former_primary: The id of the latest known primary, if it is unknown now.
       primary_revision: The store's revision of the newest entry that named a
         primary.
       order: The store's revision of the newest known order that named a
@@ -264,7 +283,9 @@
     __slots__ = (
         "service",
         "servers",
+        "departed",
         "primary",
+        "former_primary",
         "primary_revision",
         "order",
         "ordered_primary",
@@ -280,7 +301,9 @@
     def __init__(self, service: str):
         self.service = service
         self.servers: dict[str, Server] = {}
+        self.departed: dict[str, DepartedServer] = {}
         self.primary = ""
+        self.former_primary = ""
         self.primary_revision = 0
         self.order = 0
         self.ordered_primary = ""
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -449,6 +449,21 @@
             for other in self.servers.values():
                 other.log.append((self.now, request, server.term))
 
+    def acknowledge(
+        self, server: FakeServer, deliver: Callable[[], None]
+    ) -> None:
+        """Sends the answer to a commit."""
+        del server
+        self.schedule(LINK_S, deliver)
+
+    def lead(self, chosen: FakeServer) -> None:
+        """Starts the next term with what a server has received."""
+        term = 1 + max(each.term for each in self.servers.values())
+        kept_count = chosen.position(self.now).number
+        for server in self.servers.values():
+            del server.log[kept_count:]
+            server.term = term
+
     def _publish(self, instance: Instance, event: Any) -> None:
         """Delivers a change of the store to an instance."""
 
@@ -590,16 +605,12 @@
             chosen = self.servers[effect.server]
             if chosen.is_unreachable:
                 return
-            term = 1 + max(each.term for each in self.servers.values())
             for server in self.servers.values():
                 if server.is_primary and server is not chosen:
                     server.is_primary = False
                     if server.name in self.entries:
                         self.write_entry(server)
-            kept_count = chosen.position(self.now).number
-            for server in self.servers.values():
-                del server.log[kept_count:]
-                server.term = term
+            self.lead(chosen)
             chosen.is_primary = True
             self.promoted.append(
                 (effect.service, effect.server, effect.fencing_token)
@@ -690,16 +701,21 @@
         def answer() -> None:
             if server.is_unreachable or instance.links.get(number) is not link:
                 return
+            log_length = len(server.log)
             result = run_command(self, link, command)
             if is_statement and server.lose_answers:
                 server.lose_answers -= 1
                 return
-            self.schedule(
-                LINK_S,
-                lambda: instance.handle_event(
+
+            def deliver() -> None:
+                instance.handle_event(
                     events.CommandAnswered(self.now, number, result)
-                ),
-            )
+                )
+
+            if len(server.log) > log_length:
+                self.acknowledge(server, deliver)
+                return
+            self.schedule(LINK_S, deliver)
 
         self.schedule(start - self.now, answer)
 
--- /dev/null
+++ b/tests/sync_world.py
@@ -0,0 +1,126 @@
+"""A simulation whose servers acknowledge a commit once a replica has it."""
+
+from collections.abc import Callable
+
+from cuminwall.direct import answers
+from tests import direct_world
+
+NEVER_S = float("inf")
+
+
+class LoggingServer(direct_world.FakeServer):
+    """A server whose log holds just what it has received.
+
+    Attributes:
+      is_deaf: Whether it receives nothing for now.
+      missed: The commits that it receives once it does again.
+    """
+
+    def __init__(self, name: str, zone: str = "z1"):
+        super().__init__(name, zone)
+        self.is_deaf = False
+        self.missed: list[tuple[str, int]] = []
+
+    def position(self, now: float) -> answers.Position:
+        """Returns the end of its log."""
+        return answers.Position(self.term, len(self.received(now)))
+
+    def received(self, now: float) -> list[str]:
+        """Returns the commits that it has received."""
+        return [request for at, request, _ in self.log if at <= now]
+
+
+class World(direct_world.World):
+    """Instances and servers of a service that wants its commits replicated.
+
+    Attributes:
+      logs: The log of each server at its promotion, in their order.
+    """
+
+    def __init__(
+        self, names: tuple[str, ...], servers: tuple[LoggingServer, ...]
+    ):
+        config = direct_world.make_catalog()
+        service = config.services["s"]._replace(sync_replicas=1)
+        config = config._replace(services={"s": service})
+        self.logs: list[list[str]] = []
+        self.replicas = servers
+        super().__init__(names, servers, config=config)
+
+    def crash(self, server: LoggingServer) -> None:
+        """Ends a server; what it has not sent to its replicas is lost."""
+        server.is_unreachable = True
+        for replica in self.replicas:
+            replica.missed.clear()
+            if replica is server:
+                continue
+            replica.log = [each for each in replica.log if each[0] <= self.now]
+
+    def deafen(self, server: LoggingServer, for_s: float) -> None:
+        """Lets a server receive nothing for a while."""
+        server.is_deaf = True
+        self.schedule(for_s, lambda: self._hear(server))
+
+    def record_commit(
+        self, server: direct_world.FakeServer, requests: list[str]
+    ) -> None:
+        for request in requests:
+            server.log.append((self.now, request, server.term))
+            for replica in self.replicas:
+                if replica is server or replica.is_unreachable:
+                    continue
+                if replica.is_deaf:
+                    replica.missed.append((request, server.term))
+                    continue
+                received_at = self.now + replica.lag_s
+                replica.log.append((received_at, request, server.term))
+
+    def acknowledge(
+        self, server: direct_world.FakeServer, deliver: Callable[[], None]
+    ) -> None:
+        lags = [NEVER_S]
+        for replica in self.replicas:
+            is_listening = not (replica.is_unreachable or replica.is_deaf)
+            if replica is not server and is_listening:
+                lags.append(replica.lag_s)
+        if min(lags) == NEVER_S:
+            return
+
+        def received() -> None:
+            if not server.is_unreachable:
+                self.schedule(direct_world.LINK_S, deliver)
+
+        self.schedule(min(lags), received)
+
+    def lead(self, chosen: direct_world.FakeServer) -> None:
+        assert isinstance(chosen, LoggingServer)
+        kept = chosen.received(self.now)
+        self.logs.append(kept)
+        term = 1 + max(each.term for each in self.replicas)
+        log = [(self.now, request, term) for request in kept]
+        for server in self.replicas:
+            server.missed.clear()
+            if server.is_deaf and server is not chosen:
+                self._cut_log(server, kept, term)
+                continue
+            server.log = list(log)
+            server.term = term
+
+    def _cut_log(
+        self, server: LoggingServer, kept: list[str], term: int
+    ) -> None:
+        """Removes what a new primary lacks; the rest is received later."""
+        own = server.received(self.now)
+        count = 0
+        while count < min(len(own), len(kept)) and own[count] == kept[count]:
+            count += 1
+        del server.log[count:]
+        server.missed = [(request, term) for request in kept[count:]]
+
+    def _hear(self, server: LoggingServer) -> None:
+        """Lets a server receive what it missed, if a primary still has it."""
+        server.is_deaf = False
+        for request, term in server.missed:
+            server.log.append((self.now, request, term))
+            server.term = term
+        server.missed.clear()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -263,6 +263,14 @@
         self.assertEqual((route.max_age_s, route.timeout_s), (2.5, 0.8))
         self.assertEqual(catalog.keys, {"k1": "t", "k2": "t"})
 
+    def test_replicas_that_a_commit_must_have(self) -> None:
+        catalog = self.decode("op/config", CONFIG).value
+        self.assertEqual(catalog.services["s"].sync_replicas, 0)
+        service = {**CONFIG["Services"][0], "SyncReplicas": 1}
+        changed = {**CONFIG, "Services": [service]}
+        catalog = self.decode("op/config", changed).value
+        self.assertEqual(catalog.services["s"].sync_replicas, 1)
+
     def test_malformed_catalog_changes_nothing(self) -> None:
         self.assertIsNone(self.decode("op/config", {"Version": 8}))
 
