Notice that changes of the store are missed, in seconds

Cause: all nine instances had a call for changes at the silent store, which never answers it; it was waited for 26.5 s ("store lost" of all nine at 32.5 s, "no answer for 26.5 s"), while the renewals of the coordinator's lease were answered. Ruled out: the comparison of configurations (all were behind alike), the pause between calls, a change lost in the store.

Why this works: the coordinator's own calls wait 0.75 s, so a dead one is noticed within 1.75 s; with each reply it tells the newest change that it knows, and who lacks it for a second, or hears nothing, calls anew from its revision. One instance pays for short waits, whatever the size of the fleet, and nobody reads the whole store for it.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -24,6 +24,7 @@
     GrantLease,
     KeepLease,
     Note,
+    RestartWatch,
     SendToPeer,
 )
 from cuminwall.direct.fleet_state import (
@@ -347,6 +348,7 @@
     first_tick_at = state.now + failover.TICK_S
     state.set_timer(first_tick_at, TimerKind.FAILOVER, own_lease.epoch)
     state.set_timer(own_lease.renew_at, TimerKind.COORDINATOR)
+    out.append(RestartWatch())
 
 
 def _stop(state: State, cause: str, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/effects.py
+++ b/src/cuminwall/direct/effects.py
@@ -125,6 +125,10 @@
     """Reads the whole store again, since a change was missed."""
 
 
+class RestartWatch(NamedTuple):
+    """Calls the store anew if a call has been waiting long for changes."""
+
+
 class SendToPeer(NamedTuple):
     """Sends a message to another instance."""
 
@@ -179,6 +183,7 @@
     | Promote
     | StartPeerLinks
     | RereadStore
+    | RestartWatch
     | SendToPeer
     | ExitProcess
     | Note
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -52,6 +52,7 @@
       servers: The connections to backend servers.
       fleet: The links to the other instances.
       reread_store: Called to read the whole store again.
+      restart_watch: Called to replace a call that waits long for changes.
       ended: Set when the process may exit.
     """
 
@@ -78,6 +79,7 @@
         )
         self.fleet = fleet.Fleet(state_, self.handle_event, boot_clock)
         self.reread_store: Callable[[], None] = lambda: None
+        self.restart_watch: Callable[[], None] = lambda: None
         self.ended = asyncio.Event()
         self.queue: collections.deque[events.Event] = collections.deque()
         self.is_running = False
@@ -322,6 +324,11 @@
     engine.reread_store()
 
 
+@perform.register
+def _(effect: effects.RestartWatch, engine: Engine) -> None:
+    engine.restart_watch()
+
+
 @perform.register
 def _(effect: effects.SendToPeer, engine: Engine) -> None:
     engine.fleet.send(effect.instance, effect.message)
--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -135,6 +135,21 @@
     cause: str
 
 
+class ChangesRead(NamedTuple):
+    """All changes of the store up to a revision were read.
+
+    Attributes:
+      now: The time.
+      revision: The revision.
+      newest_change: The revision of the newest of these changes; 0 if the
+        answer had none.
+    """
+
+    now: float
+    revision: int
+    newest_change: int
+
+
 class SwapFinished(NamedTuple):
     """A compare-and-swap of store values was answered, or failed.
 
@@ -242,6 +257,7 @@
     | SharedValueSeen
     | SnapshotRead
     | StoreStatusReported
+    | ChangesRead
     | SwapFinished
     | LeaseCallFinished
     | PromotionFinished
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -91,6 +91,36 @@
         self.last_reply_sent_at = leases.NEVER
 
 
+class StoreView:
+    """How far this instance knows the store, and when that was confirmed.
+
+    Attributes:
+      revision: The store's revision up to which all changes were read.
+      newest_change: The revision of the newest change that was read.
+      answered_at: When the store last answered the call that waits for changes.
+      told_at: When the coordinator last knew of no later change.
+      is_in_doubt: Whether changes may be missed.
+      config_behind_since: Since when a peer had a newer configuration, or None.
+    """
+
+    __slots__ = (
+        "revision",
+        "newest_change",
+        "answered_at",
+        "told_at",
+        "is_in_doubt",
+        "config_behind_since",
+    )
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.newest_change = 0
+        self.answered_at = leases.NEVER
+        self.told_at = leases.NEVER
+        self.is_in_doubt = False
+        self.config_behind_since: float | None = None
+
+
 class CoordinatorLease:
     """This instance's lease in the store, which it coordinates under.
 
--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -15,9 +15,8 @@
 from typing import Any
 
 from cuminwall import exceptions
-from cuminwall.direct import events, ports
+from cuminwall.direct import events, ports, store_view
 
-WATCH_S = 25.0  # How long a call waits for a change; the store allows 30 s.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 MAX_CALLS_PER_S = 200.0  # Of all instances, to learn of changes.
@@ -41,12 +40,14 @@
       on_event: Handles an event.
       clock: Returns the time for events.
       find_pause_s: Returns how long to wait after a change.
+      find_wait_s: Returns how long a call waits for a change.
+      wait_s: How long the call in progress does; 0 if it reads all.
       had_change: Whether the last call reported one.
       revision: The revision up to which all changes were reported; None to
         read the whole store.
       backoff_s: How long to wait after the next failure.
       pending_call: The call in progress.
-      is_rereading: Whether `reread` has cancelled the call in progress.
+      is_restarting: Whether the call in progress was cancelled, for another.
     """
 
     def __init__(
@@ -55,16 +56,19 @@
         on_event: Callable[[events.Event], None],
         clock: Callable[[], float],
         find_pause_s: Callable[[], float] = lambda: 0.0,
+        find_wait_s: Callable[[], float] = lambda: store_view.LONG_WAIT_S,
     ):
         self.store = store
         self.on_event = on_event
         self.clock = clock
         self.find_pause_s = find_pause_s
+        self.find_wait_s = find_wait_s
+        self.wait_s = 0.0
         self.had_change = False
         self.revision: int | None = None
         self.backoff_s = MIN_BACKOFF_S
         self.pending_call: asyncio.Future[None] | None = None
-        self.is_rereading = False
+        self.is_restarting = False
 
     async def follow(self) -> None:
         """Follows the store until cancelled."""
@@ -73,10 +77,9 @@
             try:
                 await self.pending_call
             except asyncio.CancelledError:
-                if not self.is_rereading:
+                if not self.is_restarting:
                     raise
-                self.is_rereading = False
-                self.revision = None
+                self.is_restarting = False
                 continue
             except ports.HistoryLostError:
                 self.revision = None
@@ -97,7 +100,17 @@
             or self.revision is None
         ):
             return
-        self.is_rereading = True
+        self.revision = None
+        self.is_restarting = True
+        self.pending_call.cancel()
+
+    def restart_watch(self) -> None:
+        """Replaces a call that waits long; it may never be answered."""
+        if self.pending_call is None or self.pending_call.done():
+            return
+        if self.wait_s <= store_view.SHORT_WAIT_S:
+            return
+        self.is_restarting = True
         self.pending_call.cancel()
 
     async def _call_store(self) -> None:
@@ -109,6 +122,7 @@
 
     async def _read_all(self) -> None:
         """Reads the whole store and reports it."""
+        self.wait_s = 0.0
         result = await self.store.read_all()
         self._report_items(result.items)
         names: dict[ports.ItemKind, set[str]] = {}
@@ -125,17 +139,24 @@
                 frozenset(names[ports.ItemKind.SHARED]),
             )
         )
-        self.revision = result.revision
+        self._report_changes(result)
 
     async def _read_changes(self) -> None:
         """Waits for changes and reports them."""
         assert self.revision is not None
         if self.had_change:
             await asyncio.sleep(self.find_pause_s())
-        result = await self.store.watch(self.revision, WATCH_S)
+        self.wait_s = self.find_wait_s()
+        result = await self.store.watch(self.revision, self.wait_s)
         self.had_change = bool(result.items)
         self._report_items(result.items)
-        self.revision = max(self.revision, result.revision)
+        self._report_changes(result)
+
+    def _report_changes(self, result: ports.StoreItems) -> None:
+        """Reports up to which revision the changes are known."""
+        newest = max((item.revision for item in result.items), default=0)
+        self.revision = max(self.revision or 0, result.revision)
+        self.on_event(events.ChangesRead(self.clock(), self.revision, newest))
 
     def _report_items(self, items: Iterable[ports.StoreItem]) -> None:
         """Turns items into events, in their order."""
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -100,6 +100,7 @@
         interval_s=_request_interval_s(state, lender),
         is_reported=lender.unreported.get(sender) != request.boot,
         sent_at=state.now,
+        newest_change=state.store_view.newest_change,
     )
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -63,6 +63,7 @@
       is_reported: Whether the coordinator knows all shares that the receiver
         holds.
       sent_at: When the reply was sent, on the coordinator's clock.
+      newest_change: The store's revision of the newest change that it knows.
     """
 
     number: int
@@ -72,6 +73,7 @@
     interval_s: float
     is_reported: bool
     sent_at: float
+    newest_change: int
 
 
 class FindCoordinator(NamedTuple):
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -20,6 +20,7 @@
     meters,
     ports,
     state,
+    store_view,
 )
 
 PART = "node"
@@ -138,8 +139,10 @@
             self.engine.handle_event,
             engine.boot_clock,
             lambda: follower.pause_s(len(state_.members)),
+            lambda: store_view.find_wait_s(state_, engine.boot_clock()),
         )
         self.engine.reread_store = follower_.reread
+        self.engine.restart_watch = follower_.restart_watch
         self.engine.start_task(self.engine.run_forever(follower_.follow))
         await plainhttp.serve(*settings.ready, self._answer_probe)
         await plainhttp.serve(*settings.metrics, self._answer_metrics)
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -26,12 +26,13 @@
     retries,
     sessions,
     shutdown,
+    store_view,
     timers,
     workload,
 )
 from cuminwall.direct.answers import Answer
 from cuminwall.direct.catalog import Catalog
-from cuminwall.direct.effects import Effect, Note, RereadStore, SendToPeer
+from cuminwall.direct.effects import Effect, Note, SendToPeer
 from cuminwall.direct.servers_state import AnswerKind, Connection
 from cuminwall.direct.state import State, SwapPurpose
 
@@ -195,6 +196,11 @@
             state.unassigned.extend(group.waiting.drain())
 
 
+@handle.register
+def _(event: events.ChangesRead, state: State, out: list[Effect]) -> None:
+    store_view.record_answer(state, event)
+
+
 @handle.register
 def _(event: events.SharedValueSeen, state: State, out: list[Effect]) -> None:
     known = state.shared_revisions.get(event.name, 0)
@@ -272,7 +278,9 @@
             failover.record_unreachable_servers(
                 state, event.sender, event.message.unreachable
             )
-            _check_config_version(state, event.message.config_version, out)
+            store_view.check_config_version(
+                state, event.message.config_version, out
+            )
             grants = lender.handle_share_request(
                 state, event.sender, event.message, out
             )
@@ -283,7 +291,10 @@
                 out.append(SendToPeer(event.sender, grants))
     elif isinstance(event.message, messages.ShareReply):
         quotas.handle_share_reply(state, event.message, out)
-        _check_config_version(state, event.message.config_version, out)
+        store_view.handle_reply(state, event.message, out)
+        store_view.check_config_version(
+            state, event.message.config_version, out
+        )
     elif isinstance(event.message, messages.FindCoordinator):
         coordination.handle_find_coordinator(
             state, event.sender, event.message, out
@@ -397,28 +408,6 @@
     return changed
 
 
-def _check_config_version(
-    state: State, version: int, out: list[Effect]
-) -> None:
-    """Reads the store again if a peer has had a newer configuration for long.
-
-    This finds a change that the store did not report, for example because it
-    dropped its history or a connection went silent.
-    """
-    if version <= state.catalog.version:
-        state.stale_config_since = None
-        return
-    if state.stale_config_since is None:
-        state.stale_config_since = state.now
-        return
-    if state.now - state.stale_config_since < state.limits.stale_config_s:
-        return
-    state.stale_config_since = None
-    fields = {"version": state.catalog.version, "newer": version}
-    out.append(Note(PART, "behind", fields))
-    out.append(RereadStore())
-
-
 def _handle_answer(
     state: State,
     connection: Connection,
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -23,6 +23,7 @@
     PrimaryLeaseRequests,
     PrimaryWatch,
     RequestPacing,
+    StoreView,
     TokenRate,
 )
 from cuminwall.direct.servers_state import Connection, Group, Inquiry, Server
@@ -131,11 +132,11 @@
       request_pacing: When further requests to it may be sent.
       token_rates: How fast each workspace takes tokens here.
       last_demand_at: When each workspace last needed a token here.
-      stale_config_since: Since when a peer had a newer configuration, or None.
       shutdown_began_at: When this instance began to shut down.
       is_store_up: Whether the store answers.
       store_up_since: Since when it does.
       had_outage: Whether it has ever failed to answer.
+      store_view: How far it knows the store.
       snapshot_count: How many times the whole store was read.
       last_number: The last number that `next_number` returned.
       is_shutting_down: Whether this instance is shutting down.
@@ -189,11 +190,11 @@
         self.request_pacing = RequestPacing()
         self.token_rates: dict[str, TokenRate] = {}
         self.last_demand_at: dict[str, float] = {}
-        self.stale_config_since: float | None = None
         self.shutdown_began_at = 0.0
         self.is_store_up = False
         self.store_up_since = 0.0
         self.had_outage = False
+        self.store_view = StoreView()
         self.snapshot_count = 0
         self.last_number = 0
         self.is_shutting_down = False
--- /dev/null
+++ b/src/cuminwall/direct/store_view.py
@@ -0,0 +1,96 @@
+"""Notices that this instance no longer hears of the store's changes.
+
+A call that waits for changes may never be answered: the store was silent when
+it came, or its connection is dead while new ones work. Other calls then tell
+nothing about it. Each call has a price, so not every instance can wait for a
+short time only. The coordinator does, and tells the others the newest change
+that it knows. An instance that lacks that change for a while, or hears nothing
+from the coordinator, calls anew and waits for a short time as well.
+"""
+
+from cuminwall.direct import events, messages
+from cuminwall.direct.effects import (
+    Effect,
+    Note,
+    RereadStore,
+    RestartWatch,
+)
+from cuminwall.direct.state import State
+
+PART = "store"
+CONFIG_PART = "config"
+
+LONG_WAIT_S = 25.0  # For changes; the store allows 30 s.
+SHORT_WAIT_S = 0.75
+# How long this instance may lack a change, or hear nothing. A healthy one lacks
+# it for as long as `follower.MAX_PAUSE_S` and a reply of the coordinator take.
+UNCONFIRMED_S = 1.0
+
+
+def find_wait_s(state: State, now: float) -> float:
+    """Returns how long the next call to the store waits for a change."""
+    is_coordinator = state.own_lease.epoch > 0
+    if is_coordinator or now - state.store_view.told_at >= UNCONFIRMED_S:
+        return SHORT_WAIT_S
+    return LONG_WAIT_S
+
+
+def record_answer(state: State, event: events.ChangesRead) -> None:
+    """Records an answer of the store."""
+    view = state.store_view
+    view.revision = event.revision
+    view.newest_change = max(view.newest_change, event.newest_change)
+    view.answered_at = state.now
+    view.is_in_doubt = False
+
+
+def handle_reply(
+    state: State, reply: messages.ShareReply, out: list[Effect]
+) -> None:
+    """Compares what is known here with what the coordinator knows."""
+    view = state.store_view
+    if reply.newest_change > view.revision:
+        check(state, out)
+        return
+    view.told_at = state.now
+    view.is_in_doubt = False
+
+
+def check(state: State, out: list[Effect]) -> None:
+    """Replaces a call that has waited long if changes may be missed."""
+    view = state.store_view
+    if state.own_lease.epoch or not state.is_store_up:
+        return
+    unconfirmed_s = state.now - max(view.answered_at, view.told_at)
+    if unconfirmed_s < UNCONFIRMED_S:
+        return
+    if not view.is_in_doubt:
+        view.is_in_doubt = True
+        fields = {
+            "revision": view.revision,
+            "answered_s_ago": round(state.now - view.answered_at, 3),
+            "told_s_ago": round(state.now - view.told_at, 3),
+        }
+        out.append(Note(PART, "in_doubt", fields))
+    out.append(RestartWatch())
+
+
+def check_config_version(state: State, version: int, out: list[Effect]) -> None:
+    """Reads the store again if a peer has had a newer configuration for long.
+
+    This finds a change that the store did not report, for example because it
+    dropped its history.
+    """
+    view = state.store_view
+    if version <= state.catalog.version:
+        view.config_behind_since = None
+        return
+    if view.config_behind_since is None:
+        view.config_behind_since = state.now
+        return
+    if state.now - view.config_behind_since < state.limits.stale_config_s:
+        return
+    view.config_behind_since = None
+    fields = {"version": state.catalog.version, "newer": version}
+    out.append(Note(CONFIG_PART, "behind", fields))
+    out.append(RereadStore())
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -15,6 +15,7 @@
     retries,
     sessions,
     shutdown,
+    store_view,
     workload,
 )
 from cuminwall.direct.effects import Effect
@@ -49,6 +50,7 @@
 def _quotas(state: State, key: Any, out: list[Effect]) -> None:
     del key
     quotas.send_due_requests(state, out)
+    store_view.check(state, out)
 
 
 def _primary_leases(state: State, key: Any, out: list[Effect]) -> None:
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -232,6 +232,8 @@
 
     Attributes:
       opened: How many connections to servers it has tried to open.
+      is_watch_dead: Whether its call that waits for changes of the store is
+        never answered.
     """
 
     def __init__(self, world: "World", name: str, zone: str, boot: str):
@@ -250,6 +252,7 @@
         self.is_alive = True
         self.is_isolated = False
         self.has_store = True
+        self.is_watch_dead = False
         self.timer_at = float("inf")
 
     def handle_event(self, event: Any) -> None:
@@ -378,6 +381,7 @@
     def configure(self, config: catalog.Catalog) -> None:
         """Puts a configuration into the store."""
         self.config = config
+        self.store.revision += 1
         for instance in self.instances.values():
             self._publish(instance, events.CatalogSeen(self.now, config))
 
@@ -468,11 +472,21 @@
         """Delivers a change of the store to an instance."""
 
         def deliver() -> None:
-            if self.store.is_up and instance.has_store:
-                instance.handle_event(event._replace(now=self.now))
+            if not (self.store.is_up and instance.has_store):
+                return
+            if instance.is_watch_dead:
+                return
+            instance.handle_event(event._replace(now=self.now))
+            self._report_revision(instance)
 
         self.schedule(STORE_S, deliver)
 
+    def _report_revision(self, instance: Instance) -> None:
+        """Reports that all changes of the store were read."""
+        revision = self.store.revision
+        event = events.ChangesRead(self.now, revision, revision)
+        instance.handle_event(event)
+
     def _read_all(self, instance: Instance) -> None:
         """Makes an instance read the whole store."""
         if not self.store.is_up or not instance.has_store:
@@ -493,6 +507,7 @@
                 frozenset(self.store.values),
             )
         )
+        self._report_revision(instance)
         instance.handle_event(events.StoreStatusReported(now, True, ""))
 
     # Each of the methods below performs one type of effect.
@@ -527,6 +542,16 @@
     ) -> None:
         self.schedule(STORE_S, lambda: self._read_all(instance))
 
+    def _restart_watch(
+        self, instance: Instance, effect: effects.RestartWatch
+    ) -> None:
+        def answer() -> None:
+            if instance.is_watch_dead:
+                instance.is_watch_dead = False
+                self._read_all(instance)
+
+        self.schedule(STORE_S, answer)
+
     def _say(self, instance: Instance, effect: effects.SendToPeer) -> None:
         def deliver() -> None:
             peer = self.instances.get(effect.instance)
@@ -727,6 +752,7 @@
     effects.CloseCaller: World._close_caller,
     effects.Note: World._note,
     effects.RereadStore: World._read_again,
+    effects.RestartWatch: World._restart_watch,
     effects.SendToPeer: World._say,
     effects.CompareAndSwap: World._swap,
     effects.GrantLease: World._grant,
--- /dev/null
+++ b/tests/test_direct_store_view.py
@@ -0,0 +1,103 @@
+"""Tests that each instance notices when it misses changes of the store."""
+
+import unittest
+
+from cuminwall.direct import catalog, store_view
+from tests import direct_world
+
+NAMES = ("a", "b", "c", "d", "e")
+# From a change until an instance whose call is never answered knows it: it is
+# in doubt, the coordinator's next reply comes, and it calls anew.
+SEEN_S = store_view.UNCONFIRMED_S + 2 * 0.4 + 0.1
+
+
+def make_world() -> direct_world.World:
+    """Returns five instances with a primary and a replica."""
+    servers = (direct_world.FakeServer("p"), direct_world.FakeServer("q"))
+    servers[0].is_primary = True
+    world = direct_world.World(NAMES, servers)
+    world.run(4.0)
+    return world
+
+
+def find_follower(world: direct_world.World) -> direct_world.Instance:
+    """Returns an instance that does not coordinate."""
+    name = next(n for n in NAMES if n != world.coordinator().name)
+    return world.instances[name]
+
+
+class DeadWatchTest(unittest.TestCase):
+    """The call that waits for changes is never answered."""
+
+    def entry(self, instance: direct_world.Instance) -> catalog.ServerEntry:
+        return instance.state.servers["q"].entry
+
+    # Where only this call hangs, nothing else tells that changes are missed: a
+    # server that leaves went on getting work for 26 s.
+    def test_change_that_the_coordinator_knows_is_seen(self) -> None:
+        world = make_world()
+        instance = find_follower(world)
+        instance.is_watch_dead = True
+        world.write_entry(world.servers["q"], is_leaving=True)
+        world.run(SEEN_S)
+        self.assertTrue(self.entry(instance).is_leaving)
+        self.assertEqual(len(instance.log_fields("in_doubt")), 1)
+
+    def test_change_is_seen_out_of_touch_with_the_coordinator(self) -> None:
+        world = make_world()
+        instance = find_follower(world)
+        instance.is_isolated = True
+        instance.is_watch_dead = True
+        world.write_entry(world.servers["q"], is_leaving=True)
+        world.run(SEEN_S)
+        self.assertTrue(self.entry(instance).is_leaving)
+
+    def test_change_is_seen_by_a_new_coordinator(self) -> None:
+        world = make_world()
+        old = world.coordinator().name
+        world.kill(old)
+        world.run(4.0)
+        self.assertNotEqual(world.coordinator().name, old)
+        for instance in world.instances.values():
+            instance.is_watch_dead = instance is not world.coordinator()
+        world.write_entry(world.servers["q"], is_leaving=True)
+        world.run(SEEN_S)
+        for instance in world.instances.values():
+            if instance.is_alive:
+                self.assertTrue(self.entry(instance).is_leaving)
+
+
+class WaitTest(unittest.TestCase):
+    """Calls that wait a short time are few, since each has a price."""
+
+    def test_only_the_coordinator_waits_a_short_time(self) -> None:
+        world = make_world()
+        world.run(10.0)
+        short = []
+        for instance in world.instances.values():
+            wait_s = store_view.find_wait_s(instance.state, world.now)
+            if wait_s == store_view.SHORT_WAIT_S:
+                short.append(instance.name)
+        self.assertEqual(short, [world.coordinator().name])
+
+    def test_nobody_is_in_doubt_in_a_quiet_fleet(self) -> None:
+        world = make_world()
+        for instance in world.instances.values():
+            instance.notes.clear()
+        world.run(20.0)
+        for instance in world.instances.values():
+            self.assertEqual(instance.log_fields("in_doubt"), [])
+
+    def test_nobody_is_in_doubt_while_changes_come_all_the_time(self) -> None:
+        world = make_world()
+        for instance in world.instances.values():
+            instance.notes.clear()
+        for _ in range(100):
+            world.write_entry(world.servers["q"])
+            world.run(0.1)
+        for instance in world.instances.values():
+            self.assertEqual(instance.log_fields("in_doubt"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
     revisions,
     state,
     statements,
+    store_view,
 )
 from cuminwall.direct.answers import (
     Answer,
@@ -578,6 +579,77 @@
         self.assertIn(False, [event.is_up for event in store_events])
 
 
+class SilentStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Following a store that leaves a watch unanswered.
+
+    Attributes:
+      is_silent: Whether calls that come now are never answered.
+      version: The configuration's version, also its revision.
+    """
+
+    CONTACT_S = 4.0  # After an outage; then changes must be seen in time.
+
+    async def asyncSetUp(self) -> None:
+        self.is_silent = False
+        self.version = 7
+        self.watch_count = 0
+
+        async def answer(request: plainhttp.Request) -> plainhttp.Response:
+            is_watch = request.path.startswith("/v1/kv-watch")
+            self.watch_count += is_watch
+            if self.is_silent:
+                await asyncio.sleep(60.0)
+            if is_watch and f"after={self.version}&" in request.path:
+                await asyncio.sleep(60.0)
+            value = json.dumps({**CONFIG, "Version": self.version}).encode()
+            item = {
+                "Key": "op/config",
+                "Value": base64.b64encode(value).decode(),
+                "Revision": self.version,
+                "Lease": 0,
+            }
+            body = {"HasMore": False, "AsOf": self.version}
+            body["events" if is_watch else "items"] = [item]
+            return plainhttp.Response(200, json.dumps(body).encode())
+
+        self.server = await plainhttp.serve("127.0.0.1", 0, answer)
+        port = self.server.sockets[0].getsockname()[1]
+        self.store = store.Store("127.0.0.1", port)
+
+    async def asyncTearDown(self) -> None:
+        for client in (self.store.client, self.store.watcher):
+            client.close_idle()
+        self.server.close()
+
+    # A watch that was sent to a silent store must not hide the changes after
+    # the store is back: withdrawn keys stayed in use for 22 s.
+    async def test_coordinator_sees_a_change_after_an_outage(self) -> None:
+        versions: list[int] = []
+
+        def record(event: events.Event) -> None:
+            if isinstance(event, events.CatalogSeen):
+                versions.append(event.catalog.version)
+
+        follow = follower.Follower(
+            self.store,
+            record,
+            lambda: 1.0,
+            find_wait_s=lambda: store_view.SHORT_WAIT_S,
+        )
+        task = asyncio.create_task(follow.follow())
+        while not versions:
+            await asyncio.sleep(0.01)
+        self.is_silent = True
+        while not self.watch_count:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        self.is_silent = False
+        self.version = 8
+        await asyncio.sleep(self.CONTACT_S)
+        task.cancel()
+        self.assertIn(8, versions)
+
+
 class FolderTest(unittest.TestCase):
     """Only the adapter knows the platform's names."""
 
