Refuse statements that a shutdown would cut off

No such instant comes while the platform sends callers to an instance that is not ready. Evidence: the lost reads were sent 5.0 to 5.4 s after the signal, the line "shutdown cut" at 5.4 s, no refusal before. Ruled out: the readiness probe, slow servers.

Why this works: a statement is sent only while its route's time limit, or 0.4 of the grace period if that is less, fits before the end (direct/process_end.py). Later ones, those that still wait, and callers that arrive then are refused at once as not run, with the word to go to another instance. Whatever is unanswered at the end is told what is known of it: outcome unknown, timed out, or rolled back. One copy now of how a sent statement fails (retries).

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -115,6 +115,10 @@
     FINISHED = enum.auto()
 
 
+# In these nothing was sent to a server.
+WAITING_STAGES = (Stage.WAITING_FOR_TOKEN, Stage.WAITING_FOR_CONNECTION)
+
+
 class Operation:
     """One statement, from its arrival to its answer.
 
--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -17,7 +17,11 @@
     Phase,
     Reason,
 )
-from cuminwall.direct.callers_state import Operation, Stage
+from cuminwall.direct.callers_state import (
+    WAITING_STAGES,
+    Operation,
+    Stage,
+)
 from cuminwall.direct.effects import Effect, Note
 from cuminwall.direct.servers_state import Connection, ConnectionStatus, Server
 from cuminwall.direct.state import State, TimerKind
@@ -63,26 +67,41 @@
 ) -> None:
     """Retries or fails a statement whose answer will not come."""
     operation.connection = None
-    transaction = operation.session.transaction
-    if operation.stage is not Stage.SENT:
-        _retry(state, operation, connection, cause, out)
-        return
-    if transaction is None:
-        if operation.writes:
-            operations.finish_failed(
-                state, operation, Reason.OUTCOME_UNKNOWN, cause, out
-            )
-            return
+    if operation.stage is not Stage.SENT or _may_rerun(operation):
         _retry(state, operation, connection, cause, out)
         return
-    transaction.connection = None
-    is_commit = isinstance(operation.statement, statements.Commit)
-    if is_commit and transaction.wrote:
-        operations.finish_failed(
-            state, operation, Reason.OUTCOME_UNKNOWN, cause, out
-        )
-        return
-    operations.finish_failed(state, operation, Reason.ROLLED_BACK, cause, out)
+    _fail_sent(state, operation, cause, out)
+
+
+def give_up(
+    state: State, operation: Operation, cause: str, out: list[Effect]
+) -> None:
+    """Answers an operation at once with what is known of it."""
+    if operation.stage is not Stage.SENT:
+        operations.refuse(state, operation, cause, out)
+    elif _may_rerun(operation):
+        operations.finish_failed(state, operation, Reason.TIMED_OUT, cause, out)
+    else:
+        _fail_sent(state, operation, cause, out)
+
+
+def _may_rerun(operation: Operation) -> bool:
+    """Returns whether a statement may run twice: a read by itself."""
+    return operation.session.transaction is None and not operation.writes
+
+
+def _fail_sent(
+    state: State, operation: Operation, cause: str, out: list[Effect]
+) -> None:
+    """Fails a statement that may have run and must not run twice."""
+    transaction = operation.session.transaction
+    reason = Reason.OUTCOME_UNKNOWN
+    if transaction is not None:
+        transaction.connection = None
+        is_commit = isinstance(operation.statement, statements.Commit)
+        if not (is_commit and transaction.wrote):
+            reason = Reason.ROLLED_BACK
+    operations.finish_failed(state, operation, reason, cause, out)
 
 
 def handle_operation_timer(
@@ -91,10 +110,7 @@
     """Checks a statement whose timer is due."""
     if operation.stage is Stage.FINISHED:
         return
-    if operation.stage in (
-        Stage.WAITING_FOR_TOKEN,
-        Stage.WAITING_FOR_CONNECTION,
-    ):
+    if operation.stage in WAITING_STAGES:
         if state.now >= operation.wait_until:
             wants_token = operation.stage is Stage.WAITING_FOR_TOKEN
             missing_resource = "token" if wants_token else "room"
@@ -123,8 +139,7 @@
             state, operation, connection, "no answer to begin", out
         )
         return
-    may_rerun = operation.session.transaction is None and not operation.writes
-    if not may_rerun:
+    if not _may_rerun(operation):
         handle_lost_answer(state, operation, connection, "timeout", out)
         return
     operation.connection = None
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -15,11 +15,13 @@
     groups,
     operations,
     primary_leases,
+    process_end,
     quotas,
     statements,
 )
 from cuminwall.direct.answers import Failure, Phase, Reason, done, failed
 from cuminwall.direct.callers_state import Session, Transaction
+from cuminwall.direct.catalog import Route
 from cuminwall.direct.effects import (
     AcceptSession,
     CloseCaller,
@@ -47,10 +49,12 @@
     session = Session(number, database, key, "")
     session.last_active_at = state.now
     state.sessions[number] = session
-    if state.is_exiting:
-        # Its statements would be cut off without an answer.
-        failure = Failure(Reason.OVERLOADED, "this instance shuts down")
-        _reject(state, session, failure, out)
+    route = state.catalog.routes.get(database)
+    is_too_late = route is not None and not process_end.is_time_left(
+        state, route
+    )
+    if state.is_exiting or is_too_late:
+        _reject(state, session, process_end.REFUSAL, out)
         return
     if state.catalog.version < 0:
         state.awaiting_config.append(session)
@@ -124,6 +128,10 @@
     """Closes a caller's connection."""
     if session.is_gone:
         return
+    if session in state.awaiting_config:
+        state.awaiting_config.remove(session)
+        _reject(state, session, process_end.REFUSAL, out)
+        return
     out.append(CloseCaller(session.number))
     handle_caller_left(state, session.number, out)
 
@@ -443,6 +451,9 @@
         cause = "the lease on the primary has ended"
         _fail(session, Reason.ROLLED_BACK, cause, statement, state, out)
         return
+    if not process_end.is_time_left(state, _find_route(state, session)):
+        _refuse_too_late(state, session, statement, out)
+        return
     operation = operations.make(state, session, statement, writes)
     if transaction is not None and transaction.connection is not None:
         operation.admitted_at = state.now
@@ -451,6 +462,27 @@
     quotas.admit(state, operation, out)
 
 
+def _find_route(state: State, session: Session) -> Route:
+    """Returns the route of a session's next statement."""
+    if session.transaction is not None:
+        return session.transaction.route
+    return state.catalog.routes[session.database]
+
+
+def _refuse_too_late(
+    state: State, session: Session, statement: Any, out: list[Effect]
+) -> None:
+    """Refuses a statement that would be cut off; undoes its transaction."""
+    transaction = session.transaction
+    reason = process_end.REFUSAL.reason
+    if transaction is not None:
+        _roll_back(state, transaction, out)
+        reason = Reason.ROLLED_BACK
+        if isinstance(statement, statements.Commit):
+            session.transaction = None
+    _fail(session, reason, process_end.REFUSAL.detail, statement, state, out)
+
+
 def _has_lost_primary(
     state: State, transaction: Transaction, statement: Any, writes: bool
 ) -> bool:
--- a/tests/test_direct_shutdown.py
+++ b/tests/test_direct_shutdown.py
@@ -46,5 +46,143 @@
         self.assertFalse(caller.is_open)
 
 
+class LateStatementsTest(unittest.TestCase):
+    """Every statement that arrives is answered before the process ends."""
+
+    def setUp(self) -> None:
+        self.world = make_world()
+        config = direct_world.make_catalog(2)
+        routes = {}
+        for name, route in config.routes.items():
+            routes[name] = route._replace(timeout_s=2.0)
+        self.world.configure(config._replace(routes=routes))
+        self.world.run(0.1)
+        self.instance = self.world.instances["a"]
+
+    def shut_down(self) -> None:
+        event = events.ShutdownRequested(self.world.now)
+        self.instance.handle_event(event)
+
+    def run_to_end(self) -> None:
+        """Runs until the process ends, a moment after it has decided to."""
+        while not self.instance.state.is_exiting:
+            self.world.run(0.01)
+        self.world.run(0.1)
+
+    def silence_servers(self) -> None:
+        for server in self.world.servers.values():
+            server.lose_answers = 1000
+
+    # Statements that were passed on when there was no time left for an answer
+    # were cut off at the end of the process.
+    def test_callers_arrive_until_the_end(self) -> None:
+        for server in self.world.servers.values():
+            server.service_s = 0.2
+        self.shut_down()
+        callers: dict[str, direct_world.Caller] = {}
+        while not self.instance.state.is_exiting:
+            request = f"x{len(callers)}"
+            caller = callers[request] = self.instance.caller("aged")
+            if caller.is_open:
+                caller.send(statements.Read(request, "READ 1"))
+            self.world.run(0.03)
+        self.world.run(0.1)
+        ran = set()
+        for server in self.world.servers.values():
+            ran.update(request for request, _, _ in server.statements_run)
+        outcomes = set()
+        for request, caller in callers.items():
+            if not caller.is_open:
+                assert caller.refusal is not None
+                self.assertIs(caller.refusal.reason, Reason.OVERLOADED)
+                self.assertNotIn(request, ran)
+                continue
+            self.assertEqual(len(caller.answers), 1, request)
+            outcomes.update(caller.reasons())
+        self.assertLessEqual(outcomes, {None, Reason.OVERLOADED})
+        self.assertIn(None, outcomes)
+
+    def test_what_is_known_is_told_at_the_end(self) -> None:
+        reader = self.instance.caller("aged")
+        writer = self.instance.caller("db")
+        owner = self.instance.caller("db")
+        owner.send(statements.Begin("t0", "BEGIN", False))
+        owner.send(statements.Write("t1", "WRITE 1 x"))
+        self.world.run(0.3)
+        self.silence_servers()
+        reader.send(statements.Read("r", "READ 1"))
+        writer.send(statements.Write("w", "WRITE 2 x"))
+        owner.send(statements.Write("t2", "WRITE 3 x"))
+        # So that only the end of the process ends them.
+        for operation in self.instance.state.operations.values():
+            operation.route = operation.route._replace(timeout_s=60.0)
+        self.shut_down()
+        self.run_to_end()
+        self.assertEqual(reader.reasons(), [Reason.TIMED_OUT])
+        self.assertEqual(writer.reasons(), [Reason.OUTCOME_UNKNOWN])
+        self.assertEqual(owner.reasons(), [None, None, Reason.ROLLED_BACK])
+
+    def test_statements_behind_one_that_runs_are_answered(self) -> None:
+        caller = self.instance.caller("aged")
+        for server in self.world.servers.values():
+            server.service_s = 1.3
+        for number in range(5):
+            caller.send(statements.Read(f"x{number}", "READ 1"))
+        self.shut_down()
+        self.run_to_end()
+        self.assertEqual(len(caller.answers), 5)
+        self.assertIs(caller.reasons()[0], None)
+        self.assertIs(caller.reasons()[-1], Reason.OVERLOADED)
+
+    def test_open_transaction_goes_on_in_the_first_half(self) -> None:
+        caller = self.instance.caller("db")
+        caller.send(statements.Begin("t0", "BEGIN", False))
+        caller.send(statements.Write("t1", "WRITE 1 x"))
+        self.world.run(0.3)
+        self.shut_down()
+        self.world.run(1.45)
+        caller.send(statements.Write("t2", "WRITE 2 x"))
+        self.world.run(1.45)
+        caller.send(statements.Commit("t3", "COMMIT"))
+        self.run_to_end()
+        self.assertEqual(caller.reasons(), [None] * 4)
+
+    def test_late_commit_is_not_run_and_told_so(self) -> None:
+        caller = self.instance.caller("db")
+        caller.send(statements.Begin("t0", "BEGIN", False))
+        caller.send(statements.Write("t1", "WRITE 1 x"))
+        self.world.run(0.3)
+        self.shut_down()
+        self.world.run(1.5)
+        caller.send(statements.Read("t2", "READ 1"))
+        self.world.run(1.3)
+        for server in self.world.servers.values():
+            server.service_s = 1.3
+        caller.send(statements.Read("t3", "READ 1"))
+        caller.send(statements.Commit("t4", "COMMIT"))
+        self.run_to_end()
+        self.assertEqual(caller.reasons(), [None] * 4 + [Reason.ROLLED_BACK])
+        for server in self.world.servers.values():
+            committed = [request for _, request, _ in server.log]
+            self.assertNotIn("t1", committed)
+
+    def test_second_signal_changes_nothing(self) -> None:
+        self.shut_down()
+        self.world.run(1.0)
+        self.shut_down()
+        began_at = self.instance.state.shutdown_began_at
+        self.run_to_end()
+        self.assertLess(self.world.now - began_at, 3.0)
+
+    def test_caller_that_waits_for_the_first_configuration(self) -> None:
+        world = direct_world.World(("a",))
+        instance = world.instances["a"]
+        caller = instance.caller("db")
+        instance.handle_event(events.ShutdownRequested(world.now))
+        world.run(0.5)
+        assert caller.refusal is not None
+        self.assertIs(caller.refusal.reason, Reason.OVERLOADED)
+
+
 if __name__ == "__main__":
     unittest.main()
