Send the last answers before the process ends

A process ended 0.1 s after its last decision, whatever its answers to slow callers still had to send; what had not left the process's own buffers was cut. Now the process waits until nothing is unsent, up to 0.97 of the grace period.

Test: 1 MiB to a caller with a small buffer is whole. Before there was no wait, so a part of it was unsent when the process ended (the test asserts that something is).

--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -13,6 +13,7 @@
 PART = "callers"
 
 LOGIN_S = 10.0  # Timeout of the login.
+FLUSH_CHECK_S = 0.02  # Between two looks at what is still to be sent.
 FLUSH_S = 2.0  # How long a closed connection may take to send its output.
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
 
@@ -25,6 +26,7 @@
       on_event: Called with each event.
       clock: Returns the time for events.
       sockets: The connections by session.
+      closing: The closed connections that still send their output.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         self.on_event = on_event
         self.clock = clock
         self.sockets: dict[int, CallerSocket] = {}
+        self.closing: set[CallerSocket] = set()
         self.last_session = 0
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
@@ -71,6 +74,19 @@
         if caller is not None:
             caller.close()
 
+    async def flush(self, timeout_s: float) -> None:
+        """Waits until all output was sent, before the process ends."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while loop.time() < deadline:
+            unsent = 0
+            for caller in (*self.sockets.values(), *self.closing):
+                unsent += caller.count_unsent()
+            if not unsent:
+                return
+            await asyncio.sleep(FLUSH_CHECK_S)
+        logger.warning("{}: some answers were not sent in time", PART)
+
 
 class CallerSocket(asyncio.Protocol):
     """One caller's connection."""
@@ -108,6 +124,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the end of the connection."""
+        self.callers.closing.discard(self)
         if self.timer is not None:
             self.timer.cancel()
         if self.callers.sockets.pop(self.session, None) is None:
@@ -128,11 +145,18 @@
             )
             transport.abort()
 
+    def count_unsent(self) -> int:
+        """Returns how many bytes wait to be sent."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def close(self) -> None:
         """Closes the connection after its output has been sent."""
         if self.callers.sockets.pop(self.session, None) is None:
             return
         self._report_end()
+        self.callers.closing.add(self)
         assert self.transport is not None
         self.transport.close()
         loop = asyncio.get_running_loop()
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -33,6 +33,7 @@
 ENTROPY_BYTES = 32
 BOOT_BYTES = 8
 EXIT_DELAY_S = 0.1  # Time to send the last answers before the process exits.
+FLUSH_FRACTION = 0.97  # Of the grace period, for those that take longer.
 
 
 class Address(NamedTuple):
@@ -150,10 +151,17 @@
         await self.engine.ended.wait()
         self.journal.add(PART, "stop", {})
         await asyncio.sleep(EXIT_DELAY_S)
+        await self.engine.callers.flush(self._flush_time_s())
         self.journal.flush()
         # Skips closing the links to peers in order, which would take long.
         os._exit(0)
 
+    def _flush_time_s(self) -> float:
+        """Returns how long the last answers may take to be sent."""
+        state_ = self.engine.state
+        grace_s = FLUSH_FRACTION * state_.limits.grace_s
+        return state_.shutdown_began_at + grace_s - engine.boot_clock()
+
     def shut_down(self) -> None:
         """Starts the shutdown."""
         self.engine.handle_event(events.ShutdownRequested(engine.boot_clock()))
--- a/tests/test_direct_shutdown.py
+++ b/tests/test_direct_shutdown.py
@@ -1,8 +1,10 @@
 """Tests of the orderly shutdown of an instance under load."""
 
+import asyncio
+import socket
 import unittest
 
-from cuminwall.direct import events, statements
+from cuminwall.direct import callers, events, statements
 from cuminwall.direct.answers import Reason
 from tests import direct_world
 
@@ -184,5 +186,66 @@
         self.assertIs(caller.refusal.reason, Reason.OVERLOADED)
 
 
+SMALL_BUFFER = 4096  # Bytes.
+
+
+class FakeCodec:
+    """A codec of a caller that sends nothing."""
+
+    def feed(self, data: bytes) -> list[object]:
+        """Returns no messages."""
+        del data
+        return []
+
+
+class AnswerBeingSentTest(unittest.IsolatedAsyncioTestCase):
+    """A long answer to a slow caller when the process ends."""
+
+    SIZE = 1024 * 1024
+
+    async def asyncSetUp(self) -> None:
+        self.callers = callers.Callers(
+            FakeCodec, lambda event: None, lambda: 1.0
+        )
+        server = await self.callers.listen("127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, server.sockets[0].getsockname())
+        self.reader, writer = await asyncio.open_connection(
+            sock=client, limit=SMALL_BUFFER
+        )
+        self.addCleanup(writer.close)
+        while not self.callers.sockets:
+            await asyncio.sleep(0.01)
+        self.caller = next(iter(self.callers.sockets.values()))
+        sender = self.caller.transport.get_extra_info("socket")
+        sender.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        self.caller.write(b"x" * self.SIZE)
+        self.caller.close()
+
+    # The rest of such an answer was cut off by the exit of the process.
+    async def test_process_waits_for_it(self) -> None:
+        self.assertGreater(self.caller.count_unsent(), 0)
+
+        async def read_all() -> int:
+            size = 0
+            while data := await self.reader.read(65536):
+                size += len(data)
+            return size
+
+        reading = asyncio.create_task(read_all())
+        await self.callers.flush(10.0)
+        self.assertEqual(self.caller.count_unsent(), 0)
+        self.assertEqual(await reading, self.SIZE)
+
+    async def test_it_does_not_wait_for_ever(self) -> None:
+        async with asyncio.timeout(2.0):
+            await self.callers.flush(0.2)
+        self.assertGreater(self.caller.count_unsent(), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
