Hold the replicas while a primary out of reach is replaced

The choice of a primary rested on positions that could grow: a primary that most instances can't reach goes on, and what it acknowledged between the choice and the promotion may be on the other replica alone.

Now, with commits that replicas must have, enough replicas are told to receive nothing more (PAUSE) before the choice rests on their answers; a promotion ends that. Without SyncReplicas nothing changes.

--- a/src/cuminwall/direct/answers.py
+++ b/src/cuminwall/direct/answers.py
@@ -96,11 +96,13 @@
       is_primary: Whether it is the primary.
       term: The highest term that it knows.
       position: The end of its log.
+      held_term: The term for which it receives no more commits; 0 if it does.
     """
 
     is_primary: bool
     term: int
     position: Position
+    held_term: int = 0
 
 
 class Answer(NamedTuple):
--- a/src/cuminwall/direct/commands.py
+++ b/src/cuminwall/direct/commands.py
@@ -66,6 +66,16 @@
     term: int
 
 
+class Hold(NamedTuple):
+    """Stops a replica from receiving commits, for a term above the newest."""
+
+    term: int
+
+
+class Release(NamedTuple):
+    """Lets a replica receive commits again."""
+
+
 Command = (
     Forward
     | ForwardExecute
@@ -76,4 +86,6 @@
     | PrepareShape
     | AskStatus
     | StepDown
+    | Hold
+    | Release
 )
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -46,6 +46,7 @@
 LEAVING = "the primary leaves"
 EVACUATED = "its zone is taken out"
 PLANNED_CAUSES = (LEAVING, EVACUATED)
+HELD_CHECK_S = 1.0  # Between questions to a server that does not answer.
 RECALL_INTERVAL_S = 0.3  # Between repeated recalls of leases.
 STORE_SETTLE_S = 2.2  # For entries to reappear after a store outage.
 
@@ -117,6 +118,8 @@
         cause = _find_cause(state, group, out)
         if cause:
             _begin(state, group, cause, out)
+        elif durability.must_keep_commits(state, group):
+            _release_abandoned(state, group, out)
 
 
 def handle_order_written(
@@ -388,6 +391,7 @@
     change.step = ChangeStep.QUERYING
     change.step_deadline = state.now + state.limits.inquiry_timeout_s
     change.logs_since = state.now
+    change.held_term = 0
     _query_candidates(state, group, change, out)
 
 
@@ -404,6 +408,8 @@
         _check_candidates(state, group, change, out)
     elif change.step is ChangeStep.STEPPING_DOWN:
         _await_step_down(state, group, change, out)
+    elif change.step is ChangeStep.HOLDING:
+        _await_hold(state, group, change, out)
     elif change.step is ChangeStep.RECALLING:
         _await_recall(state, group, change, out)
     elif change.step is ChangeStep.AWAITING_LEAD:
@@ -451,24 +457,115 @@
     if not known_count:
         _restart(state, group, change, out)
         return
-    old = state.servers.get(change.old_primary)
-    if old is not None and not change.is_fenced and not old.is_gone:
-        if old.unreachable_since is None:
-            if _may_step_down(state, group, change, old):
-                _step_down(state, group, change, old, out)
-                return
-            is_goal_new = change.catch_up_goal_at == state.now
-            if is_goal_new or state.now >= change.step_deadline:
-                _restart(state, group, change, out)
-            return
+    old = _reachable_old_primary(state, change)
+    if old is not None:
+        _step_down_in_time(state, group, change, old, out)
+        return
     if _must_recall(state, change):
         _recall(state, group, change, out)
         return
+    if durability.must_keep_commits(state, group):
+        _hold(state, group, change, out)
+        return
+    change.step = ChangeStep.CHOOSING
+    change.step_deadline = state.now
+    _choose(state, group, change, out)
+
+
+def _hold(
+    state: State, group: Group, change: PrimaryChange, out: list[Effect]
+) -> None:
+    """Stops the replicas from receiving commits of an old primary.
+
+    Else it could acknowledge commits that only a replica has that is not
+    chosen.
+    """
+    if change.log_end is not None or not _knows_logs(state, group, change):
+        change.step = ChangeStep.CHOOSING
+        change.step_deadline = state.now
+        _choose(state, group, change, out)
+        return
+    change.step = ChangeStep.HOLDING
+    change.step_deadline = state.now + state.limits.inquiry_timeout_s
+    change.logs_since = state.now
+    change.held_term = _highest_term(group) + 1
+    for server in durability.replicas(group, change):
+        inquiries.hold(state, server, change.held_term, out)
+
+
+def _knows_logs(state: State, group: Group, change: PrimaryChange) -> bool:
+    """Returns whether enough servers have told the ends of their logs."""
+    return durability.find_required_position(state, group, change) is not None
+
+
+def _await_hold(
+    state: State, group: Group, change: PrimaryChange, out: list[Effect]
+) -> None:
+    """Waits until the replicas receive no more commits."""
+    is_due = state.now >= change.step_deadline
+    if durability.is_waiting(group, change) and not is_due:
+        return
+    _log(state, change, "held", {"term": change.held_term}, out)
     change.step = ChangeStep.CHOOSING
     change.step_deadline = state.now
     _choose(state, group, change, out)
 
 
+def _release_abandoned(state: State, group: Group, out: list[Effect]) -> None:
+    """Releases replicas that were held for a change that did not happen.
+
+    A former coordinator may have held them, too. A promotion releases them by
+    itself; until it has happened, they must stay held.
+    """
+    lender_ = state.lender
+    led_since = state.primary_watch.led_since.get(group.service, leases.NEVER)
+    since = led_since + state.limits.promotion_retry_s
+    if lender_ is None or state.now < since:
+        return
+    since = max(since, lender_.started_at)
+    for server in group.servers.values():
+        if server.is_gone or server.entry.server == group.primary:
+            continue
+        if server.status is not None and server.status_asked_at >= since:
+            if server.status.held_term:
+                inquiries.release(state, server, out)
+        elif state.now >= server.status_asked_at + HELD_CHECK_S:
+            inquiries.query_status(state, server, out)
+
+
+def _release_held(state: State, group: Group, out: list[Effect]) -> None:
+    """Lets replicas receive commits again that a change has held."""
+    for server in group.servers.values():
+        if server.status is not None and server.status.held_term:
+            inquiries.release(state, server, out)
+
+
+def _reachable_old_primary(
+    state: State, change: PrimaryChange
+) -> Server | None:
+    """Returns the old primary if it can still be told to step down."""
+    old = state.servers.get(change.old_primary)
+    if old is None or old.is_gone or change.is_fenced:
+        return None
+    return old if old.unreachable_since is None else None
+
+
+def _step_down_in_time(
+    state: State,
+    group: Group,
+    change: PrimaryChange,
+    old: Server,
+    out: list[Effect],
+) -> None:
+    """Makes the old primary a replica once a candidate can catch up."""
+    if _may_step_down(state, group, change, old):
+        _step_down(state, group, change, old, out)
+        return
+    is_goal_new = change.catch_up_goal_at == state.now
+    if is_goal_new or state.now >= change.step_deadline:
+        _restart(state, group, change, out)
+
+
 def _may_step_down(
     state: State, group: Group, change: PrimaryChange, old: Server
 ) -> bool:
@@ -508,6 +605,7 @@
 ) -> None:
     """Makes the old primary a replica, so that its log stops growing."""
     change.step = ChangeStep.STEPPING_DOWN
+    _release_held(state, group, out)
     change.queried_at = state.now
     change.step_deadline = state.now + state.limits.inquiry_timeout_s
     inquiries.order_step_down(state, old, _highest_term(group) + 1, out)
@@ -540,6 +638,10 @@
     if old is not None and not is_pending and old.status is not None:
         change.log_end = old.status.position
     _log(state, change, "stepped_down", {"log_end": change.log_end}, out)
+    if change.log_end is None and durability.must_keep_commits(state, group):
+        # It may go on as primary.
+        _restart(state, group, change, out)
+        return
     if not state.limits.are_primaries_fenced:
         _recall(state, group, change, out)
         if not _has_confirmed_step_down(old, change):
@@ -616,6 +718,7 @@
             _query_candidates(state, group, change, out)
         elif not may_wait and not _is_waiting_for_logs(state, group, change):
             _log_missing_logs(state, group, change, required, out)
+            _release_held(state, group, out)
             change.refused_servers.clear()
             _restart(state, group, change, out)
         return
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -374,6 +374,7 @@
     Attributes:
       QUERYING: The candidates are asked for the ends of their logs.
       STEPPING_DOWN: The old primary is told to become a replica.
+      HOLDING: The replicas are told to receive no more commits.
       RECALLING: The leases on the old primary are recalled.
       CHOOSING: The new primary is chosen once a candidate has caught up.
       WRITING_ORDER: The order is being written to the store.
@@ -383,6 +384,7 @@
 
     QUERYING = enum.auto()
     STEPPING_DOWN = enum.auto()
+    HOLDING = enum.auto()
     RECALLING = enum.auto()
     CHOOSING = enum.auto()
     WRITING_ORDER = enum.auto()
@@ -437,6 +439,7 @@
       step_deadline: The deadline of the step.
       is_fenced: Whether the old primary was told to step down.
       is_recalling: Whether no lease on the old primary is granted any more.
+      held_term: The term for which the replicas are held; 0 if they are not.
       log_end: The end of its log, if it reported one then.
       catch_up_goal: An earlier end of its log, which a candidate must reach
         before it is told to step down.
@@ -458,6 +461,7 @@
         "step_deadline",
         "is_fenced",
         "is_recalling",
+        "held_term",
         "log_end",
         "catch_up_goal",
         "catch_up_goal_at",
@@ -478,6 +482,7 @@
         self.step_deadline = now
         self.is_fenced = False
         self.is_recalling = False
+        self.held_term = 0
         self.log_end: Position | None = None
         self.catch_up_goal: Position | None = None
         self.catch_up_goal_at = leases.NEVER
--- a/src/cuminwall/direct/inquiries.py
+++ b/src/cuminwall/direct/inquiries.py
@@ -6,8 +6,14 @@
 """
 
 from cuminwall.direct import connections, groups
-from cuminwall.direct.answers import Answer, Status
-from cuminwall.direct.commands import AskStatus, Command, StepDown
+from cuminwall.direct.answers import Answer, Reason, Status
+from cuminwall.direct.commands import (
+    AskStatus,
+    Command,
+    Hold,
+    Release,
+    StepDown,
+)
 from cuminwall.direct.effects import (
     CloseConnection,
     Effect,
@@ -32,6 +38,16 @@
     _start(state, server, StepDown(term), out)
 
 
+def hold(state: State, server: Server, term: int, out: list[Effect]) -> None:
+    """Orders a replica to receive no more commits, for a new term."""
+    _start(state, server, Hold(term), out)
+
+
+def release(state: State, server: Server, out: list[Effect]) -> None:
+    """Orders a replica that was held to receive commits again."""
+    _start(state, server, Release(), out)
+
+
 def handle_opened(state: State, inquiry: Inquiry, out: list[Effect]) -> None:
     """Sends the command of an inquiry on its new connection."""
     out.append(SendCommands(inquiry.number, (inquiry.command,)))
@@ -43,7 +59,13 @@
     """Handles the answer to an inquiry."""
     groups.record_answer(state, inquiry.server)
     out.append(CloseConnection(inquiry.number))
+    is_unknown = answer.failure is not None and (
+        answer.failure.reason is Reason.MALFORMED
+    )
     _finish(state, inquiry, answer.status, True, out)
+    if is_unknown and isinstance(inquiry.command, Hold):
+        inquiry.server.refuses_hold = True
+        query_status(state, inquiry.server, out)
 
 
 def handle_failure(
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -163,6 +163,7 @@
       status_at: When it answered the latest query, or failed to.
       status_asked_at: When that query was sent.
       status_alive: Whether it answered that query at all.
+      refuses_hold: Whether it does not know how to receive no more commits.
     """
 
     __slots__ = (
@@ -187,6 +188,7 @@
         "status_at",
         "status_asked_at",
         "status_alive",
+        "refuses_hold",
     )
 
     def __init__(self, entry: catalog.ServerEntry):
@@ -211,6 +213,7 @@
         self.status_at = leases.NEVER
         self.status_asked_at = leases.NEVER
         self.status_alive = True
+        self.refuses_hold = False
 
 
 class PrimaryLease:
