Believe a peer's newer configuration among older ones

A coordinator that missed a change was asked by others that missed it too, so one that knew it was never believed.

Now only the newer configuration itself ends the wait.

--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -135,6 +135,7 @@
         return
     before = state.catalog
     state.catalog = event.catalog
+    state.store_view.config_behind_since = None
     fields = {
         "version": event.catalog.version,
         "before": before.version,
--- a/src/cuminwall/direct/store_view.py
+++ b/src/cuminwall/direct/store_view.py
@@ -83,7 +83,7 @@
     """
     view = state.store_view
     if version <= state.catalog.version:
-        view.config_behind_since = None
+        # That peer may lack the same change.
         return
     if view.config_behind_since is None:
         view.config_behind_since = state.now
--- a/tests/test_direct_store_view.py
+++ b/tests/test_direct_store_view.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from cuminwall.direct import catalog, store_view
+from cuminwall.direct import (
+    catalog,
+    effects,
+    events,
+    reducer,
+    state,
+    store_view,
+)
 from tests import direct_world
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -67,6 +74,37 @@
                 self.assertTrue(self.entry(instance).is_leaving)
 
 
+class ConfigVersionTest(unittest.TestCase):
+    """Peers tell the versions of their configurations."""
+
+    # A message of a peer that lacked the change as well began the time anew, so
+    # one newer peer among several was never believed.
+    def test_newer_peer_is_believed_among_older_ones(self) -> None:
+        known = state.State("a", "z1")
+        known.catalog = direct_world.make_catalog(4)
+        out: list[effects.Effect] = []
+        for step in range(10):
+            known.now = 100.0 + 0.1 * step
+            store_view.check_config_version(known, 5, out)
+            store_view.check_config_version(known, 4, out)
+        self.assertIn(effects.RereadStore(), out)
+
+    def test_version_that_comes_in_time_is_no_reason_to_read_again(
+        self,
+    ) -> None:
+        known = state.State("a", "z1")
+        known.catalog = direct_world.make_catalog(4)
+        known.now = 100.0
+        out: list[effects.Effect] = []
+        store_view.check_config_version(known, 5, out)
+        known.now = 100.1
+        catalog_ = direct_world.make_catalog(5)
+        out += reducer.reduce(known, events.CatalogSeen(100.1, catalog_))
+        known.now = 101.0
+        store_view.check_config_version(known, 6, out)
+        self.assertNotIn(effects.RereadStore(), out)
+
+
 class WaitTest(unittest.TestCase):
     """Calls that wait a short time are few, since each has a price."""
 
