--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -16,17 +16,19 @@
 
 from cuminwall import leases
 from cuminwall.direct import (
+    candidates,
     durability,
     groups,
     inquiries,
     lease_grants,
-    lender,
+    primary_checks,
 )
 from cuminwall.direct.answers import Position
 from cuminwall.direct.effects import Effect, Note, Promote
 from cuminwall.direct.events import PromotionOutcome
 from cuminwall.direct.fleet_state import (
     COORDINATOR_NAME,
+    PLANNED_CAUSES,
     ChangeStep,
     PrimaryChange,
 )
@@ -38,17 +40,8 @@
 ORDER_PREFIX = "orders/"
 SETTLED_PREFIX = "settled/"
 TICK_S = 0.1  # Between checks of the services and their primary changes.
-REPORT_AGE_S = 1.5  # How long an instance's report counts.
-MIN_REPORTERS = 2  # Fewer if there are fewer instances.
-NO_PRIMARY_S = 0.8  # How long a service may lack a known primary.
-# Causes of a change.
-UNLED = "the ordered server does not lead"
-LEAVING = "the primary leaves"
-EVACUATED = "its zone is taken out"
-PLANNED_CAUSES = (LEAVING, EVACUATED)
 HELD_CHECK_S = 1.0  # Between questions to a server that does not answer.
 RECALL_INTERVAL_S = 0.3  # Between repeated recalls of leases.
-STORE_SETTLE_S = 2.2  # For entries to reappear after a store outage.
 
 
 def start(state: State) -> None:
@@ -67,21 +60,6 @@
     state.primary_watch.changes.clear()
 
 
-def record_unreachable_servers(
-    state: State, sender: str, unreachable: tuple
-) -> None:
-    """Records which servers an instance can't reach."""
-    for report in unreachable:
-        reports = state.primary_watch.unreachable_reports.setdefault(
-            report.server, {}
-        )
-        reports[sender] = (state.now, state.now - report.age_s)
-    reported_servers = {report.server for report in unreachable}
-    for server, reports in state.primary_watch.unreachable_reports.items():
-        if server not in reported_servers:
-            reports.pop(sender, None)
-
-
 def handle_order(
     state: State,
     service: str,
@@ -115,7 +93,7 @@
         if change is not None:
             _advance(state, group, change, out)
             continue
-        cause = _find_cause(state, group, out)
+        cause = primary_checks.find_cause(state, group, out)
         if cause:
             _begin(state, group, cause, out)
         elif durability.must_keep_commits(state, group):
@@ -220,162 +198,6 @@
     lease_grants.offer(state, change.service, out)
 
 
-def _find_cause(state: State, group: Group, out: list[Effect]) -> str:
-    """Returns why a service needs a new primary, or ""."""
-    if not _has_reliable_view(state):
-        return ""
-    primary = group.servers.get(group.primary)
-    if primary is None:
-        since = state.primary_watch.no_primary_since.setdefault(
-            group.service, state.now
-        )
-        if state.now - since < NO_PRIMARY_S or not _has_candidate(state, group):
-            return ""
-        return "no primary"
-    state.primary_watch.no_primary_since.pop(group.service, None)
-    if _is_unled(state, group, primary, out):
-        return UNLED
-    if _pending_target(state, group):
-        # An order that is carried out late would undo the change.
-        return ""
-    if not groups.is_usable(state, primary):
-        return _planned_cause(state, group, primary)
-    return _unreachable_cause(state, group, primary, out)
-
-
-def _is_unled(
-    state: State, group: Group, primary: Server, out: list[Effect]
-) -> bool:
-    """Returns whether the server that an order names does not lead.
-
-    The order was written, but perhaps never given or not carried out.
-    """
-    watch = state.primary_watch
-    if state.limits.are_primaries_fenced:
-        return False
-    if watch.confirmed_orders.get(group.service, 0) == group.order:
-        return False
-    since = watch.unled_since.setdefault(group.service, state.now)
-    if primary.status_at <= since:
-        inquiries.query_status(state, primary, out)
-        return False
-    if _leads(group, primary):
-        watch.confirmed_orders[group.service] = group.order
-        watch.unled_since.pop(group.service, None)
-        lease_grants.offer(state, group.service, out)
-        return False
-    inquiries.query_status(state, primary, out)
-    if state.now - since < state.limits.unled_order_s:
-        return False
-    return primary.status is not None
-
-
-def _leads(group: Group, server: Server) -> bool:
-    """Returns whether a server acts as primary by the newest order."""
-    status = server.status
-    if status is None or not status.is_primary:
-        return False
-    return status.term > group.order_above_term
-
-
-def _planned_cause(state: State, group: Group, primary: Server) -> str:
-    """Returns why a running primary is to be replaced, or ""."""
-    if not _has_usable_candidate(state, group):
-        return ""
-    if primary.entry.is_leaving:
-        return LEAVING
-    return EVACUATED
-
-
-def _unreachable_cause(
-    state: State, group: Group, primary: Server, out: list[Effect]
-) -> str:
-    """Returns why an unreachable primary is to be replaced, or ""."""
-    name = primary.entry.server
-    reports = dict(state.primary_watch.unreachable_reports.get(name, {}))
-    if primary.unreachable_since is not None:
-        reports[state.instance] = (state.now, primary.unreachable_since)
-    reporters = 0
-    led_since = state.primary_watch.led_since.get(group.service, leases.NEVER)
-    for reported_at, since in reports.values():
-        unreachable_since = max(since, led_since)
-        if state.now - reported_at > REPORT_AGE_S:
-            continue
-        if state.now - unreachable_since >= state.limits.primary_unreachable_s:
-            reporters += 1
-    if not reports:
-        return ""
-    status_age_s = state.now - primary.status_at
-    if status_age_s > state.limits.inquiry_timeout_s:
-        inquiries.query_status(state, primary, out)
-    if reporters < min(MIN_REPORTERS, len(state.members)):
-        return ""
-    is_fresh = status_age_s <= 2 * state.limits.inquiry_timeout_s
-    if is_fresh and not primary.status_alive:
-        return "the primary is out of reach"
-    if is_fresh and 2 * reporters > len(state.members):
-        return "most instances can't reach the primary"
-    return ""
-
-
-def _has_reliable_view(state: State) -> bool:
-    """Returns whether this instance sees enough to replace a primary.
-
-    A coordinator that has not heard from half of the other instances may
-    itself be the one that is cut off.
-    """
-    if not state.is_store_up:
-        return False
-    if state.now < state.store_up_since + STORE_SETTLE_S:
-        if state.had_outage:
-            return False
-    lender_ = state.lender
-    if (
-        lender_ is None
-        or state.now
-        < lender_.started_at + 2 * state.limits.share_request_interval_s
-    ):
-        return False
-    heard_count = lender.count_active_instances(state, REPORT_AGE_S)
-    others = len(state.members) - 1
-    return 2 * heard_count >= others
-
-
-def _has_candidate(state: State, group: Group) -> bool:
-    """Returns whether some server may become primary."""
-    for server in group.servers.values():
-        if _is_candidate(state, group, server):
-            return True
-    return False
-
-
-def _has_usable_candidate(state: State, group: Group) -> bool:
-    """Returns whether some server that is to stay may become primary."""
-    for server in group.servers.values():
-        if not _is_candidate(state, group, server):
-            continue
-        if groups.is_usable(state, server):
-            return True
-    return False
-
-
-def _is_candidate(state: State, group: Group, server: Server) -> bool:
-    """Returns whether a server may become primary in place of the current.
-
-    One that is to leave may be the only one that has all acknowledged commits.
-    """
-    change = state.primary_watch.changes.get(group.service)
-    replaced = group.primary
-    if change is not None and not state.limits.are_primaries_fenced:
-        # The newest order, which names the primary, may be of this change.
-        replaced = "" if change.cause == UNLED else change.old_primary
-    if server.entry.server == replaced:
-        return False
-    if durability.must_keep_commits(state, group):
-        return not server.is_gone
-    return groups.is_usable(state, server)
-
-
 def _begin(state: State, group: Group, cause: str, out: list[Effect]) -> None:
     """Begins a change of primary."""
     change = PrimaryChange(group.service, cause, group.primary, state.now)
@@ -433,7 +255,9 @@
     if server is None or state.now >= change.step_deadline:
         _restart(state, group, change, out)
         return
-    if server.status_at > change.queried_at and _leads(group, server):
+    if server.status_at > change.queried_at and primary_checks.leads(
+        group, server
+    ):
         _finish(state, change, out)
         return
     inquiries.query_status(state, server, out)
@@ -446,7 +270,7 @@
     known_count = 0
     pending_count = 0
     for server in group.servers.values():
-        if not _is_candidate(state, group, server):
+        if not candidates.is_candidate(state, group, server):
             continue
         if server.status_at < change.queried_at:
             pending_count += 1
@@ -582,7 +406,7 @@
     for server in group.servers.values():
         if goal is None or server.status is None:
             continue
-        if not _is_candidate(state, group, server):
+        if not candidates.is_candidate(state, group, server):
             continue
         if not groups.is_usable(state, server):
             continue
@@ -700,7 +524,9 @@
     keeps_commits = durability.must_keep_commits(state, group)
     for server in group.servers.values():
         is_old = server.entry.server == change.old_primary
-        if _is_candidate(state, group, server) or (is_old and keeps_commits):
+        if candidates.is_candidate(state, group, server) or (
+            is_old and keeps_commits
+        ):
             inquiries.query_status(state, server, out)
 
 
@@ -711,7 +537,7 @@
     best = None
     required = durability.find_required_position(state, group, change)
     if required is not None:
-        best = _best_candidate(state, group, change, required)
+        best = candidates.find_best(state, group, change, required)
     may_wait = state.now < change.step_deadline
     if best is None or best.status is None:
         if may_wait and change.log_end is not None:
@@ -792,54 +618,6 @@
     _log(state, change, "awaiting_logs", fields, out)
 
 
-def _best_candidate(
-    state: State, group: Group, change: PrimaryChange, required: Position
-) -> Server | None:
-    """Returns the best candidate whose log reaches a position, or None.
-
-    Servers that are to stay go first, then warm ones, then by log and by zone.
-
-    An order that was not answered may be carried out late. Where the platform
-    does not check the fencing token, that would undo a newer order for another
-    server, so the same server is ordered again.
-    """
-    best = None
-    best_rank: tuple[bool, bool, Position, bool] | None = None
-    pending = _pending_target(state, group)
-    for server in group.servers.values():
-        if not _is_candidate(state, group, server) or server.status is None:
-            continue
-        name = server.entry.server
-        if name in change.refused_servers:
-            continue
-        if pending not in ("", name) and pending not in change.refused_servers:
-            continue
-        if state.now - server.status_at > 4 * state.limits.inquiry_timeout_s:
-            continue
-        if server.status.position < required:
-            continue
-        is_usable = groups.is_usable(state, server)
-        is_warm = server.entry.cold_s <= 0
-        is_near = server.entry.zone == state.zone
-        rank = (is_usable, is_warm, server.status.position, is_near)
-        if best_rank is None or rank > best_rank:
-            best = server
-            best_rank = rank
-    return best
-
-
-def _pending_target(state: State, group: Group) -> str:
-    """Returns the server that an order may yet make primary, or ""."""
-    if state.limits.are_primaries_fenced:
-        return ""
-    if not groups.is_order_pending(state, group):
-        return ""
-    server = group.servers.get(group.ordered_primary)
-    if server is None or server.is_gone:
-        return ""
-    return group.ordered_primary
-
-
 def _log(
     state: State,
     change: PrimaryChange,
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -425,6 +425,13 @@
         self.unreachable_reports: dict[str, dict[str, tuple[float, float]]] = {}
 
 
+# Causes of a change.
+UNLED = "the ordered server does not lead"
+LEAVING = "the primary leaves"
+EVACUATED = "its zone is taken out"
+PLANNED_CAUSES = (LEAVING, EVACUATED)
+
+
 class PrimaryChange:
     """A change of primary in progress.
 
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -21,6 +21,7 @@
     lender,
     membership,
     messages,
+    primary_checks,
     quotas,
     results,
     retries,
@@ -276,7 +277,7 @@
 ) -> None:
     if isinstance(event.message, messages.ShareRequest):
         if state.lender is not None:
-            failover.record_unreachable_servers(
+            primary_checks.record_unreachable_servers(
                 state, event.sender, event.message.unreachable
             )
             store_view.check_config_version(
