PostgreSQL path: choose a replica out of service that alone has a write

At equal positions one in service goes first, and a planned change first gives it the time to catch up. The chosen one is replaced by a planned change as before. Servers that acknowledge by the primary alone: unchanged.

Nothing of the direct service changed.

--- a/src/cuminwall/failover.py
+++ b/src/cuminwall/failover.py
@@ -12,6 +12,7 @@
 
 from cuminwall import (
     calls,
+    document,
     events,
     groups,
     leases,
@@ -399,11 +400,14 @@
     """Returns the best server that enough zones reach, and its position.
 
     The best one has the highest timeline and, on it, the highest position.
+    Where a write is acknowledged once a replica has it, one that is out of
+    service counts as well: it may be the only one that has some writes.
     """
     assert managed_group.record is not None
     old_primary = managed_group.record.terms[-1].primary
     zones: dict[str, set[str]] = {}
-    ranks: dict[str, tuple[int, int, str]] = {}
+    ranks: dict[str, tuple[int, int, bool, str]] = {}
+    may_be_out = _may_be_out(state, managed_group, change)
     reports = managed_groups.fresh_reports(
         state, managed_group, change.fenced_at
     )
@@ -413,19 +417,36 @@
             continue
         if server == old_primary and managed_group.record.active:
             continue
-        if not _is_candidate(state, managed_group, server):
+        is_serving = _is_candidate(state, managed_group, server)
+        if not is_serving and not may_be_out:
             continue
         if not _is_on_or_past_history(managed_group, report):
             continue
         zones.setdefault(server, set()).add(received.zone)
-        rank = (report.timeline, report.lsn, server)
+        rank = (report.timeline, report.lsn, is_serving, server)
         ranks[server] = max(rank, ranks.get(server, rank))
     needed = min(MIN_ZONES, _home_zone_count(state, managed_group.service))
     eligible = [ranks[name] for name in ranks if len(zones[name]) >= needed]
     if not eligible:
         return None
-    best = max(eligible)
-    return best[2], best[1]
+    _, lsn, _, server = max(eligible)
+    return server, lsn
+
+
+def _may_be_out(
+    state: State, managed_group: ManagedGroup, change: PrimaryChange
+) -> bool:
+    """Returns whether a server that is out of service may be chosen.
+
+    In a planned change another one first gets the time to catch up.
+    """
+    service = state.config.services.get(managed_group.service)
+    if service is None:
+        return False
+    waited_s = state.now - change.fenced_at
+    if change.planned and waited_s < MAX_CATCH_UP_S:
+        return False
+    return service.acknowledge == document.ACKNOWLEDGE_REPLICA
 
 
 def _is_on_or_past_history(
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -230,6 +230,21 @@
         self.steward.load_config(2, zones=harness.zones_without("b"))
         self.assertEqual(self.chosen(*DOWN), "sc")
 
+    # A write that was acknowledged once a replica had it would be lost with
+    # the choice of another that lacks it.
+    def test_a_server_taken_out_is_chosen_if_only_it_has_a_write(self):
+        self.steward.load_config(
+            2, zones=harness.zones_without("b"), acknowledge="replica"
+        )
+        self.assertEqual(self.chosen(*DOWN), "sb")
+
+    def test_a_server_in_service_is_chosen_if_it_has_all_writes(self):
+        self.steward.load_config(
+            2, zones=harness.zones_without("b"), acknowledge="replica"
+        )
+        level = harness.make_report("sc", lsn=990)
+        self.assertEqual(self.chosen(DOWN[0], DOWN[1], level), "sc")
+
     def test_positions_from_before_the_fence_do_not_choose(self):
         self.fence()
         stale = [item._replace(age_s=0.05) for item in DOWN]
@@ -263,6 +278,19 @@
         self.report_from(*UP)
         self.assertEqual(len(harness.find(self.tick(), effects.SwapValue)), 1)
 
+    def test_a_server_in_service_gets_time_to_catch_up(self):
+        zones = {**harness.zones_without("a"), "b": {"state": "out"}}
+        self.steward.load_config(3, zones=zones, acknowledge="replica")
+        ahead = harness.make_report("sb", lsn=1000)
+        behind = harness.make_report("sc", lsn=990)
+        primary = harness.make_report("sa", primary=True, lsn=1000)
+        self.report_from(primary, ahead, behind)
+        self.assertEqual(harness.find(self.tick(0.4), effects.SwapValue), [])
+        level = harness.make_report("sc", lsn=1000)
+        self.report_from(primary, ahead, level)
+        found = harness.only(self.tick(), effects.SwapValue)
+        self.assertEqual(found.value["terms"][-1][1], "sc")
+
     def test_a_position_from_before_the_fence_does_not_count(self):
         stale = UP[0]._replace(age_s=0.08)
         self.report_from(stale, *UP[1:])
