--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -78,14 +78,16 @@
         """Waits until all output was sent, before the process ends."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        while loop.time() < deadline:
+        while True:
             unsent = 0
             for caller in (*self.sockets.values(), *self.closing):
                 unsent += caller.count_unsent()
             if not unsent:
                 return
+            if loop.time() >= deadline:
+                logger.warning("{}: {} bytes were not sent", PART, unsent)
+                return
             await asyncio.sleep(FLUSH_CHECK_S)
-        logger.warning("{}: some answers were not sent in time", PART)
 
 
 class CallerSocket(asyncio.Protocol):
--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -115,7 +115,7 @@
     FINISHED = enum.auto()
 
 
-# In these nothing was sent to a server.
+# Stages in which nothing was sent to a server.
 WAITING_STAGES = (Stage.WAITING_FOR_TOKEN, Stage.WAITING_FOR_CONNECTION)
 
 
--- a/src/cuminwall/direct/store_view.py
+++ b/src/cuminwall/direct/store_view.py
@@ -48,6 +48,9 @@
     state: State, reply: messages.ShareReply, out: list[Effect]
 ) -> None:
     """Compares what is known here with what the coordinator knows."""
+    coordinator = state.coordinator
+    if coordinator is None or coordinator.epoch != reply.epoch:
+        return
     view = state.store_view
     if reply.newest_change > view.revision:
         check(state, out)
--- a/tests/test_direct_store_view.py
+++ b/tests/test_direct_store_view.py
@@ -6,6 +6,7 @@
     catalog,
     effects,
     events,
+    messages,
     reducer,
     state,
     store_view,
@@ -105,6 +106,23 @@
         self.assertNotIn(effects.RereadStore(), out)
 
 
+class FormerCoordinatorTest(unittest.TestCase):
+    """A coordinator that was succeeded may lack the newest changes."""
+
+    def test_its_reply_confirms_nothing(self) -> None:
+        world = make_world()
+        known = find_follower(world).state
+        coordinator = known.coordinator
+        assert coordinator is not None
+        before = known.store_view.told_at
+        known.now += 5.0
+        reply = messages.ShareReply(
+            1, coordinator.epoch - 1, (), 1, 0.1, True, world.now, 0
+        )
+        store_view.handle_reply(known, reply, [])
+        self.assertEqual(known.store_view.told_at, before)
+
+
 class WaitTest(unittest.TestCase):
     """Calls that wait a short time are few, since each has a price."""
 
