A failing test: a watch that is restarted often never calls the store

Since an instance in doubt replaces its call for changes with each check, and the new call begins with the pause that follows a change. The cancelled pause counts as a call that waits long, so the next check cancels it, too.

Whether it is what the users saw is not shown by this: their first case lies before by its time of day.

--- a/tests/test_direct_follower.py
+++ b/tests/test_direct_follower.py
@@ -128,6 +128,38 @@
             self.assertLessEqual(calls_per_s, follower.MAX_CALLS_PER_S + 1e-6)
 
 
+class RestartedWatchTest(unittest.IsolatedAsyncioTestCase):
+    """The call for changes is replaced, since it may never be answered."""
+
+    PAUSE_S = 0.2  # As after a change in a fleet of 40 instances.
+
+    async def restart_often(self, store: ScriptedStore) -> None:
+        """Restarts the watch again and again, far within each pause."""
+        follower_ = follower.Follower(
+            store, lambda event: None, lambda: 1.0, lambda: self.PAUSE_S
+        )
+        task = asyncio.create_task(follower_.follow())
+        await asyncio.sleep(2 * self.PAUSE_S)
+        for _ in range(20):
+            follower_.restart_watch()
+            await asyncio.sleep(self.PAUSE_S / 4)
+        task.cancel()
+
+    # The pause counted as a call that waits long: each restart began it anew,
+    # and for as long as they came, no instance called the store.
+    async def test_store_is_called_however_often_it_is_restarted(self) -> None:
+        store = ScriptedStore(
+            [
+                ports.StoreItems([config_item(1)], 7),
+                ports.StoreItems([shared_item(8)], 8),
+            ]
+        )
+        await self.restart_often(store)
+        before = ["all", "after 7", "after 8"]
+        self.assertEqual(store.calls[:3], before)
+        self.assertGreater(len(store.calls), len(before))
+
+
 class BusyStore:
     """A store that changes every few milliseconds.
 
