Let a pause go on when the watch of the store is restarted

Callers: statements run by an old route or with a withdrawn key, at many instances at once, and no successor of a coordinator that was killed: nobody called the store.

The new call began with the pause that follows a change: members / 200 s, 0.365 s at 73 instances. The pause counted as the long call before it, so the next check cancelled it as well. Where checks come more often than the pause is long, the store is never called.

Ruled out: a lost answer. A call that is cancelled while its answer arrives is made again from the same revision.

Fix: a pause is no call that waits, so it is not cancelled; a restarted call is made at once, since no change preceded it. The field 'paused' of 'watch_restarted' can't be true any more and is gone.

--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -163,12 +163,10 @@
     Attributes:
       now: The time.
       called_s_ago: When the store was last called for changes.
-      is_paused: Whether that call has ended and the next was not made yet.
     """
 
     now: float
     called_s_ago: float
-    is_paused: bool
 
 
 class SwapFinished(NamedTuple):
--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -41,9 +41,9 @@
       clock: Returns the time for events.
       find_pause_s: Returns how long to wait after a change.
       find_wait_s: Returns how long a call waits for a change.
-      wait_s: How long the call in progress does; 0 if it reads all.
+      wait_s: How long the call in progress waits for a change; 0 if it reads
+        all or was not made yet.
       called_at: When the store was last called.
-      is_paused: Whether the next call for changes was not made yet.
       had_change: Whether the last call reported one.
       revision: The revision up to which all changes were reported; None to
         read the whole store.
@@ -67,7 +67,6 @@
         self.find_wait_s = find_wait_s
         self.wait_s = 0.0
         self.called_at = clock()
-        self.is_paused = False
         self.had_change = False
         self.revision: int | None = None
         self.backoff_s = MIN_BACKOFF_S
@@ -109,16 +108,20 @@
         self.pending_call.cancel()
 
     def restart_watch(self) -> None:
-        """Replaces a call that waits long; it may never be answered."""
+        """Replaces a call that waits long; it may never be answered.
+
+        A pause before the next call goes on: it is short, and one that began
+        anew with each restart might never end.
+        """
         if self.pending_call is None or self.pending_call.done():
             return
         if self.wait_s <= store_view.SHORT_WAIT_S:
             return
         self.is_restarting = True
+        self.had_change = False
         self.pending_call.cancel()
         now = self.clock()
-        event = events.WatchRestarted(now, now - self.called_at, self.is_paused)
-        self.on_event(event)
+        self.on_event(events.WatchRestarted(now, now - self.called_at))
 
     async def _call_store(self) -> None:
         """Reads the whole store, or waits for changes."""
@@ -152,10 +155,9 @@
     async def _read_changes(self) -> None:
         """Waits for changes and reports them."""
         assert self.revision is not None
-        self.is_paused = True
+        self.wait_s = 0.0
         if self.had_change:
             await asyncio.sleep(self.find_pause_s())
-        self.is_paused = False
         self.wait_s = self.find_wait_s()
         self.called_at = self.clock()
         result = await self.store.watch(self.revision, self.wait_s)
--- a/src/cuminwall/direct/store_view.py
+++ b/src/cuminwall/direct/store_view.py
@@ -116,10 +116,7 @@
 
 def record_restart(event: events.WatchRestarted, out: list[Effect]) -> None:
     """Logs that the store is called anew."""
-    fields = {
-        "called_s_ago": round(event.called_s_ago, 3),
-        "paused": event.is_paused,
-    }
+    fields = {"called_s_ago": round(event.called_s_ago, 3)}
     out.append(Note(PART, "watch_restarted", fields))
 
 
