Doubt a view that a coordinator without the store confirms

Callers: a withdrawn key or an old route in use at all instances for up to 26 s, though the store is up and they reach it.

Cause: a reply of the coordinator confirmed the view of an instance whenever it knew no newer change, however long ago the coordinator itself had heard the store. After an outage that leaves every call for changes unanswered, a coordinator that lacks the store still lends to the majority, and its replies kept all others from calling anew. docs/PROOFS.md named that for one instance; it holds for all.

Fix: the reply tells how long ago the store confirmed the coordinator's view. It counts from when the request was sent, and only for the latest request, so a reply that was held up confirms no more than it should. What nobody has confirmed for 2.2 s is asked for anew. The bound of one second without a word is unchanged.

--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -99,6 +99,8 @@
       newest_change: The revision of the newest change that was read.
       answered_at: When the store last answered the call that waits for changes.
       told_at: When the coordinator last knew of no later change.
+      confirmed_at: When there was none, by the coordinator's last answer from
+        the store.
       is_in_doubt: Whether changes may be missed.
       config_behind_since: Since when a peer had a newer configuration, or None.
     """
@@ -108,6 +110,7 @@
         "newest_change",
         "answered_at",
         "told_at",
+        "confirmed_at",
         "is_in_doubt",
         "config_behind_since",
     )
@@ -117,6 +120,7 @@
         self.newest_change = 0
         self.answered_at = leases.NEVER
         self.told_at = leases.NEVER
+        self.confirmed_at = leases.NEVER
         self.is_in_doubt = False
         self.config_behind_since: float | None = None
 
@@ -175,6 +179,7 @@
       reported_epoch: The epoch whose coordinator has confirmed such a report.
       reply_timeout_s: How long to wait for a reply before asking again.
       slow_reply_at: When a late reply was last logged.
+      last_number: The number of the latest request.
     """
 
     __slots__ = (
@@ -188,6 +193,7 @@
         "reported_epoch",
         "reply_timeout_s",
         "slow_reply_at",
+        "last_number",
     )
 
     def __init__(self) -> None:
@@ -201,6 +207,7 @@
         self.reported_epoch = 0
         self.reply_timeout_s = shares.REQUEST_TIMEOUT_S
         self.slow_reply_at = leases.NEVER
+        self.last_number = 0
 
 
 class TokenRate:
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -101,6 +101,7 @@
         is_reported=lender.unreported.get(sender) != request.boot,
         sent_at=state.now,
         newest_change=state.store_view.newest_change,
+        view_age_s=state.now - state.store_view.answered_at,
     )
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -64,6 +64,7 @@
         holds.
       sent_at: When the reply was sent, on the coordinator's clock.
       newest_change: The store's revision of the newest change that it knows.
+      view_age_s: How long ago the store confirmed that there was no newer one.
     """
 
     number: int
@@ -74,6 +75,7 @@
     is_reported: bool
     sent_at: float
     newest_change: int
+    view_age_s: float
 
 
 class FindCoordinator(NamedTuple):
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -298,6 +298,7 @@
     number = state.next_number()
     reports = _make_reports(state, wanted, is_complete, number)
     pacing = state.request_pacing
+    pacing.last_number = number
     pacing.wanted.clear()
     if is_complete:
         pacing.complete_epoch = coordinator.epoch
--- a/src/cuminwall/direct/store_view.py
+++ b/src/cuminwall/direct/store_view.py
@@ -28,6 +28,9 @@
 # How long this instance may lack a change, or hear nothing. A healthy one lacks
 # it for as long as `follower.MAX_PAUSE_S` and a reply of the coordinator take.
 UNCONFIRMED_S = 1.0
+# How long ago the store may have confirmed the view. Beyond the above it allows
+# for the pause and the short wait of the coordinator.
+MAX_VIEW_AGE_S = 2.2
 
 
 class ConfigFields(TypedDict):
@@ -48,19 +51,18 @@
 def unconfirmed_s(state: State, now: float) -> float:
     """Returns how long ago what is known here was confirmed to be newest."""
     view = state.store_view
-    return now - max(view.answered_at, view.told_at)
+    return now - max(view.answered_at, view.confirmed_at)
 
 
 def config_fields(state: State) -> ConfigFields:
     """Returns the configuration in force and its confirmation, for a log."""
     view = state.store_view
-    age_ms = 1000 * unconfirmed_s(state, state.now)
+    age_s = unconfirmed_s(state, state.now)
+    is_by_store = view.answered_at >= view.confirmed_at
     return {
         "config": state.catalog.version,
-        "config_age_ms": round(age_ms, 1) if math.isfinite(age_ms) else None,
-        "config_source": (
-            "store" if view.answered_at >= view.told_at else "coordinator"
-        ),
+        "config_age_ms": None if math.isinf(age_s) else round(1000 * age_s, 1),
+        "config_source": "store" if is_by_store else "coordinator",
     }
 
 
@@ -69,6 +71,8 @@
     is_coordinator = state.own_lease.epoch > 0
     if is_coordinator or now - state.store_view.told_at >= UNCONFIRMED_S:
         return SHORT_WAIT_S
+    if unconfirmed_s(state, now) >= MAX_VIEW_AGE_S:
+        return SHORT_WAIT_S
     return LONG_WAIT_S
 
 
@@ -93,7 +97,12 @@
         check(state, out)
         return
     view.told_at = state.now
-    view.is_in_doubt = False
+    if reply.number == state.request_pacing.last_number:
+        # Counted from the request, since the reply may have been held up.
+        sent_at = state.discovery.last_request_at
+        confirmed_at = sent_at - reply.view_age_s
+        view.confirmed_at = max(view.confirmed_at, confirmed_at)
+    check(state, out)
 
 
 def check(state: State, out: list[Effect]) -> None:
@@ -101,19 +110,34 @@
     view = state.store_view
     if state.own_lease.epoch or not state.is_store_up:
         return
-    if unconfirmed_s(state, state.now) < UNCONFIRMED_S:
+    if not _may_miss_changes(state):
+        view.is_in_doubt = False
         return
     if not view.is_in_doubt:
         view.is_in_doubt = True
         fields = {
             "revision": view.revision,
-            "answered_s_ago": round(state.now - view.answered_at, 3),
-            "told_s_ago": round(state.now - view.told_at, 3),
+            "answered_s_ago": _seconds_ago(state, view.answered_at),
+            "told_s_ago": _seconds_ago(state, view.told_at),
+            "confirmed_s_ago": _seconds_ago(state, view.confirmed_at),
         }
         out.append(Note(PART, "in_doubt", fields))
     out.append(RestartWatch())
 
 
+def _seconds_ago(state: State, at: float) -> float | None:
+    """Returns how long ago a time was, for a log; None if never."""
+    return None if math.isinf(at) else round(state.now - at, 3)
+
+
+def _may_miss_changes(state: State) -> bool:
+    """Returns whether a change may have been missed for long."""
+    view = state.store_view
+    if state.now - max(view.answered_at, view.told_at) >= UNCONFIRMED_S:
+        return True
+    return unconfirmed_s(state, state.now) >= MAX_VIEW_AGE_S
+
+
 def record_restart(event: events.WatchRestarted, out: list[Effect]) -> None:
     """Logs that the store is called anew."""
     fields = {"called_s_ago": round(event.called_s_ago, 3)}
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -21,6 +21,7 @@
     reducer,
     state,
     statements,
+    store_view,
 )
 from cuminwall.direct.answers import Answer, Failure, Phase, Position, Reason
 
@@ -355,6 +356,9 @@
         instance = Instance(self, name, "z1", f"boot{self.boots}")
         self.instances[name] = instance
         self.schedule(0.01, lambda: self._read_all(instance))
+        self.schedule(
+            store_view.SHORT_WAIT_S, lambda: self._end_short_wait(instance)
+        )
         return instance
 
     def kill(self, name: str) -> None:
@@ -491,6 +495,20 @@
         event = events.ChangesRead(self.now, revision, revision)
         instance.handle_event(event)
 
+    def _end_short_wait(self, instance: Instance) -> None:
+        """Answers a call that waits a short time, which found no change."""
+        if not instance.is_alive:
+            return
+        wait_s = store_view.find_wait_s(instance.state, self.now)
+        is_answered = self.store.is_up and instance.has_store
+        if wait_s <= store_view.SHORT_WAIT_S and is_answered:
+            if not instance.is_watch_dead:
+                # After the changes that are on their way.
+                self.schedule(STORE_S, lambda: self._report_revision(instance))
+        self.schedule(
+            store_view.SHORT_WAIT_S, lambda: self._end_short_wait(instance)
+        )
+
     def _read_all(self, instance: Instance) -> None:
         """Makes an instance read the whole store."""
         if not self.store.is_up or not instance.has_store:
--- a/tests/test_direct_store_view.py
+++ b/tests/test_direct_store_view.py
@@ -2,10 +2,12 @@
 
 import unittest
 
+from cuminwall import leases
 from cuminwall.direct import (
     catalog,
     effects,
     events,
+    fleet_state,
     messages,
     reducer,
     state,
@@ -76,6 +78,36 @@
                 self.assertTrue(self.entry(instance).is_leaving)
 
 
+class UnsureCoordinatorTest(unittest.TestCase):
+    """The coordinator itself no longer hears of the store's changes."""
+
+    CONFIG_APPLY_S = 3.0  # By which a version must be in force everywhere.
+
+    def lose_store(self, world: direct_world.World) -> direct_world.Instance:
+        """Cuts the coordinator off the store, and ends all other watches."""
+        coordinator = world.coordinator()
+        for instance in world.instances.values():
+            instance.is_watch_dead = instance is not coordinator
+        coordinator.has_store = False
+        coordinator.handle_event(
+            events.StoreStatusReported(world.now, False, "test")
+        )
+        return coordinator
+
+    # Its replies confirmed what the others knew. While they came, nobody called
+    # the store, and withdrawn keys stayed in use at every instance.
+    def test_its_replies_keep_nobody_from_calling_the_store(self) -> None:
+        world = make_world()
+        coordinator = self.lose_store(world)
+        world.configure(direct_world.make_catalog(world.config.version + 1))
+        world.run(self.CONFIG_APPLY_S)
+        for instance in world.instances.values():
+            if instance is coordinator:
+                continue
+            version = instance.state.catalog.version
+            self.assertEqual(version, world.config.version, instance.name)
+
+
 class ConfigVersionTest(unittest.TestCase):
     """Peers tell the versions of their configurations."""
 
@@ -118,7 +150,7 @@
         before = known.store_view.told_at
         known.now += 5.0
         reply = messages.ShareReply(
-            1, coordinator.epoch - 1, (), 1, 0.1, True, world.now, 0
+            1, coordinator.epoch - 1, (), 1, 0.1, True, world.now, 0, 0.0
         )
         store_view.handle_reply(known, reply, [])
         self.assertEqual(known.store_view.told_at, before)
@@ -132,12 +164,34 @@
         known.catalog = direct_world.make_catalog(4)
         known.now = 100.0
         known.store_view.answered_at = 98.0
-        known.store_view.told_at = 99.5
+        known.store_view.confirmed_at = 99.5
         fields = store_view.config_fields(known)
         self.assertEqual(fields["config"], 4)
         self.assertEqual(fields["config_age_ms"], 500.0)
         self.assertEqual(fields["config_source"], "coordinator")
 
+    def test_reply_is_as_old_as_the_view_of_the_coordinator(self) -> None:
+        known = self.receive_reply(number=7, view_age_s=0.6)
+        self.assertAlmostEqual(known.store_view.confirmed_at, 99.8 - 0.6)
+
+    # A partition may have held it up for long.
+    def test_reply_to_an_earlier_request_confirms_nothing(self) -> None:
+        known = self.receive_reply(number=6, view_age_s=0.0)
+        self.assertEqual(known.store_view.confirmed_at, leases.NEVER)
+
+    def receive_reply(self, number: int, view_age_s: float) -> state.State:
+        """Handles a reply at 100 s; request 7, the latest, was at 99.8 s."""
+        known = state.State("a", "z1")
+        known.now = 100.0
+        known.coordinator = fleet_state.Coordinator("b", "boot", 3, 1)
+        known.request_pacing.last_number = 7
+        known.discovery.last_request_at = 99.8
+        reply = messages.ShareReply(
+            number, 3, (), 1, 0.1, True, 50.0, 0, view_age_s
+        )
+        store_view.handle_reply(known, reply, [])
+        return known
+
     def test_no_confirmation_has_no_age(self) -> None:
         fields = store_view.config_fields(state.State("a", "z1"))
         self.assertIsNone(fields["config_age_ms"])
