Write log lines to a descriptor that doesn't block

Callers: statements refused or run by an old configuration, at many instances at once, only where real processes run; most of them unanswered.

A pipe whose reader is slower than the lines come fills up, and os.write holds up the event loop until it has read. A process that runs in short steps between such writes answers statements, each of which takes one step, but gets through no call to the store, which takes many, before its timeout.

Evidence: BlockingPipeTest failed before ('False is not true': the first flush that fills the pipe never returned).

Fix: the descriptor is made non-blocking; the code for a full pipe was there already and was never reached. A descriptor that doesn't exist is left alone.

--- a/src/cuminwall/direct/journal.py
+++ b/src/cuminwall/direct/journal.py
@@ -1,11 +1,16 @@
 """Writes log lines as JSON objects on standard output, without blocking.
 
+An inherited descriptor usually blocks: while nobody reads a full pipe, a write
+to it would hold up the event loop and all that the process serves. It is
+therefore made non-blocking.
+
 A line is dropped, and counted, when the reader is too slow or when one part
 of the program writes too many within a second. Another line tells how many
 were dropped.
 """
 
 import collections
+import contextlib
 import json
 import os
 import time
@@ -26,7 +31,7 @@
 
     Attributes:
       instance: The name of this instance, in each line.
-      descriptor: The file descriptor to write to.
+      descriptor: The file descriptor to write to; made non-blocking.
       call_later: Schedules a call after so many seconds; None writes at once.
       pending: The bytes to be written.
       dropped: Lines dropped since the last line about that.
@@ -42,6 +47,9 @@
     ):
         self.instance = instance
         self.descriptor = descriptor
+        with contextlib.suppress(OSError):
+            # There is no such descriptor, so nothing can be logged either.
+            os.set_blocking(descriptor, False)
         self.call_later = call_later
         self.clock = clock
         self.pending = bytearray()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import threading
 import unittest
 
 from cuminwall.direct import journal
@@ -61,5 +62,40 @@
         self.assertGreater(self.journal.totals["unread"], 0)
 
 
+class BlockingPipeTest(unittest.TestCase):
+    """Standard output is a pipe as a parent process makes it: it blocks."""
+
+    FLUSH_S = 2.0  # Until a flush that has not returned counts as blocked.
+
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.now = 1000.0
+        self.journal = journal.Journal(
+            "a", self.writer, lambda delay, action: None, lambda: self.now
+        )
+
+    def flush(self) -> bool:
+        """Flushes in a thread; returns whether that returned in time."""
+        thread = threading.Thread(target=self.journal.flush, daemon=True)
+        thread.start()
+        thread.join(self.FLUSH_S)
+        return not thread.is_alive()
+
+    # A process whose log nobody read stood still in the write: it served
+    # nothing and read no change of the configuration.
+    def test_full_pipe_does_not_hold_the_process_up(self) -> None:
+        try:
+            for _ in range(20):
+                self.now += 1.0
+                for _ in range(journal.MAX_LINES_PER_S):
+                    self.journal.add("work", "answered", {"text": "x" * 100})
+                self.assertTrue(self.flush())
+            self.assertGreater(self.journal.totals["unread"], 0)
+        finally:
+            # Ends a blocked write, with an error.
+            os.close(self.reader)
+            os.close(self.writer)
+
+
 if __name__ == "__main__":
     unittest.main()
