One output that never blocks, for both paths' logs

The same cause elsewhere: the daemon of the PostgreSQL path logs to standard error, through a sink that blocks when a pipe is full (read from the code; no run). And a flag on an inherited descriptor holds for all processes that share it, some of which don't expect a write that finds no room: a pipe is opened anew for this process.

The test of a reader that doesn't read names the moved attributes; its bounds are the same.

--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -208,7 +208,7 @@
         meters_.gauge(
             "cuminwall_log_lines_dropped",
             "Log lines that were not written.",
-            lambda: sum(self.journal.totals.values()),
+            self.journal.count_dropped,
         )
 
     async def _answer_probe(
--- a/src/cuminwall/logs.py
+++ b/src/cuminwall/logs.py
@@ -1,11 +1,13 @@
 """Configures logging to standard error, as text or as JSON."""
 
+import json
 import logging
 import sys
+from collections.abc import Callable
 
 from loguru import logger
 
-from cuminwall import settings
+from cuminwall import outputs, settings
 
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} {message}"
 
@@ -17,10 +19,24 @@
     logger.remove()
     is_json = log_settings.format == "json"
     logger.add(
-        sys.stderr,
+        _make_sink(outputs.Output(sys.stderr.fileno()), is_json),
         level=log_settings.level.upper(),
         format="{message}" if is_json else TEXT_FORMAT,
         serialize=is_json,
         backtrace=False,
         diagnose=False,
     )
+
+
+def _make_sink(output: outputs.Output, is_json: bool) -> Callable[[str], None]:
+    """Returns a sink that never blocks and tells how many lines it dropped."""
+
+    def sink(text: str) -> None:
+        if output.unread_count:
+            note = f"log: {output.unread_count} lines dropped"
+            line = json.dumps({"text": note}) if is_json else note
+            if output.write(f"{line}\n".encode()):
+                output.unread_count = 0
+        output.write(text.encode())
+
+    return sink
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -5,6 +5,7 @@
 import threading
 import unittest
 
+from cuminwall import outputs
 from cuminwall.direct import journal
 
 
@@ -57,9 +58,9 @@
             for _ in range(journal.MAX_LINES_PER_S):
                 self.journal.add("work", "answered", {"text": "x" * 100})
             self.journal.flush()
-        limit = journal.MAX_PENDING_BYTES
-        self.assertLessEqual(len(self.journal.pending), limit)
-        self.assertGreater(self.journal.totals["unread"], 0)
+        limit = outputs.MAX_PENDING_BYTES
+        self.assertLessEqual(len(self.journal.output.pending), limit)
+        self.assertGreater(self.journal.output.unread_count, 0)
 
 
 class BlockingPipeTest(unittest.TestCase):
@@ -90,12 +91,39 @@
                 for _ in range(journal.MAX_LINES_PER_S):
                     self.journal.add("work", "answered", {"text": "x" * 100})
                 self.assertTrue(self.flush())
-            self.assertGreater(self.journal.totals["unread"], 0)
+            self.assertGreater(self.journal.output.unread_count, 0)
         finally:
             # Ends a blocked write, with an error.
             os.close(self.reader)
             os.close(self.writer)
 
 
+class SharedPipeTest(unittest.TestCase):
+    """Other processes write to the same inherited pipe."""
+
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    # They may not expect that a write finds no room.
+    def test_pipe_of_the_others_still_blocks(self) -> None:
+        outputs.Output(self.writer)
+        self.assertTrue(os.get_blocking(self.writer))
+
+    def test_lines_without_a_scheduler_wait_for_room(self) -> None:
+        output = outputs.Output(self.writer)
+        line = b"x" * 999 + b"\n"
+        for _ in range(200):
+            self.assertTrue(output.write(line))
+        self.assertGreater(len(output.pending), 0)
+        received = 0
+        while output.pending:
+            received += len(os.read(self.reader, 1 << 20))
+            output.flush()
+        received += len(os.read(self.reader, 1 << 20))
+        self.assertEqual(received, 200 * len(line))
+
+
 if __name__ == "__main__":
     unittest.main()
