Drop the unreadable part of a configuration, not its whole version

Cause: one value of one route, service or workspace that could not be decoded (null, a string, another type, an integer of over 4300 digits, `Limits` null, no `ApiKeys`) made the adapter ignore the version. Every instance then went on with an older one. Other values were read wrongly: `Public` "false" opened a route to callers without a key, a string as `ApiKeys` admitted each of its characters, "" as a key admitted callers that send none, true was a version of 1, null a name.

Now a part is dropped by itself and one bounded warning names the first few. A dropped part never runs by an older version or by a guess: a route runs nothing, a key admits nobody, a workspace of unknown limit is refused, a service has the strictest limits. The last known limit of a workspace was weighed and not taken: it may exceed the one in force, and a refusal can be retried. The values are in `catalog`; the adapter only chooses them.

--- a/src/cuminwall/direct/catalog.py
+++ b/src/cuminwall/direct/catalog.py
@@ -96,6 +96,32 @@
     transaction_idle_s: float
 
 
+# Rate and burst of a workspace that has no limit; finite, since lending divides
+# a limit.
+NO_LIMIT = 1e15
+# Of a service whose limits are unknown: less than any cold server must bear.
+STRICTEST_WARMUP_RATE = 1.0
+
+
+def refused_workspace(name: str) -> Workspace:
+    """Returns a workspace whose limit is unknown: all of it is refused.
+
+    Its last known limit may be higher than the one now in force, so that using
+    it could exceed that. A refused operation can be retried.
+    """
+    return Workspace(name, 0.0, 0.0, 1)
+
+
+def strictest_limits(name: str) -> ServiceLimits:
+    """Returns the limits of a service for which none are known.
+
+    They are safe whatever the true ones are: few connections are kept, a cold
+    server gets hardly anything, and a promotion waits for each replica that
+    may hold an acknowledged commit.
+    """
+    return ServiceLimits(name, 1, STRICTEST_WARMUP_RATE, 1)
+
+
 EMPTY = Catalog(-1, {}, {}, {}, {}, 0.0)
 
 
