Take no permission from a name that two parts of a configuration have

Cause: of two routes for one database, two services or two workspaces of one name the last was taken, and a key in two workspaces belonged to the last. Which is meant can't be told, so that statements could run by the wrong one, or under the wrong workspace's name. Equal parts that are listed twice are read as one; unequal ones count as unreadable: no route, the strictest limits, a refused workspace, a key that admits nobody.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -449,6 +449,30 @@
         for config in (self.config, {"Version": 8}, [], None, 5, "x"):
             self.assertIsNone(decode_config(config))
 
+    def test_name_that_two_parts_have_is_no_permission(self) -> None:
+        route = {**self.config["Routes"][0], "Service": "s2"}
+        for other in (route, {"Host": "db"}):
+            changed = {**self.config, "Routes": [*self.config["Routes"], other]}
+            self.assertEqual(list(decode_config(changed).routes), ["db2"])
+        workspace = {**self.config["Tenants"][0], "RatePerS": 99}
+        service = {**self.config["Services"][0], "MaxConns": 99}
+        self.config["Tenants"].append(workspace)
+        self.config["Services"].append(service)
+        read = decode_config(self.config)
+        self.assertEqual(read.workspaces["t"], catalog.refused_workspace("t"))
+        self.assertEqual(read.services["s"], catalog.strictest_limits("s"))
+        self.assertEqual(read.keys, self.whole.keys)
+
+    def test_part_that_is_listed_twice(self) -> None:
+        for name in ("Routes", "Services", "Tenants"):
+            self.config[name] = [*self.config[name], *self.config[name]]
+        self.assertEqual(decode_config(self.config), self.whole)
+
+    def test_key_of_two_workspaces_admits_nobody(self) -> None:
+        self.config["Tenants"][1]["ApiKeys"] = ["k1", "k3"]
+        read = decode_config(self.config)
+        self.assertEqual(read.keys, {"k2": "t", "k3": "t2"})
+
     def test_one_warning_tells_what_was_dropped_and_no_key(self) -> None:
         route = {**self.config["Routes"][0], "Kind": "x" * 1000}
         for number in range(100):
@@ -463,7 +487,7 @@
         finally:
             logger.remove(number)
         self.assertEqual(len(lines_logged), 1)
-        self.assertIn("version 7: 101 parts", lines_logged[0])
+        self.assertIn("version 7: 102 parts", lines_logged[0])
         self.assertIn("many0", lines_logged[0])
         self.assertNotIn("secret", lines_logged[0])
         self.assertLess(len(lines_logged[0]), 1000)
