--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,8 @@
 import unittest
 from typing import Any
 
+import hypothesis
+from hypothesis import strategies as st
 from loguru import logger
 
 from cuminwall import exceptions, plainhttp
@@ -47,6 +49,7 @@
     store,
     store_items,
 )
+from tests import direct_world  # noqa: E402
 
 SETTINGS = """
 NodeName = "edge-1"
@@ -473,6 +476,56 @@
         read = decode_config(self.config)
         self.assertEqual(read.keys, {"k2": "t", "k3": "t2"})
 
+    def test_workspace_with_half_a_limit_has_a_limit(self) -> None:
+        workspace = self.config["Tenants"][0]
+        self.config["Tenants"][0] = {**workspace, "Burst": 5}
+        del self.config["Tenants"][0]["RatePerS"]
+        read = decode_config(self.config).workspaces["t"]
+        self.assertEqual((read.rate, read.burst), (0.0, 5.0))
+        self.config["Tenants"][0] = {**workspace, "RatePerS": 66}
+        del self.config["Tenants"][0]["Burst"]
+        read = decode_config(self.config).workspaces["t"]
+        self.assertEqual((read.rate, read.burst), (66.0, 1.0))
+
+    def test_workspace_is_refused_only_until_its_limit_is_read(self) -> None:
+        server = direct_world.FakeServer("p")
+        server.is_primary = True
+        world = direct_world.World(("a", "b"), (server,))
+        world.run(4.0)
+        caller = world.instances["a"].caller()
+        known = world.config
+        refused = known._replace(
+            version=2, workspaces={"w": catalog.refused_workspace("w")}
+        )
+        for config, is_served in (
+            (known, True),
+            (refused, False),
+            (known._replace(version=3), True),
+        ):
+            world.configure(config)
+            world.run(2.0)
+            del caller.answers[:]
+            for number in range(10):
+                caller.send(statements.Read(f"r{number}", "READ 1"))
+                world.run(0.2)
+            expected = None if is_served else Reason.OVERLOADED
+            self.assertEqual(caller.reasons(), [expected] * 10)
+
+    def test_workspace_without_a_limit_is_served(self) -> None:
+        workspace = self.config["Tenants"][0]
+        del workspace["RatePerS"], workspace["Burst"]
+        read = decode_config(self.config).workspaces["t"]
+        server = direct_world.FakeServer("p")
+        server.is_primary = True
+        config = direct_world.make_catalog(1, read.rate, read.burst)
+        world = direct_world.World(("a",), (server,), config=config)
+        world.run(4.0)
+        caller = world.instances["a"].caller()
+        for number in range(20):
+            caller.send(statements.Read(f"r{number}", "READ 1"))
+            world.run(0.2)
+        self.assertEqual(caller.reasons(), [None] * 20)
+
     def test_one_warning_tells_what_was_dropped_and_no_key(self) -> None:
         route = {**self.config["Routes"][0], "Kind": "x" * 1000}
         for number in range(100):
@@ -493,6 +546,168 @@
         self.assertLess(len(lines_logged[0]), 1000)
 
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from([10**400, 2**63 - 1, 7.0, "", "s", "t2", "k3", "own"])
+    | st.text(max_size=3),
+    lambda each: (
+        st.lists(each, max_size=2)
+        | st.dictionaries(st.text(max_size=3), each, max_size=2)
+    ),
+    max_leaves=4,
+)
+PROPERTY_SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, database=None, max_examples=400
+)
+SECTION_FIELDS = {
+    "Routes": (
+        "Host",
+        "Service",
+        "Kind",
+        "TimeoutMs",
+        "TargetLatencyMs",
+        "MaxStalenessMs",
+        "Priority",
+        "Public",
+        "Unknown",
+    ),
+    "Services": ("Name", "MaxConns", "WarmupPerS", "SyncReplicas", "Unknown"),
+    "Tenants": ("Name", "ApiKeys", "RatePerS", "Burst", "Priority", "Unknown"),
+}
+
+
+@st.composite
+def changes_of_items(draw: st.DrawFn) -> tuple[str, str, Any]:
+    """Returns a section, a field of its first item and a value for it."""
+    section = draw(st.sampled_from(sorted(SECTION_FIELDS)))
+    name = draw(st.sampled_from(SECTION_FIELDS[section]))
+    value = draw(JSON_VALUES | st.just("REMOVED"))
+    return section, name, value
+
+
+def is_number(value: object) -> bool:
+    """Returns whether a JSON value is a number that is not negative."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return value >= 0
+
+
+class AnyConfigurationTest(unittest.TestCase):
+    """Configurations with any value anywhere."""
+
+    def setUp(self) -> None:
+        logger.disable("fleet")
+        self.addCleanup(logger.enable, "fleet")
+
+    @PROPERTY_SETTINGS
+    @hypothesis.given(changes_of_items())
+    def test_one_odd_value_spoils_no_other_part(
+        self, change: tuple[str, str, Any]
+    ) -> None:
+        section, name, value = change
+        config = make_large_config()
+        whole = decode_config(config)
+        config[section][0][name] = value
+        if value == "REMOVED":
+            del config[section][0][name]
+        read = decode_config(config)
+        self.assertEqual(read.version, 7)
+        self.assertEqual(read.transaction_idle_s, whole.transaction_idle_s)
+        self.check_true(config, read)
+        takes_name = value in ("db2", "s2", "t2")
+        if section == "Routes" or not takes_name:
+            self.assertEqual(read.workspaces["t2"], whole.workspaces["t2"])
+            self.assertEqual(read.services["s2"], whole.services["s2"])
+        if section != "Routes":
+            self.assertEqual(read.routes, whole.routes)
+        elif not takes_name:
+            self.assertEqual(read.routes["db2"], whole.routes["db2"])
+        if section != "Tenants":
+            self.assertEqual(read.keys, whole.keys)
+        elif not (isinstance(value, list) and "k3" in value):
+            self.assertEqual(read.keys["k3"], "t2")
+        if name == "Unknown":
+            self.assertEqual(read, whole)
+
+    @PROPERTY_SETTINGS
+    @hypothesis.given(
+        st.fixed_dictionaries(
+            {"Version": st.integers(0, 2**63 - 1)},
+            optional={
+                "Routes": JSON_VALUES,
+                "Services": JSON_VALUES,
+                "Tenants": JSON_VALUES,
+                "Limits": JSON_VALUES,
+                "Unknown": JSON_VALUES,
+            },
+        ),
+        st.lists(changes_of_items(), max_size=4),
+    )
+    def test_nothing_runs_that_no_part_allows(
+        self, odd: dict[str, Any], changes: list[tuple[str, str, Any]]
+    ) -> None:
+        config = make_large_config()
+        for section, name, value in changes:
+            config[section][0][name] = value
+        for name, value in odd.items():
+            config[name] = value
+        read = decode_config(config)
+        self.assertEqual(read.version, odd["Version"])
+        self.check_true(config, read)
+
+    @PROPERTY_SETTINGS
+    @hypothesis.given(JSON_VALUES)
+    def test_any_whole_is_read_or_changes_nothing(self, value: Any) -> None:
+        self.assertIsNone(decode_config(value))
+
+    def check_true(self, config: dict[str, Any], read: catalog.Catalog) -> None:
+        """Checks that what is read runs only what the configuration says."""
+        for database, route in read.routes.items():
+            items = self.find(config, "Routes", "Host", database)
+            self.assertTrue(items)
+            for item in items:
+                self.assertEqual(item["Service"], route.service)
+                self.assertTrue(is_number(item["TimeoutMs"]))
+                self.assertIs(item.get("Public") is True, route.is_open)
+                is_primary = item["Kind"] == "primary"
+                self.assertIs(route.freshness is Freshness.ALL, is_primary)
+                self.assertTrue(math.isfinite(sum(route[3:6])))
+                self.assertIn(route.service, read.services)
+        for key, name in read.keys.items():
+            for item in config["Tenants"]:
+                keys = item.get("ApiKeys") if isinstance(item, dict) else None
+                if isinstance(keys, list) and key in keys:
+                    self.assertEqual(item["Name"], name)
+            self.assertIn(name, read.workspaces)
+            self.assertTrue(key and name)
+        for name, workspace in read.workspaces.items():
+            self.assertTrue(math.isfinite(workspace.rate + workspace.burst))
+            for item in self.find(config, "Tenants", "Name", name):
+                if "RatePerS" not in item and "Burst" not in item:
+                    continue
+                rate = item.get("RatePerS", 0)
+                self.assertLessEqual(
+                    workspace.rate, rate if is_number(rate) else 0
+                )
+                burst = item.get("Burst", 1)
+                self.assertLessEqual(
+                    workspace.burst, burst if is_number(burst) else 0
+                )
+
+    def find(
+        self, config: dict[str, Any], section: str, name: str, value: str
+    ) -> list[dict[str, Any]]:
+        """Returns the items of a section with one name."""
+        found = []
+        for item in config[section]:
+            if isinstance(item, dict) and item.get(name) == value:
+                found.append(item)
+        return found
+
+
 class SettingsTest(unittest.TestCase):
     """The settings file."""
 
