Withdraw a key from an open transaction whose route is gone, too

Cause: the denial looked for the route first. No route is no denial in an open transaction, which keeps the one under which it began; the key was not looked at, and the session was not closed when the configuration came.

Fix: in a transaction the denial is judged by the transaction's own route. Tests that failed before: ChangeAtEachMomentTest.test_route_goes_and_key_is_withdrawn (3 moments), RandomWalkTest.test_key_is_in_force_at_arrival.

--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -190,8 +190,14 @@
 
 
 def _find_denial(state: State, session: Session) -> Failure | None:
-    """Returns why a session may not run operations now, or None."""
-    route = state.catalog.routes.get(session.database)
+    """Returns why a session may not run operations now, or None.
+
+    An open transaction keeps the route under which it began, but not its key.
+    """
+    if session.transaction is not None:
+        route: Route | None = session.transaction.route
+    else:
+        route = state.catalog.routes.get(session.database)
     if route is None:
         return Failure(Reason.NO_DATABASE, "no route for this database")
     if route.is_open:
@@ -436,7 +442,7 @@
         _fail(session, reason, "read-only transaction", statement, state, out)
         return
     failure = _find_denial(state, session)
-    if failure is not None and _applies_now(session, failure):
+    if failure is not None:
         reason = failure.reason
         if transaction is not None:
             _roll_back(state, transaction, out)
@@ -499,16 +505,6 @@
     )
 
 
-def _applies_now(session: Session, failure: Failure) -> bool:
-    """Returns whether a denial applies to a session's next statement.
-
-    An open transaction keeps the route under which it began, but not its key.
-    """
-    if session.transaction is None:
-        return True
-    return failure.reason is Reason.KEY_UNKNOWN
-
-
 def _refuse_if_failed(
     state: State, session: Session, statement: Any, out: list[Effect]
 ) -> bool:
