End a transaction that has been idle for too long, whatever came before

Cause: the timer was set when a transaction began and with each statement that a server answered. What is answered here moved the end of the idle time past it, and nothing set it again. The time was also compared as a difference, which rounding can leave short of the limit.

Fix: the check sets its own timer for what is left; there is one for each session. Tests that failed before: OldRouteTest.test_transaction_that_rests_too_long_ends, test_transaction_ends_by_an_idle_time_that_grows, RandomWalkTest.test_transaction_does_not_rest_longer_than_it_may.

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -32,6 +32,8 @@
       is_closing: Whether to close the session as soon as it is idle.
       is_gone: Whether the caller has disconnected.
       last_active_at: Time of the last statement or answer.
+      idle_check_at: When it is next checked whether its transaction has been
+        idle for too long.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         "is_closing",
         "is_gone",
         "last_active_at",
+        "idle_check_at",
     )
 
     def __init__(self, number: int, database: str, key: str, workspace: str):
@@ -66,6 +69,7 @@
         self.is_closing = False
         self.is_gone = False
         self.last_active_at = 0.0
+        self.idle_check_at = 0.0
 
 
 class Transaction:
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -29,7 +29,7 @@
     Connection,
     ConnectionStatus,
 )
-from cuminwall.direct.state import State, TimerKind
+from cuminwall.direct.state import State
 
 PART = "work"
 
@@ -127,8 +127,6 @@
         operations.finish(
             state, operation, answer._replace(phase=Phase.OPEN), out
         )
-        due_at = state.now + state.catalog.transaction_idle_s
-        state.set_timer(due_at, TimerKind.SESSION, session.number)
         return
     if answer.failure.reason is Reason.NOT_PRIMARY:
         groups.handle_not_primary(state, connection.server, out)
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -234,13 +234,30 @@
     state: State, session: Session, out: list[Effect]
 ) -> None:
     """Ends a transaction idle for too long, or whose key was withdrawn."""
-    if session.transaction is None or session.operation is not None:
+    if session.transaction is None:
         return
-    idle_s = state.now - session.last_active_at
-    if _find_denial(state, session) is not None and session.is_closing:
+    if session.operation is not None:
+        _schedule_idle_check(state, session, state.now)
+    elif _find_denial(state, session) is not None and session.is_closing:
         end_transaction(state, session, "the key was withdrawn", out)
-    elif idle_s >= state.catalog.transaction_idle_s:
+    elif state.now >= _find_idle_end(state, session.last_active_at):
         end_transaction(state, session, "idle in transaction too long", out)
+    else:
+        _schedule_idle_check(state, session, session.last_active_at)
+
+
+def _find_idle_end(state: State, since: float) -> float:
+    """Returns when a transaction has been idle for too long."""
+    return since + state.catalog.transaction_idle_s
+
+
+def _schedule_idle_check(state: State, session: Session, since: float) -> None:
+    """Sets the timer for a transaction that is idle since a time, once."""
+    due_at = _find_idle_end(state, since)
+    if state.now < session.idle_check_at <= due_at:
+        return
+    session.idle_check_at = due_at
+    state.set_timer(due_at, TimerKind.SESSION, session.number)
 
 
 def end_transaction(
@@ -301,8 +318,7 @@
     route = state.catalog.routes[session.database]
     session.transaction = Transaction(statement.read_only, route)
     _succeed(session, Phase.OPEN, out)
-    due_at = state.now + state.catalog.transaction_idle_s
-    state.set_timer(due_at, TimerKind.SESSION, session.number)
+    _schedule_idle_check(state, session, state.now)
 
 
 @_execute.register
