Send no statement after its timeout

Callers: a statement could still be sent, by the route of its arrival, after the route's timeout (1.304 s at a timeout of 0.8 s in OldRouteTest).

Cause: the time was looked at only when a connection ended. A refusal that came late, or the answer to BEGIN, led to a new attempt without a look at it.

Fix: one predicate, asked at each new attempt and when a transaction is open. Tests that failed before: OldRouteTest.test_read_is_not_sent_again_after_its_time_limit, RandomWalkTest.test_old_route_is_used_no_longer_than_its_time_limit.

--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -42,6 +42,9 @@
     if operation.attempts >= state.limits.max_attempts:
         operations.refuse(state, operation, "no server accepted it", out)
         return
+    if operation.attempts and is_timed_out(state, operation):
+        operations.refuse(state, operation, "no server ran it in time", out)
+        return
     group = groups.find(state, operation.route.service)
     server = placing.choose(state, group, operation)
     if server is None:
@@ -102,6 +105,11 @@
     connections.send(state, connection, batch, out)
 
 
+def is_timed_out(state: State, operation: Operation) -> bool:
+    """Returns whether the timeout of an operation's route has passed."""
+    return state.now >= operation.arrived_at + operation.route.timeout_s
+
+
 def run_waiting(state: State, server: Server, out: list[Effect]) -> None:
     """Runs the operations queued at a server on its idle connections."""
     while True:
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -52,6 +52,11 @@
         # The caller has disconnected meanwhile.
         connections.roll_back(state, connection, out)
         return
+    if dispatch.is_timed_out(state, operation):
+        operation.connection = None
+        connections.roll_back(state, connection, out)
+        operations.refuse(state, operation, "no server ran it in time", out)
+        return
     session = operation.session
     batch: list[tuple[Command, AnswerKind]]
     batch = [(dispatch.make_command(operation), AnswerKind.STATEMENT)]
--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -183,7 +183,7 @@
     """Retries a statement whose connection failed, if there is time left."""
     operation.stage = Stage.WAITING_FOR_CONNECTION
     operation.tried.add(connection.server.entry.server)
-    if state.now >= operation.arrived_at + operation.route.timeout_s:
+    if dispatch.is_timed_out(state, operation):
         operations.refuse(state, operation, cause, out)
         return
     state.unassigned.append(operation)
