Look the workspace of a key up again once it is known

Callers: a session that a route without keys had admitted before its key was known went on outside every workspace, without a limit, when the route began to need keys.

Cause: the workspace was looked up when the session opened, and never again; none was taken for any. Fix: it is looked up with each operation outside a transaction, until there is one. Test that failed before: OldRouteTest.test_key_that_becomes_known_counts_for_its_workspace.

--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -164,10 +164,19 @@
     if failure is not None:
         _reject(state, session, failure, out)
         return
-    session.workspace = state.catalog.keys.get(session.key, "")
+    _find_workspace(state, session)
     out.append(AcceptSession(session.number))
 
 
+def _find_workspace(state: State, session: Session) -> None:
+    """Finds the workspace of a session's key, unless it is known.
+
+    A route that needs no key admits a session whose key is not known yet.
+    """
+    if not session.workspace:
+        session.workspace = state.catalog.keys.get(session.key, "")
+
+
 def _reject(
     state: State, session: Session, failure: Failure, out: list[Effect]
 ) -> None:
@@ -315,6 +324,7 @@
     if failure is not None:
         _fail(session, failure.reason, failure.detail, statement, state, out)
         return
+    _find_workspace(state, session)
     route = state.catalog.routes[session.database]
     session.transaction = Transaction(statement.read_only, route)
     _succeed(session, Phase.OPEN, out)
@@ -474,6 +484,8 @@
         cause = "the lease on the primary has ended"
         _fail(session, Reason.ROLLED_BACK, cause, statement, state, out)
         return
+    if transaction is None:
+        _find_workspace(state, session)
     if not process_end.is_time_left(state, _find_route(state, session)):
         _refuse_too_late(state, session, statement, out)
         return
