Don't take a value for removed that was written while the store was read

Callers: a new coordinator that gave up at once, and no tokens meanwhile. Rare: only where an instance read the whole store as its own write was answered.

Cause: values that a whole reading does not show were taken for removed, also those that this instance knew from the answer to its own, later write.

Fix: the reading tells its revision; what is known of a later one stays. Test that failed before: OldSnapshotTest ('0 != 1', the coordinator's epoch).

--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -126,12 +126,14 @@
       servers: The ids of the servers that have an entry.
       zones: The availability zones that are taken out of service.
       shared: The names of the shared values.
+      revision: The store's revision before it was read.
     """
 
     now: float
     servers: frozenset[str]
     zones: frozenset[str]
     shared: frozenset[str]
+    revision: int
 
 
 class StoreStatusReported(NamedTuple):
--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -148,6 +148,7 @@
                 frozenset(names[ports.ItemKind.SERVER]),
                 frozenset(names[ports.ItemKind.ZONE_OUT]),
                 frozenset(names[ports.ItemKind.SHARED]),
+                result.revision,
             )
         )
         self._report_changes(result)
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -171,12 +171,12 @@
     for zone in list(state.evacuated_zones):
         if zone not in event.zones:
             groups.handle_zone_change(state, zone, False, out)
-    for name in list(state.shared_revisions):
-        if name not in event.shared:
-            removal = events.SharedValueSeen(
-                event.now, name, None, _MAX_REVISION
-            )
-            handle(removal, state, out)
+    for name, revision in list(state.shared_revisions.items()):
+        if name in event.shared or revision > event.revision:
+            # A value that is newer was written while the store was read.
+            continue
+        removal = events.SharedValueSeen(event.now, name, None, _MAX_REVISION)
+        handle(removal, state, out)
     membership.register(state, out)
     if state.coordinator is None:
         coordination.handle_coordinator_value(state, None, 0, out)
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -527,6 +527,7 @@
                 frozenset(self.entries),
                 frozenset(),
                 frozenset(self.store.values),
+                self.store.revision,
             )
         )
         self._report_revision(instance)
--- a/tests/test_direct_store_view.py
+++ b/tests/test_direct_store_view.py
@@ -108,6 +108,33 @@
             self.assertEqual(version, world.config.version, instance.name)
 
 
+class OldSnapshotTest(unittest.TestCase):
+    """The whole store is read while this instance writes to it."""
+
+    # An instance that took its own claim, just written, for removed gave up.
+    def test_value_written_meanwhile_is_not_taken_for_removed(self) -> None:
+        world = make_world()
+        coordinator = world.coordinator()
+        known = coordinator.state
+        revision = known.shared_revisions[fleet_state.COORDINATOR_NAME]
+        epoch = known.own_lease.epoch
+        shared = frozenset(known.shared_revisions)
+        shared -= {fleet_state.COORDINATOR_NAME}
+        servers = frozenset(known.servers)
+        coordinator.handle_event(
+            events.SnapshotRead(
+                world.now, servers, frozenset(), shared, revision - 1
+            )
+        )
+        self.assertEqual(known.own_lease.epoch, epoch)
+        coordinator.handle_event(
+            events.SnapshotRead(
+                world.now, servers, frozenset(), shared, revision
+            )
+        )
+        self.assertEqual(known.own_lease.epoch, 0)
+
+
 class ConfigVersionTest(unittest.TestCase):
     """Peers tell the versions of their configurations."""
 
