Let the coordinator read the whole store, and tell what watches leave out

Callers: an old route in use, a server that leaves still getting work, at one instance or at all, for good: a watch left a change out and told a revision beyond it.

Cause: the revision of an answer was taken as proof that nothing before it was missed. While the store reports nothing (its history is about to be dropped) a short wait can end with a revision beyond the change; if the cut of the waiting calls does not reach the next call, nothing shows it. Only a newer configuration at a peer did.

Weighed: reading op/ alone (two calls for what one does), all instances reading (their number times the price).

Tests: LeftOutChangeTest in test_direct_follower and test_direct_store_view.

--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -152,11 +152,27 @@
       revision: The revision.
       newest_change: The revision of the newest of these changes; 0 if the
         answer had none.
+      is_whole: Whether the whole store was read, not only what has changed.
     """
 
     now: float
     revision: int
     newest_change: int
+    is_whole: bool = False
+
+
+class ChangeMissed(NamedTuple):
+    """Reading the whole store showed a change that a watch had left out.
+
+    Attributes:
+      now: The time.
+      name: What has changed.
+      revision: The store's revision of the change.
+    """
+
+    now: float
+    name: str
+    revision: int
 
 
 class WatchRestarted(NamedTuple):
@@ -279,6 +295,7 @@
     | SnapshotRead
     | StoreStatusReported
     | ChangesRead
+    | ChangeMissed
     | WatchRestarted
     | SwapFinished
     | LeaseCallFinished
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -97,6 +97,8 @@
     Attributes:
       revision: The store's revision up to which all changes were read.
       newest_change: The revision of the newest change that was read.
+      whole_revision: The revision at which the whole store was last read.
+      whole_at: When that was.
       answered_at: When the store last answered the call that waits for changes.
       told_at: When the coordinator last knew of no later change.
       confirmed_at: When there was none, by the coordinator's last answer from
@@ -108,6 +110,8 @@
     __slots__ = (
         "revision",
         "newest_change",
+        "whole_revision",
+        "whole_at",
         "answered_at",
         "told_at",
         "confirmed_at",
@@ -118,6 +122,8 @@
     def __init__(self) -> None:
         self.revision = 0
         self.newest_change = 0
+        self.whole_revision = 0
+        self.whole_at = leases.NEVER
         self.answered_at = leases.NEVER
         self.told_at = leases.NEVER
         self.confirmed_at = leases.NEVER
--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -1,8 +1,9 @@
 """Follows the store: reads it whole once, then watches for changes.
 
 If changes were missed, the whole store is read again. It is also read again
-after a failed call, since the answers before it may have left changes out.
-While the store does not answer, the last known state stays in force.
+after a failed call, since the answers before it may have left changes out, and
+from time to time where others rely on what is known here. While the store does
+not answer, the last known state stays in force.
 
 A change that comes after a quiet time is reported at once. Those that follow it
 closely are read together: at a start of all instances each writes a record, and
@@ -41,12 +42,14 @@
       clock: Returns the time for events.
       find_pause_s: Returns how long to wait after a change.
       find_wait_s: Returns how long a call waits for a change.
+      is_whole_read_due: Returns whether to read all, though nothing failed.
       wait_s: How long the call in progress waits for a change; 0 if it reads
         all or was not made yet.
       called_at: When the store was last called.
       had_change: Whether the last call reported one.
       revision: The revision up to which all changes were reported; None to
         read the whole store.
+      reported: The revision of each item that was reported, by kind and name.
       backoff_s: How long to wait after the next failure.
       pending_call: The call in progress.
       is_restarting: Whether the call in progress was cancelled, for another.
@@ -59,16 +62,19 @@
         clock: Callable[[], float],
         find_pause_s: Callable[[], float] = lambda: 0.0,
         find_wait_s: Callable[[], float] = lambda: store_view.LONG_WAIT_S,
+        is_whole_read_due: Callable[[], bool] = lambda: False,
     ):
         self.store = store
         self.on_event = on_event
         self.clock = clock
         self.find_pause_s = find_pause_s
         self.find_wait_s = find_wait_s
+        self.is_whole_read_due = is_whole_read_due
         self.wait_s = 0.0
         self.called_at = clock()
         self.had_change = False
         self.revision: int | None = None
+        self.reported: dict[tuple[ports.ItemKind, str], int] = {}
         self.backoff_s = MIN_BACKOFF_S
         self.pending_call: asyncio.Future[None] | None = None
         self.is_restarting = False
@@ -125,7 +131,7 @@
 
     async def _call_store(self) -> None:
         """Reads the whole store, or waits for changes."""
-        if self.revision is None:
+        if self.revision is None or self.is_whole_read_due():
             await self._read_all()
         else:
             await self._read_changes()
@@ -135,7 +141,10 @@
         self.wait_s = 0.0
         self.called_at = self.clock()
         result = await self.store.read_all()
-        self._report_items(result.items)
+        if self.revision is None:
+            self._report_items(result.items)
+        else:
+            self._report_unknown(result.items, self.revision)
         names: dict[ports.ItemKind, set[str]] = {}
         for kind in ports.ItemKind:
             names[kind] = set()
@@ -151,7 +160,10 @@
                 result.revision,
             )
         )
-        self._report_changes(result)
+        self.reported = {
+            (item.kind, item.name): item.revision for item in result.items
+        }
+        self._report_changes(result, True)
 
     async def _read_changes(self) -> None:
         """Waits for changes and reports them."""
@@ -164,21 +176,46 @@
         result = await self.store.watch(self.revision, self.wait_s)
         self.had_change = bool(result.items)
         self._report_items(result.items)
-        self._report_changes(result)
+        self._report_changes(result, False)
 
-    def _report_changes(self, result: ports.StoreItems) -> None:
+    def _report_changes(self, result: ports.StoreItems, is_whole: bool) -> None:
         """Reports up to which revision the changes are known."""
         newest = max((item.revision for item in result.items), default=0)
         self.revision = max(self.revision or 0, result.revision)
-        self.on_event(events.ChangesRead(self.clock(), self.revision, newest))
+        event = events.ChangesRead(
+            self.clock(), self.revision, newest, is_whole
+        )
+        self.on_event(event)
 
     def _report_items(self, items: Iterable[ports.StoreItem]) -> None:
         """Turns items into events, in their order."""
         for item in items:
+            self.reported[item.kind, item.name] = item.revision
             if item.is_malformed:
                 continue
             self.on_event(_event_of(item.value, item, self.clock()))
 
+    def _report_unknown(
+        self, items: Iterable[ports.StoreItem], revision: int
+    ) -> None:
+        """Reports the items that were not reported as they are now.
+
+        Args:
+          items: All items of the store.
+          revision: Up to which the watches have claimed to tell all changes.
+        """
+        unknown = []
+        for item in items:
+            if self.reported.get((item.kind, item.name)) == item.revision:
+                continue
+            unknown.append(item)
+            if item.revision <= revision:
+                now = self.clock()
+                self.on_event(
+                    events.ChangeMissed(now, item.name, item.revision)
+                )
+        self._report_items(unknown)
+
     def _report_store(self, is_up: bool, cause: str) -> None:
         """Reports whether the store answers."""
         if is_up:
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -141,6 +141,7 @@
             engine.boot_clock,
             lambda: follower.pause_s(len(state_.members)),
             lambda: store_view.find_wait_s(state_, engine.boot_clock()),
+            lambda: store_view.is_whole_read_due(state_, engine.boot_clock()),
         )
         self.engine.reread_store = follower_.reread
         self.engine.restart_watch = follower_.restart_watch
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -204,6 +204,11 @@
     store_view.record_answer(state, event)
 
 
+@handle.register
+def _(event: events.ChangeMissed, state: State, out: list[Effect]) -> None:
+    store_view.record_missed(event, out)
+
+
 @handle.register
 def _(event: events.WatchRestarted, state: State, out: list[Effect]) -> None:
     store_view.record_restart(event, out)
--- a/src/cuminwall/direct/store_view.py
+++ b/src/cuminwall/direct/store_view.py
@@ -31,6 +31,8 @@
 # How long ago the store may have confirmed the view. Beyond the above it allows
 # for the pause and the short wait of the coordinator.
 MAX_VIEW_AGE_S = 2.2
+# Between two whole readings by the coordinator.
+WHOLE_READ_S = 1.0
 
 
 class ConfigFields(TypedDict):
@@ -76,6 +78,16 @@
     return LONG_WAIT_S
 
 
+def is_whole_read_due(state: State, now: float) -> bool:
+    """Returns whether to read the whole store, though nothing failed.
+
+    A watch may leave a change out without a sign of it. The coordinator finds
+    it this way, and tells the others.
+    """
+    is_coordinator = state.own_lease.epoch > 0
+    return is_coordinator and now - state.store_view.whole_at >= WHOLE_READ_S
+
+
 def record_answer(state: State, event: events.ChangesRead) -> None:
     """Records an answer of the store."""
     view = state.store_view
@@ -83,6 +95,15 @@
     view.newest_change = max(view.newest_change, event.newest_change)
     view.answered_at = state.now
     view.is_in_doubt = False
+    if event.is_whole:
+        view.whole_revision = event.revision
+        view.whole_at = state.now
+
+
+def record_missed(event: events.ChangeMissed, out: list[Effect]) -> None:
+    """Logs a change that a watch had left out."""
+    fields = {"name": event.name, "revision": event.revision}
+    out.append(Note(PART, "missed_change", fields))
 
 
 def handle_reply(
@@ -96,6 +117,15 @@
     if reply.newest_change > view.revision:
         check(state, out)
         return
+    if reply.newest_change > max(view.newest_change, view.whole_revision):
+        # An answer claimed to tell all changes up to a later one.
+        fields = {
+            "revision": reply.newest_change,
+            "claimed": view.revision,
+        }
+        out.append(Note(PART, "missed_change", fields))
+        out.append(RereadStore())
+        return
     view.told_at = state.now
     if reply.number == state.request_pacing.last_number:
         # Counted from the request, since the reply may have been held up.
--- a/tests/test_direct_follower.py
+++ b/tests/test_direct_follower.py
@@ -160,6 +160,59 @@
         self.assertGreater(len(store.calls), len(before))
 
 
+class LeftOutChangeTest(unittest.IsolatedAsyncioTestCase):
+    """A watch leaves a change out and gives no sign of it."""
+
+    async def follow(
+        self, answers: list[ports.StoreItems | Exception]
+    ) -> list[events.Event]:
+        """Follows a store that is read whole with every second call."""
+        store = ScriptedStore(answers)
+        received: list[events.Event] = []
+        follower_ = follower.Follower(
+            store,
+            received.append,
+            lambda: 1.0,
+            is_whole_read_due=lambda: len(store.calls) % 2 == 0,
+        )
+        task = asyncio.create_task(follower_.follow())
+        await asyncio.sleep(0.05)
+        task.cancel()
+        return received
+
+    async def test_whole_read_finds_it(self) -> None:
+        # Version 2 was written at revision 8; the watch passed over it.
+        received = await self.follow(
+            [
+                ports.StoreItems([config_item(1), shared_item(3)], 7),
+                ports.StoreItems([], 9),
+                ports.StoreItems([config_item(2)._replace(revision=8)], 9),
+            ]
+        )
+        missed = [e for e in received if isinstance(e, events.ChangeMissed)]
+        self.assertEqual([each.revision for each in missed], [8])
+        seen = [e for e in received if isinstance(e, events.CatalogSeen)]
+        self.assertEqual([each.catalog.version for each in seen], [1, 2])
+        whole = [e for e in received if isinstance(e, events.SnapshotRead)]
+        self.assertEqual(whole[-1].shared, frozenset())
+
+    async def test_what_is_known_is_not_reported_again(self) -> None:
+        items = [config_item(1), shared_item(3)]
+        received = await self.follow(
+            [
+                ports.StoreItems(items, 7),
+                ports.StoreItems([shared_item(8)], 8),
+                ports.StoreItems([config_item(1), shared_item(8)], 9),
+                ports.StoreItems([], 9),
+                ports.StoreItems([config_item(1), shared_item(10)], 10),
+            ]
+        )
+        shared = [e for e in received if isinstance(e, events.SharedValueSeen)]
+        self.assertEqual([each.revision for each in shared], [3, 8, 10])
+        missed = [e for e in received if isinstance(e, events.ChangeMissed)]
+        self.assertEqual(missed, [])
+
+
 class BusyStore:
     """A store that changes every few milliseconds.
 
--- a/tests/test_direct_store_view.py
+++ b/tests/test_direct_store_view.py
@@ -111,7 +111,8 @@
 class OldSnapshotTest(unittest.TestCase):
     """The whole store is read while this instance writes to it."""
 
-    # An instance that took its own claim, just written, for removed gave up.
+    # The coordinator reads all again and again. One that took its own claim,
+    # just written, for removed would give up.
     def test_value_written_meanwhile_is_not_taken_for_removed(self) -> None:
         world = make_world()
         coordinator = world.coordinator()
@@ -135,6 +136,46 @@
         self.assertEqual(known.own_lease.epoch, 0)
 
 
+class LeftOutChangeTest(unittest.TestCase):
+    """A watch has left a change out; its answers claim to tell all."""
+
+    def receive(
+        self, newest_change: int, whole_revision: int
+    ) -> list[effects.Effect]:
+        """Returns the effects of a reply, at an instance that knows 5 of 9."""
+        known = state.State("a", "z1")
+        known.now = 100.0
+        known.coordinator = fleet_state.Coordinator("b", "boot", 3, 1)
+        known.store_view.revision = 9
+        known.store_view.newest_change = 5
+        known.store_view.whole_revision = whole_revision
+        reply = messages.ShareReply(
+            1, 3, (), -1, 0.1, True, 50.0, newest_change, 0.0
+        )
+        out: list[effects.Effect] = []
+        store_view.handle_reply(known, reply, out)
+        return out
+
+    def test_all_is_read_if_the_coordinator_knows_a_newer_one(self) -> None:
+        self.assertIn(effects.RereadStore(), self.receive(7, 0))
+
+    def test_removal_before_a_whole_read_is_not_missed(self) -> None:
+        self.assertNotIn(effects.RereadStore(), self.receive(7, 8))
+
+    def test_known_change_is_not_missed(self) -> None:
+        self.assertNotIn(effects.RereadStore(), self.receive(5, 0))
+
+    def test_coordinator_reads_all_again(self) -> None:
+        world = make_world()
+        known = world.coordinator().state
+        known.store_view.whole_at = world.now
+        later = world.now + store_view.WHOLE_READ_S
+        self.assertFalse(store_view.is_whole_read_due(known, later - 0.01))
+        self.assertTrue(store_view.is_whole_read_due(known, later))
+        other = find_follower(world).state
+        self.assertFalse(store_view.is_whole_read_due(other, later))
+
+
 class ConfigVersionTest(unittest.TestCase):
     """Peers tell the versions of their configurations."""
 
