--- a/tests/test_direct_review_config.py
+++ b/tests/test_direct_review_config.py
@@ -27,7 +27,6 @@
     upkeep,
 )
 from cuminwall.direct import (
-    callers,
     catalog,
     coordination,
     events,
@@ -48,7 +47,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
 
-from fleet import lines, store  # noqa: E402
+from fleet import store  # noqa: E402
 
 GUARD_S = 5.0
 CONFIG_REVISION = 6
@@ -155,64 +154,6 @@
         self.is_told.set()
 
 
-class HeldUpOrderTest(unittest.TestCase):
-    """The event loop stood still; news and statements wait in sockets."""
-
-    HOLD_UP_S = 0.6
-
-    def setUp(self) -> None:
-        self.store = StoreThread()
-        self.addCleanup(self.store.close)
-        self.received: list[Any] = []
-
-    def run_held_up(self) -> list[str]:
-        """Returns the order of the events after the hold-up."""
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(self._hold_up())
-        order = []
-        for event in self.received:
-            if isinstance(event, events.StatementArrived):
-                order.append("statement")
-            elif isinstance(event, events.CatalogSeen):
-                order.append(f"version {event.catalog.version}")
-        return order
-
-    async def _hold_up(self) -> None:
-        """Lets a change and then a statement come in a hold-up."""
-        listening = callers.Callers(
-            lines.CallerLines, self.received.append, time.monotonic
-        )
-        server = await listening.listen("127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        caller = socket.create_connection(("127.0.0.1", port))
-        caller.sendall(b"STARTUP db key\r\n")
-        client = store.Store("127.0.0.1", self.store.port)
-        follower_ = follower.Follower(
-            client, self.received.append, time.monotonic
-        )
-        task = asyncio.create_task(follower_.follow())
-        while not self.store.is_watched.is_set():
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(0.05)
-        self._stand_still(caller)
-        await asyncio.sleep(0.3)
-        task.cancel()
-        caller.close()
-        server.close()
-
-    def _stand_still(self, caller: socket.socket) -> None:
-        """Holds up the loop; the statement is sent long after the change."""
-        self.store.may_tell.set()
-        self.assertTrue(self.store.is_told.wait(GUARD_S))
-        time.sleep(self.HOLD_UP_S)
-        caller.sendall(b"QUERY 1 READ x\r\n")
-        time.sleep(0.05)
-
-    def test_news_of_the_store_come_before_later_statements(self) -> None:
-        order = self.run_held_up()
-        self.assertEqual(order, ["version 1", "version 2", "statement"])
-
-
 class RestartAfterHoldUpTest(unittest.TestCase):
     """A timer that is overdue after a hold-up replaces the call for changes."""
 
