Write the last log lines before a process ends; open terminals anew, too

On-call engineers: the last lines of a process were missing. Found by the review of this issue: 194 of 1,000 lines of the daemon for PostgreSQL came, 65,536 of 300,000 bytes at a node's end. Now both wait up to 0.5 s for a reader. A terminal whose reader stands still held the event loop up, too; all but regular files are opened anew.

The second of LastLinesTest called flush once, as the node did; it calls what the node calls now, and asks for the same 300,000 bytes.

--- a/src/cuminwall/direct/journal.py
+++ b/src/cuminwall/direct/journal.py
@@ -61,6 +61,10 @@
         """Writes pending lines, as far as possible without blocking."""
         self.output.flush()
 
+    def finish(self) -> None:
+        """Writes pending lines before the process ends."""
+        self.output.finish(outputs.FINISH_S)
+
     def count_dropped(self) -> int:
         """Returns how many lines were not written."""
         return self.rate_dropped + self.output.unread_count
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -153,7 +153,7 @@
         self.journal.add(PART, "stop", {})
         await asyncio.sleep(EXIT_DELAY_S)
         await self.engine.callers.flush(self._flush_time_s())
-        self.journal.flush()
+        self.journal.finish()
         # Skips closing the links to peers in order, which would take long.
         os._exit(0)
 
--- a/src/cuminwall/logs.py
+++ b/src/cuminwall/logs.py
@@ -1,5 +1,6 @@
 """Configures logging to standard error, as text or as JSON."""
 
+import atexit
 import json
 import logging
 import sys
@@ -18,8 +19,10 @@
     logging.getLogger("websockets").setLevel(logging.WARNING)
     logger.remove()
     is_json = log_settings.format == "json"
+    output = outputs.Output(sys.stderr.fileno())
+    atexit.register(output.finish, outputs.FINISH_S)
     logger.add(
-        _make_sink(outputs.Output(sys.stderr.fileno()), is_json),
+        _make_sink(output, is_json),
         level=log_settings.level.upper(),
         format="{message}" if is_json else TEXT_FORMAT,
         serialize=is_json,
--- a/src/cuminwall/outputs.py
+++ b/src/cuminwall/outputs.py
@@ -7,10 +7,13 @@
 import contextlib
 import os
 import stat
+import time
 from collections.abc import Callable
 
 FLUSH_S = 0.05  # How long lines are collected before they are written.
 MAX_PENDING_BYTES = 1024 * 1024
+FINISH_S = 0.5  # How long the end of a process waits for the reader.
+FINISH_CHECK_S = 0.005
 
 CallLater = Callable[[float, Callable[[], None]], object]
 
@@ -64,6 +67,18 @@
         if self.pending and self.call_later is not None:
             self._schedule_flush(self.call_later)
 
+    def finish(self, timeout_s: float) -> None:
+        """Writes pending lines before the process ends; waits for room.
+
+        Args:
+          timeout_s: How long to wait for a reader, in seconds.
+        """
+        deadline = time.monotonic() + timeout_s
+        self.flush()
+        while self.pending and time.monotonic() < deadline:
+            time.sleep(FINISH_CHECK_S)
+            self.flush()
+
     def _schedule_flush(self, call_later: CallLater) -> None:
         """Schedules a flush, unless one is scheduled."""
         if self.is_flush_due:
@@ -75,16 +90,16 @@
 def open_nonblocking(descriptor: int) -> int:
     """Returns a descriptor of the same file whose writes don't block.
 
-    Other processes may share an inherited pipe, and some don't expect that a
-    write finds no room. So the pipe is opened anew. Files don't block.
+    Other processes may share an inherited pipe or terminal, and some don't
+    expect that a write finds no room. So it is opened anew; a socket can't be.
     """
     # A descriptor that is closed is found out by the first write.
     with contextlib.suppress(OSError):
-        mode = os.fstat(descriptor).st_mode
-        if not (stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode)):
+        if stat.S_ISREG(os.fstat(descriptor).st_mode):
             return descriptor
         with contextlib.suppress(OSError):
             path = f"/proc/self/fd/{descriptor}"
-            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            flags = os.O_WRONLY | os.O_NONBLOCK | os.O_NOCTTY
+            return os.open(path, flags)
         os.set_blocking(descriptor, False)
     return descriptor
--- a/tests/test_direct_review_config.py
+++ b/tests/test_direct_review_config.py
@@ -619,7 +619,7 @@
         written = data.count(b"\n")
         self.assertEqual(written, self.LINES, data[-200:])
 
-    # `Node.serve` flushes once and exits.
+    # A node flushed once and exited.
     def test_rest_is_written_at_the_end_of_a_node(self) -> None:
         reader, writer = os.pipe()
         output = outputs.Output(writer, lambda delay, action: None)
@@ -633,7 +633,7 @@
 
         thread = threading.Thread(target=read, daemon=True)
         thread.start()
-        output.flush()
+        output.finish(GUARD_S)
         os.close(writer)
         if output.descriptor != writer:
             os.close(output.descriptor)
