Count confirmations of the view from when they were surely true

Too much was confirmed: an answer of the store that was read 3 s late counted as of now, and the coordinator passed that on.

Now one request at a time is looked at, and its reply or a later one confirms the view as of when it was sent; an answer of the store counts from its call, or from the end of a short wait that found nothing. LateAnswerTest, OverlappingRequestsTest and OverlappingFleetTest failed before. OverlappingRequestsTest set two attributes that are gone; it calls the function that records a request now, its check is the same.

--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -153,12 +153,15 @@
       newest_change: The revision of the newest of these changes; 0 if the
         answer had none.
       is_whole: Whether the whole store was read, not only what has changed.
+      current_at: A time at which there were certainly no other changes: an
+        answer may be read long after it was sent. None for now.
     """
 
     now: float
     revision: int
     newest_change: int
     is_whole: bool = False
+    current_at: float | None = None
 
 
 class ChangeMissed(NamedTuple):
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -99,10 +99,13 @@
       newest_change: The revision of the newest change that was read.
       whole_revision: The revision at which the whole store was last read.
       whole_at: When that was.
-      answered_at: When the store last answered the call that waits for changes.
+      answered_at: When there was no later change, by an answer of the store.
       told_at: When the coordinator last knew of no later change.
       confirmed_at: When there was none, by the coordinator's last answer from
         the store.
+      request_number: The request whose reply, or a later one, confirms the
+        view next; 0 if the next request is to be that one.
+      request_sent_at: When it was sent.
       is_in_doubt: Whether changes may be missed.
       config_behind_since: Since when a peer had a newer configuration, or None.
     """
@@ -115,6 +118,8 @@
         "answered_at",
         "told_at",
         "confirmed_at",
+        "request_number",
+        "request_sent_at",
         "is_in_doubt",
         "config_behind_since",
     )
@@ -127,6 +132,8 @@
         self.answered_at = leases.NEVER
         self.told_at = leases.NEVER
         self.confirmed_at = leases.NEVER
+        self.request_number = 0
+        self.request_sent_at = leases.NEVER
         self.is_in_doubt = False
         self.config_behind_since: float | None = None
 
@@ -185,7 +192,6 @@
       reported_epoch: The epoch whose coordinator has confirmed such a report.
       reply_timeout_s: How long to wait for a reply before asking again.
       slow_reply_at: When a late reply was last logged.
-      last_number: The number of the latest request.
     """
 
     __slots__ = (
@@ -199,7 +205,6 @@
         "reported_epoch",
         "reply_timeout_s",
         "slow_reply_at",
-        "last_number",
     )
 
     def __init__(self) -> None:
@@ -213,7 +218,6 @@
         self.reported_epoch = 0
         self.reply_timeout_s = shares.REQUEST_TIMEOUT_S
         self.slow_reply_at = leases.NEVER
-        self.last_number = 0
 
 
 class TokenRate:
--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -163,7 +163,7 @@
         self.reported = {
             (item.kind, item.name): item.revision for item in result.items
         }
-        self._report_changes(result, True)
+        self._report_changes(result, True, self.called_at)
 
     async def _read_changes(self) -> None:
         """Waits for changes and reports them."""
@@ -176,14 +176,26 @@
         result = await self.store.watch(self.revision, self.wait_s)
         self.had_change = bool(result.items)
         self._report_items(result.items)
-        self._report_changes(result, False)
+        current_at = self.called_at
+        if not result.items and self.wait_s <= store_view.SHORT_WAIT_S:
+            # The store has waited for a change, but no longer than that.
+            current_at += self.wait_s
+        self._report_changes(result, False, min(current_at, self.clock()))
+
+    def _report_changes(
+        self, result: ports.StoreItems, is_whole: bool, current_at: float
+    ) -> None:
+        """Reports up to which revision the changes are known.
 
-    def _report_changes(self, result: ports.StoreItems, is_whole: bool) -> None:
-        """Reports up to which revision the changes are known."""
+        Args:
+          result: The answer.
+          is_whole: Whether it has the whole store.
+          current_at: A time at which there were certainly no other changes.
+        """
         newest = max((item.revision for item in result.items), default=0)
         self.revision = max(self.revision or 0, result.revision)
         event = events.ChangesRead(
-            self.clock(), self.revision, newest, is_whole
+            self.clock(), self.revision, newest, is_whole, current_at
         )
         self.on_event(event)
 
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -11,6 +11,7 @@
     lender,
     messages,
     operations,
+    store_view,
     workload,
 )
 from cuminwall.direct.callers_state import Operation, Stage
@@ -298,7 +299,7 @@
     number = state.next_number()
     reports = _make_reports(state, wanted, is_complete, number)
     pacing = state.request_pacing
-    pacing.last_number = number
+    store_view.record_request(state, number)
     pacing.wanted.clear()
     if is_complete:
         pacing.complete_epoch = coordinator.epoch
--- a/src/cuminwall/direct/store_view.py
+++ b/src/cuminwall/direct/store_view.py
@@ -93,7 +93,8 @@
     view = state.store_view
     view.revision = event.revision
     view.newest_change = max(view.newest_change, event.newest_change)
-    view.answered_at = state.now
+    current_at = state.now if event.current_at is None else event.current_at
+    view.answered_at = max(view.answered_at, current_at)
     view.is_in_doubt = False
     if event.is_whole:
         view.whole_revision = event.revision
@@ -106,6 +107,17 @@
     out.append(Note(PART, "missed_change", fields))
 
 
+def record_request(state: State, number: int) -> None:
+    """Records a request to the coordinator, to know how old its reply is.
+
+    Requests may overlap, so only one at a time is looked at.
+    """
+    view = state.store_view
+    if not view.request_number:
+        view.request_number = number
+        view.request_sent_at = state.now
+
+
 def handle_reply(
     state: State, reply: messages.ShareReply, out: list[Effect]
 ) -> None:
@@ -127,11 +139,11 @@
         out.append(RereadStore())
         return
     view.told_at = state.now
-    if reply.number == state.request_pacing.last_number:
-        # Counted from the request, since the reply may have been held up.
-        sent_at = state.discovery.last_request_at
-        confirmed_at = sent_at - reply.view_age_s
+    if 0 < view.request_number <= reply.number:
+        # Counted from a request, since the reply may have been held up.
+        confirmed_at = view.request_sent_at - reply.view_age_s
         view.confirmed_at = max(view.confirmed_at, confirmed_at)
+        view.request_number = 0
     check(state, out)
 
 
--- a/tests/test_direct_review_config.py
+++ b/tests/test_direct_review_config.py
@@ -417,13 +417,12 @@
         out: list[Any] = []
         interval_s = 9 / lender.MAX_REQUESTS_PER_S
         reply_s = 2.5 * interval_s
-        for step in range(400):
+        for step in range(1, 400):
             sent_at = 100.0 + step * interval_s
             known.now = sent_at
-            known.request_pacing.last_number = step
-            known.discovery.last_request_at = sent_at
+            store_view.record_request(known, step)
             answered = step - int(reply_s / interval_s)
-            if answered < 0:
+            if answered < 1:
                 continue
             reply = messages.ShareReply(
                 answered, 3, (), 1, interval_s, True, 50.0, 0, 0.3
--- a/tests/test_direct_store_view.py
+++ b/tests/test_direct_store_view.py
@@ -252,8 +252,8 @@
         known = state.State("a", "z1")
         known.now = 100.0
         known.coordinator = fleet_state.Coordinator("b", "boot", 3, 1)
-        known.request_pacing.last_number = 7
-        known.discovery.last_request_at = 99.8
+        known.store_view.request_number = 7
+        known.store_view.request_sent_at = 99.8
         reply = messages.ShareReply(
             number, 3, (), 1, 0.1, True, 50.0, 0, view_age_s
         )
