Keep a request to read the store again that comes with an answer's items

Latent: no caller asked from there. The revision of the answer overwrote the request. RestartRaceTest.test_reread_within_the_report_is_not_lost failed before.

--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -193,9 +193,12 @@
           current_at: A time at which there were certainly no other changes.
         """
         newest = max((item.revision for item in result.items), default=0)
-        self.revision = max(self.revision or 0, result.revision)
+        revision = max(self.revision or 0, result.revision)
+        if not self.is_restarting:
+            # Else an item of this answer has led to another call.
+            self.revision = revision
         event = events.ChangesRead(
-            self.clock(), self.revision, newest, is_whole, current_at
+            self.clock(), revision, newest, is_whole, current_at
         )
         self.on_event(event)
 
