--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -52,6 +52,7 @@
       reported: The revision of each item that was reported, by kind and name.
       backoff_s: How long to wait after the next failure.
       pending_call: The call in progress.
+      must_reread: Whether the next call reads the whole store.
       is_restarting: Whether the call in progress was cancelled, for another.
     """
 
@@ -78,6 +79,7 @@
         self.backoff_s = MIN_BACKOFF_S
         self.pending_call: asyncio.Future[None] | None = None
         self.is_restarting = False
+        self.must_reread = False
 
     async def follow(self) -> None:
         """Follows the store until cancelled."""
@@ -107,9 +109,10 @@
             self.pending_call is None
             or self.pending_call.done()
             or self.revision is None
+            or self.must_reread
         ):
             return
-        self.revision = None
+        self.must_reread = True
         self.is_restarting = True
         self.pending_call.cancel()
 
@@ -131,6 +134,9 @@
 
     async def _call_store(self) -> None:
         """Reads the whole store, or waits for changes."""
+        if self.must_reread:
+            self.must_reread = False
+            self.revision = None
         if self.revision is None or self.is_whole_read_due():
             await self._read_all()
         else:
@@ -193,12 +199,9 @@
           current_at: A time at which there were certainly no other changes.
         """
         newest = max((item.revision for item in result.items), default=0)
-        revision = max(self.revision or 0, result.revision)
-        if not self.is_restarting:
-            # Else an item of this answer has led to another call.
-            self.revision = revision
+        self.revision = max(self.revision or 0, result.revision)
         event = events.ChangesRead(
-            self.clock(), revision, newest, is_whole, current_at
+            self.clock(), self.revision, newest, is_whole, current_at
         )
         self.on_event(event)
 
