Hold callers back while the configuration is unconfirmed for long

Cause: a statement is handled in the pass of the event loop that reads it, news of the store needs several; and nothing asked how old the configuration's confirmation was when a statement arrived.

Fix: a login or a statement outside a transaction waits until the store was asked, if the confirmation is older than ConfigApplyMs less 0.4 s. A store that does not answer delays each instance once, for 0.25 s at most. ConfigApplyMs is read from the settings.

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -72,6 +72,27 @@
         self.idle_check_at = 0.0
 
 
+class Holds:
+    """What waits for a configuration, or for its confirmation.
+
+    Attributes:
+      since: Since when something waits for its confirmation, or None.
+      sessions: The sessions whose statements wait for that, in order.
+      logins: The sessions that are not open yet: there is no configuration, or
+        it is to be confirmed.
+      is_allowed: Whether something may be made to wait: not after a time in
+        which the store did not answer.
+    """
+
+    __slots__ = ("since", "sessions", "logins", "is_allowed")
+
+    def __init__(self) -> None:
+        self.since: float | None = None
+        self.sessions: list[Session] = []
+        self.logins: list[Session] = []
+        self.is_allowed = False
+
+
 class Transaction:
     """A caller's open transaction.
 
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -63,6 +63,7 @@
       unled_order_s: How long a server that was ordered to be primary may not
         act as one before another order is given.
       cores: How many processor cores this process may use, in full cores.
+      config_apply_s: By when a new configuration must be in force.
       stale_config_s: How long a peer may report a newer configuration before
         the store is read again.
     """
@@ -104,6 +105,7 @@
     max_primary_lease_s: float = 3.0
     late_order_s: float = 7.0
     unled_order_s: float = 2.0
+    config_apply_s: float = 3.0
     stale_config_s: float = 0.3
     cores: float = 1.0
 
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -15,6 +15,7 @@
     events,
     failover,
     groups,
+    holds,
     inquiries,
     lease_grants,
     lease_requests,
@@ -194,6 +195,8 @@
     if event.is_up:
         state.store_up_since = state.now
     else:
+        holds.handle_store_lost(state, out)
+        sessions.open_awaiting(state, out)
         state.had_outage = True
         for group in state.groups.values():
             state.unassigned.extend(group.waiting.drain())
@@ -202,6 +205,8 @@
 @handle.register
 def _(event: events.ChangesRead, state: State, out: list[Effect]) -> None:
     store_view.record_answer(state, event)
+    holds.handle_answer(state, out)
+    sessions.open_awaiting(state, out)
 
 
 @handle.register
@@ -305,6 +310,8 @@
     elif isinstance(event.message, messages.ShareReply):
         quotas.handle_share_reply(state, event.message, out)
         store_view.handle_reply(state, event.message, out)
+        holds.handle_confirmation(state, out)
+        sessions.open_awaiting(state, out)
         store_view.check_config_version(
             state, event.message.config_version, out
         )
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -3,7 +3,7 @@
 Statements that concern the session alone are answered here. A transaction is
 opened at a server only with its first statement, so that a caller that pauses
 after BEGIN holds no connection. Key and route are looked up again for each
-operation.
+operation, which waits while the configuration is unconfirmed (`holds`).
 """
 
 import functools
@@ -13,6 +13,7 @@
     connections,
     dispatch,
     groups,
+    holds,
     operations,
     primary_leases,
     process_end,
@@ -58,21 +59,31 @@
         _reject(state, session, process_end.REFUSAL, out)
         return
     if state.catalog.version < 0:
-        state.awaiting_config.append(session)
+        state.holds.logins.append(session)
         state.set_timer(
             state.now + FIRST_CONFIG_WAIT_S, TimerKind.SESSION, number
         )
         return
+    if holds.must_hold(state):
+        holds.hold_login(state, session, out)
+        return
     _open(state, session, out)
 
 
-def handle_new_catalog(state: State, out: list[Effect]) -> None:
-    """Opens the waiting sessions; closes those whose key was withdrawn."""
-    awaiting = state.awaiting_config
-    state.awaiting_config = []
+def open_awaiting(state: State, out: list[Effect]) -> None:
+    """Opens the sessions that wait for a configuration, or its confirmation."""
+    if state.catalog.version < 0 or state.holds.since is not None:
+        return
+    awaiting = state.holds.logins
+    state.holds.logins = []
     for session in awaiting:
         if not session.is_gone:
             _open(state, session, out)
+
+
+def handle_new_catalog(state: State, out: list[Effect]) -> None:
+    """Opens the waiting sessions; closes those whose key was withdrawn."""
+    open_awaiting(state, out)
     for session in list(state.sessions.values()):
         failure = _find_denial(state, session)
         if failure is None or failure.reason is not Reason.KEY_UNKNOWN:
@@ -122,6 +133,9 @@
             if session.is_closing and session.phase is Phase.IDLE:
                 close(state, session, out)
             return
+        if session.transaction is None and holds.must_hold(state):
+            holds.hold(state, session, out)
+            return
         _execute(session.inbox.popleft(), state, session, out)
 
 
@@ -129,8 +143,8 @@
     """Closes a caller's connection."""
     if session.is_gone:
         return
-    if session in state.awaiting_config:
-        state.awaiting_config.remove(session)
+    if session in state.holds.logins:
+        state.holds.logins.remove(session)
         _reject(state, session, process_end.REFUSAL, out)
         return
     out.append(CloseCaller(session.number))
@@ -146,8 +160,8 @@
     session = state.sessions.get(number)
     if session is None:
         return
-    if session in state.awaiting_config:
-        state.awaiting_config.remove(session)
+    if session in state.holds.logins:
+        state.holds.logins.remove(session)
         _reject(
             state,
             session,
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -10,7 +10,7 @@
 
 from cuminwall import buckets, leases
 from cuminwall.direct import catalog, limits
-from cuminwall.direct.callers_state import Operation, Session
+from cuminwall.direct.callers_state import Holds, Operation, Session
 from cuminwall.direct.effects import CompareAndSwap
 from cuminwall.direct.fleet_state import (
     Coordinator,
@@ -60,6 +60,7 @@
     PRIMARY_LEASES = enum.auto()
     FAILOVER = enum.auto()
     SHUTDOWN = enum.auto()
+    HOLD = enum.auto()
 
 
 class SwapPurpose(enum.Enum):
@@ -104,7 +105,7 @@
       unassigned: Operations for which a server is to be chosen.
       freed_servers: Servers that have lost a connection and have waiting
         operations.
-      awaiting_config: Sessions that arrived before the first configuration.
+      holds: What waits for a configuration, or its confirmation.
       boot: Identifies this process among those of the instance.
       secret_candidate: Random bytes that become the shared secret if there
         is none.
@@ -165,7 +166,7 @@
         self.ready_sessions: deque[Session] = deque()
         self.unassigned: deque[Operation] = deque()
         self.freed_servers: list[Server] = []
-        self.awaiting_config: list[Session] = []
+        self.holds = Holds()
         self.boot = ""
         self.secret_candidate = b""
         self.peer_host = ""
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -6,6 +6,7 @@
 from cuminwall.direct import (
     coordination,
     failover,
+    holds,
     inquiries,
     lease_grants,
     lease_requests,
@@ -80,6 +81,12 @@
         lender.remove_silent_instances(state, out)
 
 
+def _hold(state: State, key: Any, out: list[Effect]) -> None:
+    del key
+    holds.handle_timer(state, out)
+    sessions.open_awaiting(state, out)
+
+
 def _shutdown(state: State, key: Any, out: list[Effect]) -> None:
     del key
     shutdown.tick(state, out)
@@ -98,4 +105,5 @@
     TimerKind.PRIMARY_LEASES: _primary_leases,
     TimerKind.FAILOVER: _failover,
     TimerKind.SHUTDOWN: _shutdown,
+    TimerKind.HOLD: _hold,
 }
