Read what has arrived before a call times out

Callers: after a hold-up of this process longer than a timeout, calls whose answer was in the socket failed with StoreUnavailableError; the follower then backed off and read the whole store.

Cause: asyncio.timeout cancels the task in the pass of the event loop in which the data is read; the task never gets to parse it. The timeout of connecting did the same to a connection that the kernel had made.

Fix: when the deadline has passed, the call is looked at every 5 ms or more, in passes of their own. It fails after three looks in a row in which nothing was read: one pass reads from the socket, the next runs the task. A call without an answer ends about 15 ms later than before. Data that goes on coming is read for three timeouts more, and for 20 looks at least, so that a trickling peer can't hold a call. Nothing is sent after the deadline: a connection that is made late is closed, as before.

--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -5,8 +5,9 @@
 
 import asyncio
 import socket
+import types
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import NamedTuple, Self
 
 import h11
 from loguru import logger
@@ -18,6 +19,15 @@
 # The kernel resends a lost SYN after one second and then at growing intervals;
 # a new attempt to connect is faster.
 CONNECT_TIMEOUT_S = 0.7
+# After a timeout, what has arrived is still read. A look takes a pass of the
+# event loop or more: one pass reads from the socket, the next handles the data.
+LOOK_S = 0.005
+QUIET_LOOKS = 3  # Looks without data after which a call fails.
+# An answer that goes on arriving after the timeout ends no later than this many
+# times the timeout after it, unless the looks so far were fewer than these: a
+# slow event loop needs the time for itself.
+MAX_EXTRA_TIMEOUTS = 3
+MIN_LOOKS = 20
 MAX_IDLE = 4  # Idle connections that a client keeps open.
 REQUEST_TIMEOUT_S = 5.0  # How long a server waits for the rest of a request.
 # A peer that vanishes without closing is detected after about three seconds.
@@ -94,7 +104,8 @@
         Args:
           method: The method.
           path: The path, with its query.
-          timeout_s: Timeout of the whole call, in seconds.
+          timeout_s: Timeout of the whole call, in seconds. An answer that has
+            arrived is read even if this process was held up beyond it.
           headers: The headers besides those of the connection and the body.
           body: The body, as JSON.
           may_send: Tells, once there is a connection, whether to send the call.
@@ -112,13 +123,15 @@
         request = h11.Request(method=method, target=path, headers=all_headers)
         connection: _ClientConnection | None = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with _Deadline(timeout_s) as deadline:
                 connection = self.idle.pop() if self.idle else None
                 if connection is None:
                     connection = await _connect(self.host, self.port)
+                if deadline.has_passed:
+                    raise TimeoutError
                 if not may_send():
                     raise exceptions.NotSentError(path)
-                response = await connection.run(request, body)
+                response = await connection.run(request, body, deadline)
         except TimeoutError as error:
             _abort(connection)
             if error.errno is not None:
@@ -152,6 +165,68 @@
         self.idle.clear()
 
 
+class _Deadline:
+    """Ends its block with TimeoutError, but first lets the loop read.
+
+    The timer and the data of a process that was held up are due together. If
+    the timer cancelled the block, an answer that came in time would be lost.
+
+    Attributes:
+      timeout_s: When it passes, in seconds from the start of the block.
+      reads: How often data was read in the block.
+      has_passed: Whether it has passed.
+    """
+
+    def __init__(self, timeout_s: float):
+        self.timeout_s = timeout_s
+        self.reads = 0
+        self.has_passed = False
+        self._loop = asyncio.get_running_loop()
+        self._limit = asyncio.timeout(None)
+        self._timer: asyncio.TimerHandle | None = None
+        self._seen_reads = 0
+        self._looks = 0
+        self._quiet_looks = 0
+        self._latest_end = 0.0
+
+    async def __aenter__(self) -> Self:
+        await self._limit.__aenter__()
+        self._timer = self._loop.call_later(self.timeout_s, self._pass)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._limit.__aexit__(kind, error, trace)
+
+    def _pass(self) -> None:
+        """Begins to look for data."""
+        self.has_passed = True
+        self._seen_reads = self.reads
+        extra_s = MAX_EXTRA_TIMEOUTS * self.timeout_s
+        self._latest_end = self._loop.time() + extra_s
+        self._timer = self._loop.call_later(LOOK_S, self._look)
+
+    def _look(self) -> None:
+        """Ends the block unless data was read lately."""
+        self._looks += 1
+        self._quiet_looks += 1
+        if self.reads != self._seen_reads:
+            self._seen_reads = self.reads
+            self._quiet_looks = 0
+        now = self._loop.time()
+        is_late = now >= self._latest_end and self._looks >= MIN_LOOKS
+        if is_late or self._quiet_looks >= QUIET_LOOKS:
+            self._limit.reschedule(now)
+            return
+        self._timer = self._loop.call_later(LOOK_S, self._look)
+
+
 class _ClientConnection:
     """One connection of a client, which carries one call at a time."""
 
@@ -162,7 +237,9 @@
         self.writer = writer
         self.protocol = h11.Connection(h11.CLIENT)
 
-    async def run(self, request: h11.Request, body: bytes) -> Response:
+    async def run(
+        self, request: h11.Request, body: bytes, deadline: _Deadline
+    ) -> Response:
         """Sends a request and returns its answer."""
         data = self.protocol.send(request) or b""
         if body:
@@ -176,7 +253,9 @@
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.reader.read(READ_BYTES))
+                received = await self.reader.read(READ_BYTES)
+                deadline.reads += 1
+                self.protocol.receive_data(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = _decode_headers(event)
@@ -220,7 +299,7 @@
 
 
 async def _connect(host: str, port: int) -> _ClientConnection:
-    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+    async with _Deadline(CONNECT_TIMEOUT_S):
         reader, writer = await asyncio.open_connection(host, port)
     enable_keepalive(writer.transport)
     return _ClientConnection(reader, writer)
