Read an answer that has arrived before the watch is restarted

Callers: after a hold-up an instance in doubt threw away the change that it was in doubt about, and learned of it one call later, or not while that call was not answered.

Cause: the timer that leads to the restart is overdue together with the data of the call, and runs first; the call was cancelled at once.

Evidence: RestartAfterHoldUpTest failed before, two of two ([1] != [1, 2]); passes five of five now. With restarts in each pass of the loop, the old code made no further call of the store (new test: "2 not greater than 4"), since a call was cancelled before it had begun; ten restarts at once were reported as ten ("10 != 1"). RestartedWatchTest's earlier test passes before and after. RestartRaceTest.test_reread_within_the_report_is_not_lost fails before and after; it is of another cause (reread).

Ruled out: a later time for the restart that each further one would put off, the fault that mended.

Fix: a restart is carried out three passes of the loop later, on the call it was asked for: one reads from the socket, the next runs the call, and the order within a pass doesn't matter with the third. Further restarts don't put it off, and it is dropped if that call has ended or turns out to pause or to wait for a short time. An answer that needs more passes (beyond 128 KiB) may still be cancelled; the next call gets it from the same revision.

--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -22,6 +22,9 @@
 MAX_BACKOFF_S = 1.0
 MAX_CALLS_PER_S = 200.0  # Of all instances, to learn of changes.
 MAX_PAUSE_S = 0.5  # Changes are reported no later than this.
+# How many passes of the event loop the call has left before it is replaced: an
+# answer is read from the socket in one, and the call handles it in the next.
+RESTART_PASSES = 3
 
 
 def pause_s(instances: int) -> float:
@@ -116,16 +119,28 @@
     def restart_watch(self) -> None:
         """Replaces a call that waits long; it may never be answered.
 
+        An answer that has arrived is read first: after a hold-up, the timer
+        that leads here may be due together with it.
+
         A pause before the next call goes on: it is short, and one that began
         anew with each restart might never end.
         """
-        if self.pending_call is None or self.pending_call.done():
+        if self.pending_call is not None:
+            self._restart_later(self.pending_call, RESTART_PASSES)
+
+    def _restart_later(self, call: asyncio.Future[None], passes: int) -> None:
+        """Replaces a call unless it ends within some passes of the loop."""
+        if call is not self.pending_call or call.done() or self.is_restarting:
             return
         if self.wait_s <= store_view.SHORT_WAIT_S:
             return
+        if passes > 0:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._restart_later, call, passes - 1)
+            return
         self.is_restarting = True
         self.had_change = False
-        self.pending_call.cancel()
+        call.cancel()
         now = self.clock()
         self.on_event(events.WatchRestarted(now, now - self.called_at))
 
--- a/tests/test_direct_follower.py
+++ b/tests/test_direct_follower.py
@@ -4,7 +4,7 @@
 import unittest
 
 from cuminwall import exceptions
-from cuminwall.direct import catalog, events, follower, ports
+from cuminwall.direct import catalog, events, follower, ports, store_view
 
 
 def config_item(number: int) -> ports.StoreItem:
@@ -159,6 +159,58 @@
         self.assertEqual(store.calls[:3], before)
         self.assertGreater(len(store.calls), len(before))
 
+    async def test_each_call_is_replaced_once(self) -> None:
+        store = ScriptedStore([ports.StoreItems([config_item(1)], 7)])
+        received: list[events.Event] = []
+        follower_ = follower.Follower(store, received.append, lambda: 1.0)
+        task = asyncio.create_task(follower_.follow())
+        await asyncio.sleep(0.05)
+        for _ in range(10):
+            follower_.restart_watch()
+        await asyncio.sleep(0.05)
+        task.cancel()
+        self.assertEqual(store.calls, ["all", "after 7", "after 7"])
+        restarts = [e for e in received if isinstance(e, events.WatchRestarted)]
+        self.assertEqual(len(restarts), 1)
+
+    # Between two calls, the wait that is known is that of the call before.
+    async def test_call_that_turns_out_short_goes_on(self) -> None:
+        store = ScriptedStore(
+            [
+                ports.StoreItems([config_item(1)], 7),
+                ports.StoreItems([shared_item(8)], 8),
+            ]
+        )
+        received: list[events.Event] = []
+        waits = iter((store_view.LONG_WAIT_S, store_view.SHORT_WAIT_S))
+        loop = asyncio.get_running_loop()
+
+        def handle(event: events.Event) -> None:
+            received.append(event)
+            if isinstance(event, events.SharedValueSeen):
+                loop.call_soon(follower_.restart_watch)
+
+        follower_ = follower.Follower(
+            store, handle, lambda: 1.0, find_wait_s=lambda: next(waits)
+        )
+        task = asyncio.create_task(follower_.follow())
+        await asyncio.sleep(0.1)
+        task.cancel()
+        self.assertEqual(store.calls, ["all", "after 7", "after 8"])
+        restarts = [e for e in received if isinstance(e, events.WatchRestarted)]
+        self.assertEqual(restarts, [])
+
+    async def test_restarts_in_each_pass_do_not_put_it_off(self) -> None:
+        store = ScriptedStore([ports.StoreItems([config_item(1)], 7)])
+        follower_ = follower.Follower(store, lambda event: None, lambda: 1.0)
+        task = asyncio.create_task(follower_.follow())
+        await asyncio.sleep(0.05)
+        for _ in range(40):
+            follower_.restart_watch()
+            await asyncio.sleep(0)
+        task.cancel()
+        self.assertGreater(len(store.calls), 4)
+
 
 class LeftOutChangeTest(unittest.IsolatedAsyncioTestCase):
     """A watch leaves a change out and gives no sign of it."""
