--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -175,23 +175,30 @@
       timeout_s: When it passes, in seconds from the start of the block.
       reads: How often data was read in the block.
       has_passed: Whether it has passed.
+      loop: The event loop.
+      limit: Ends the block.
+      timer: The timer of the deadline, then of the next look.
+      seen_reads: `reads` at the last look.
+      looks: How many looks there were.
+      quiet_looks: How many of the last ones found that nothing was read.
+      latest_end: When the block ends even if data comes, by the loop's clock.
     """
 
     def __init__(self, timeout_s: float):
         self.timeout_s = timeout_s
         self.reads = 0
         self.has_passed = False
-        self._loop = asyncio.get_running_loop()
-        self._limit = asyncio.timeout(None)
-        self._timer: asyncio.TimerHandle | None = None
-        self._seen_reads = 0
-        self._looks = 0
-        self._quiet_looks = 0
-        self._latest_end = 0.0
+        self.loop = asyncio.get_running_loop()
+        self.limit = asyncio.timeout(None)
+        self.timer: asyncio.TimerHandle | None = None
+        self.seen_reads = 0
+        self.looks = 0
+        self.quiet_looks = 0
+        self.latest_end = 0.0
 
     async def __aenter__(self) -> Self:
-        await self._limit.__aenter__()
-        self._timer = self._loop.call_later(self.timeout_s, self._pass)
+        await self.limit.__aenter__()
+        self.timer = self.loop.call_later(self.timeout_s, self._pass)
         return self
 
     async def __aexit__(
@@ -200,31 +207,31 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        await self._limit.__aexit__(kind, error, trace)
+        if self.timer is not None:
+            self.timer.cancel()
+        await self.limit.__aexit__(kind, error, trace)
 
     def _pass(self) -> None:
         """Begins to look for data."""
         self.has_passed = True
-        self._seen_reads = self.reads
+        self.seen_reads = self.reads
         extra_s = MAX_EXTRA_TIMEOUTS * self.timeout_s
-        self._latest_end = self._loop.time() + extra_s
-        self._timer = self._loop.call_later(LOOK_S, self._look)
+        self.latest_end = self.loop.time() + extra_s
+        self.timer = self.loop.call_later(LOOK_S, self._look)
 
     def _look(self) -> None:
         """Ends the block unless data was read lately."""
-        self._looks += 1
-        self._quiet_looks += 1
-        if self.reads != self._seen_reads:
-            self._seen_reads = self.reads
-            self._quiet_looks = 0
-        now = self._loop.time()
-        is_late = now >= self._latest_end and self._looks >= MIN_LOOKS
-        if is_late or self._quiet_looks >= QUIET_LOOKS:
-            self._limit.reschedule(now)
+        self.looks += 1
+        self.quiet_looks += 1
+        if self.reads != self.seen_reads:
+            self.seen_reads = self.reads
+            self.quiet_looks = 0
+        now = self.loop.time()
+        is_late = now >= self.latest_end and self.looks >= MIN_LOOKS
+        if is_late or self.quiet_looks >= QUIET_LOOKS:
+            self.limit.reschedule(now)
             return
-        self._timer = self._loop.call_later(LOOK_S, self._look)
+        self.timer = self.loop.call_later(LOOK_S, self._look)
 
 
 class _ClientConnection:
