Begin the delay of a takeover when the coordinator is lost, not with each change

Callers: no tokens, no leases and no change of primary for as long as records of instances kept changing while nobody coordinated. With a change each 0.3 s nobody took over in 4 s where the coordinator and the next three in rank had ended.

Cause: each change of a record called `_update_coordinator`, which began the delay of the attempt anew. Up to 0.98 s, it was longer than the time between changes. In the same way a change cut the second short that a written claim is waited for (`CLAIM_SEEN_S`), and the instance overwrote its own claim.

Fix: `next_attempt_at` is set when the coordinator is lost, after an attempt, or by the first reading after an outage of the store; other changes leave it. The delay by rank comes on top and is worked out when the timer is due, then again each 0.12 s until the turn has come, so a rank that changes meanwhile counts, and no instance waits for more than 0.98 s.

Weighed: keeping the due time and only ever moving it forward. A process that reads the records one by one ranks first at the first one, so a small instance would come before the large ones.

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -41,6 +41,7 @@
 RANK_DELAY_S = 0.12  # Between the takeover attempts of successive ranks.
 MAX_RANK = 8
 MIN_DELAY_S = 0.02
+NOT_SCHEDULED = float("inf")  # In place of the time of the next attempt.
 CLAIM_SEEN_S = 1.0  # Time by which a change of the store is surely seen.
 # Without a reply from the coordinator; requests are sent every 0.4 s.
 REPLY_TIMEOUT_S = 0.6
@@ -83,9 +84,11 @@
         }
         out.append(Note(PART, "coordinator_ended", fields))
         coordinator = None
-    if coordinator is None and (
-        state.coordinator or state.discovery.no_coordinator_since is None
-    ):
+    is_lost = coordinator is None and (
+        state.coordinator is not None
+        or state.discovery.no_coordinator_since is None
+    )
+    if is_lost:
         state.discovery.no_coordinator_since = state.now
     state.coordinator = coordinator
     own_lease = state.own_lease
@@ -100,8 +103,11 @@
         return
     if own_lease.epoch:
         _stop(state, "another instance took over", out)
-    if coordinator is None:
-        _schedule_attempt(state)
+    # One that is scheduled stays, or frequent changes could put it off forever.
+    if is_lost or (
+        coordinator is None and own_lease.next_attempt_at == NOT_SCHEDULED
+    ):
+        _schedule_attempt(state, MIN_DELAY_S)
 
 
 def ask_peer_for_coordinator(state: State, out: list[Effect]) -> None:
@@ -193,18 +199,33 @@
             state.coordinator_load.renewals_sent += 1
         state.set_timer(own_lease.renew_at, TimerKind.COORDINATOR)
         return
-    if state.coordinator is not None or state.is_shutting_down:
-        return
-    if state.now < own_lease.next_attempt_at or not state.is_store_up:
+    if state.coordinator is None and not state.is_shutting_down:
+        _attempt_in_turn(state, out)
+
+
+def _attempt_in_turn(state: State, out: list[Effect]) -> None:
+    """Tries to take over, unless that is not due or not possible yet."""
+    own_lease = state.own_lease
+    if state.now < own_lease.next_attempt_at:
         return
-    if not is_registered(state):
-        # The others would take it for a process that has been replaced.
-        _schedule_attempt(state)
+    if not state.is_store_up:
+        # The first reading of the whole store schedules another.
+        own_lease.next_attempt_at = NOT_SCHEDULED
         return
     if own_lease.is_grant_pending or state.has_pending_swap(
         SwapPurpose.COORDINATE
     ):
         return
+    turn_at = own_lease.next_attempt_at + _rank(state) * RANK_DELAY_S
+    if state.now < turn_at:
+        # The rank may change before then.
+        check_at = min(turn_at, state.now + RANK_DELAY_S)
+        state.set_timer(check_at, TimerKind.COORDINATOR)
+        return
+    if not is_registered(state):
+        # The others would take it for a process that has been replaced.
+        _schedule_attempt(state, MIN_DELAY_S)
+        return
     if own_lease.lease_id and state.now < own_lease.valid_until:
         _write_claim(state, out)
         return
@@ -226,7 +247,7 @@
         return
     own_lease.is_grant_pending = False
     if ttl_s is None:
-        _schedule_attempt(state)
+        _schedule_attempt(state, MIN_DELAY_S)
         return
     if ttl_s <= 0.0:
         own_lease.lease_id = 0
@@ -253,9 +274,7 @@
 
 def handle_claim_written(state: State) -> None:
     """Waits for the claim that was written to be seen, before another one."""
-    own_lease = state.own_lease
-    own_lease.next_attempt_at = state.now + CLAIM_SEEN_S
-    state.set_timer(own_lease.next_attempt_at, TimerKind.COORDINATOR)
+    _schedule_attempt(state, CLAIM_SEEN_S)
 
 
 def resign(state: State, out: list[Effect]) -> None:
@@ -291,7 +310,7 @@
         state.own_lease.lease_id,
         out,
     )
-    _schedule_attempt(state)
+    _schedule_attempt(state, MIN_DELAY_S)
 
 
 def _next_epoch(state: State) -> int:
@@ -306,18 +325,27 @@
     return max(state.epoch, lowest) + 1
 
 
-def _schedule_attempt(state: State) -> None:
-    """Schedules the next attempt, staggered by rank across the instances."""
+def _schedule_attempt(state: State, delay_s: float) -> None:
+    """Schedules the next attempt; the delay by rank comes on top.
+
+    Args:
+      state: The state.
+      delay_s: The delay of the first rank, in seconds.
+    """
+    own_lease = state.own_lease
+    own_lease.next_attempt_at = state.now + delay_s
+    state.set_timer(own_lease.next_attempt_at, TimerKind.COORDINATOR)
+
+
+def _rank(state: State) -> int:
+    """Returns how many instances may try to take over before this one."""
     ranked = placement.ranked(f"epoch {state.epoch}", state.members)
     # All instances send their requests to the coordinator, so the largest ones
     # come first.
     ranked.sort(key=lambda name: state.members[name].cores, reverse=True)
-    rank = MAX_RANK
-    if state.instance in ranked:
-        rank = min(MAX_RANK, ranked.index(state.instance))
-    own_lease = state.own_lease
-    own_lease.next_attempt_at = state.now + MIN_DELAY_S + rank * RANK_DELAY_S
-    state.set_timer(own_lease.next_attempt_at, TimerKind.COORDINATOR)
+    if state.instance not in ranked:
+        return MAX_RANK
+    return min(MAX_RANK, ranked.index(state.instance))
 
 
 def _start(state: State, coordinator: Coordinator, out: list[Effect]) -> None:
@@ -365,7 +393,7 @@
     lender.stop(state)
     lease_grants.stop(state)
     failover.stop(state, out)
-    _schedule_attempt(state)
+    _schedule_attempt(state, MIN_DELAY_S)
 
 
 def _has_ended(state: State, coordinator: Coordinator) -> bool:
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from cuminwall import placement
 from cuminwall.direct import (
     coordination,
     effects,
@@ -9,6 +10,7 @@
     fleet_state,
     membership,
     messages,
+    reducer,
     revisions,
     state,
 )
@@ -117,6 +119,147 @@
         self.assertEqual(world.epochs(), [0, 0, 0, 0, 2])
 
 
+class AttemptTest(unittest.TestCase):
+    """When an instance tries to take over."""
+
+    STEP_S = 0.01
+
+    def setUp(self) -> None:
+        self.known = state.State("a", "z1")
+        self.known.boot = "boot"
+        self.known.is_store_up = True
+        self.now = 100.0
+        self.add_member("a", 1.0)
+
+    def handle(self, event: events.Event) -> list[effects.Effect]:
+        """Returns the calls of the store that an event causes."""
+        kinds = (effects.GrantLease, effects.CompareAndSwap)
+        found = reducer.reduce(self.known, event)
+        return [effect for effect in found if isinstance(effect, kinds)]
+
+    def add_member(self, name: str, cores: float) -> None:
+        """Adds an instance."""
+        self.known.members[name] = fleet_state.Member(
+            name, "boot", "z1", "h", 1, 1, cores
+        )
+
+    def lose(self) -> None:
+        """Reports that the store names no coordinator."""
+        name = coordination.COORDINATOR_NAME
+        self.handle(events.SharedValueSeen(self.now, name, None, 5))
+
+    def change_record(self) -> None:
+        """Reports a record that changes nothing about the ranks."""
+        name = membership.record_name("other")
+        self.handle(events.SharedValueSeen(self.now, name, b"{}", 6))
+
+    def run_for(
+        self, duration_s: float, has_changes: bool = False
+    ) -> list[effects.Effect]:
+        """Returns the calls of the store that the timers cause."""
+        found = []
+        for step in range(round(duration_s / self.STEP_S)):
+            self.now += self.STEP_S
+            if has_changes and step % 5 == 0:
+                self.change_record()
+            found += self.handle(events.TimersDue(self.now))
+        return found
+
+    def claim(self) -> effects.CompareAndSwap:
+        """Returns the claim that follows the loss."""
+        self.lose()
+        found = self.run_for(0.1)
+        self.assertEqual([type(call) for call in found], [effects.GrantLease])
+        granted = events.LeaseCallFinished(self.now, 7, self.now, 3.0)
+        (claim,) = self.handle(granted)
+        assert isinstance(claim, effects.CompareAndSwap)
+        return claim
+
+    def test_written_claim_is_awaited_beside_changes(self) -> None:
+        claim = self.claim()
+        self.handle(
+            events.SwapFinished(self.now, claim.number, self.now, revision=8)
+        )
+        found = self.run_for(coordination.CLAIM_SEEN_S - 0.05, has_changes=True)
+        self.assertEqual(found, [])
+        self.assertEqual(len(self.run_for(0.1)), 1)
+
+    def test_claim_in_flight_is_not_written_twice(self) -> None:
+        self.claim()
+        self.assertEqual(self.run_for(2.0, has_changes=True), [])
+
+    def test_delay_follows_a_rank_that_changes(self) -> None:
+        self.lose()
+        for number in range(3):
+            self.add_member(f"large{number}", 9.0)
+        delay_s = coordination.MIN_DELAY_S + 3 * coordination.RANK_DELAY_S
+        self.assertEqual(self.run_for(delay_s - 0.02), [])
+        self.assertEqual(len(self.run_for(0.04)), 1)
+
+    def test_attempt_comes_soon_when_those_before_it_go(self) -> None:
+        for number in range(9):
+            self.add_member(f"large{number}", 9.0)
+        self.lose()
+        self.assertEqual(self.run_for(0.2), [])
+        for number in range(9):
+            self.known.members.pop(f"large{number}")
+        found = self.run_for(coordination.RANK_DELAY_S)
+        self.assertEqual(len(found), 1)
+
+    def test_store_without_answers_puts_the_attempt_off(self) -> None:
+        self.known.is_store_up = False
+        self.lose()
+        self.assertEqual(self.run_for(2.0, has_changes=True), [])
+        nothing: frozenset[str] = frozenset()
+        self.handle(events.SnapshotRead(self.now, nothing, nothing, nothing, 4))
+        self.known.is_store_up = True
+        self.assertEqual(self.run_for(0.01), [])
+        self.assertEqual(len(self.run_for(0.05)), 1)
+
+    def test_waiting_for_the_turn_adds_no_timers(self) -> None:
+        for number in range(9):
+            self.add_member(f"large{number}", 9.0)
+        self.lose()
+        for _ in range(100):
+            self.change_record()
+        self.run_for(0.5, has_changes=True)
+        timers = [
+            timer
+            for timer in self.known.timers
+            if timer.kind is state.TimerKind.COORDINATOR
+        ]
+        self.assertEqual(len(timers), 1)
+
+
+class LargeFleetTest(unittest.TestCase):
+    """Records change without end in a fleet of 195, and the first ranks end."""
+
+    FLEET = 195
+    GONE = 5
+    CHANGE_S = 0.02
+    SUCCESSION_S = 4.0
+
+    def test_successor_takes_over_beside_changes(self) -> None:
+        names = tuple(f"i{number}" for number in range(self.FLEET))
+        world = direct_world.World(names)
+        world.run(4.0)
+        old = world.coordinator().state
+        ranked = placement.ranked(f"epoch {old.epoch}", old.members)
+        ranked.remove(old.instance)
+        for name in (old.instance, *ranked[: self.GONE - 1]):
+            world.kill(name)
+        for _ in range(round(self.SUCCESSION_S / self.CHANGE_S)):
+            world.store.revision += 1
+            record = membership.record_name("changing")
+            world.publish_shared(record, b"{}", world.store.revision)
+            world.run(self.CHANGE_S)
+        leading = []
+        for instance in world.instances.values():
+            if instance.is_alive and instance.state.own_lease.epoch:
+                leading.append(instance.name)
+        self.assertEqual(len(leading), 1)
+
+
 class StaleRecordTest(unittest.TestCase):
     """An instance without the store knows only earlier processes."""
 
