Go on trying to take over after a claim that failed late

Callers: no coordinator, and none until a record or the coordinator's value changed, if the store answered the claims of all that could take over late and with a failure.

Cause: the timer of the next attempt found the claim unanswered, returned and was not set again; the failure that came after it set none either. Found while the delay of the takeover was mended; changes of records used to hide it.

Failed before: test_attempt_follows_a_claim_that_failed_late (0 != 1).

--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -215,6 +215,8 @@
     if own_lease.is_grant_pending or state.has_pending_swap(
         SwapPurpose.COORDINATE
     ):
+        # An answer may tell of a failure, after which it must go on.
+        _schedule_attempt(state, RANK_DELAY_S)
         return
     turn_at = own_lease.next_attempt_at + _rank(state) * RANK_DELAY_S
     if state.now < turn_at:
--- a/tests/test_direct_coordination.py
+++ b/tests/test_direct_coordination.py
@@ -188,6 +188,15 @@
         self.claim()
         self.assertEqual(self.run_for(2.0, has_changes=True), [])
 
+    # No timer was left when the answer came after the next attempt was due.
+    def test_attempt_follows_a_claim_that_failed_late(self) -> None:
+        claim = self.claim()
+        self.run_for(0.5)
+        self.handle(
+            events.SwapFinished(self.now, claim.number, self.now, revision=None)
+        )
+        self.assertEqual(len(self.run_for(0.3)), 1)
+
     def test_delay_follows_a_rank_that_changes(self) -> None:
         self.lose()
         for number in range(3):
