Move the loop that runs a coroutine again to a module of its own

The PostgreSQL path needs it next. It moves from `direct.engine` to `reruns` with the function that names the place of an error; there is one copy of each.

--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -8,13 +8,12 @@
 import collections
 import functools
 import time
-import traceback
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from loguru import logger
 
-from cuminwall import exceptions
+from cuminwall import exceptions, reruns
 from cuminwall.direct import (
     callers,
     effects,
@@ -30,9 +29,6 @@
 
 PART = "engine"
 
-MAX_FRAMES = 4  # Calls named in the log line of an error.
-RERUN_S = 0.5  # Pause before a failed task is run again.
-
 
 def boot_clock() -> float:
     """Returns the seconds since the machine started, including suspension."""
@@ -107,7 +103,7 @@
                 perform(effect, self)
         except Exception as error:
             name = type(event).__name__
-            place = _find_place(error)
+            place = reruns.find_place(error)
             logger.error("{}: {} failed: {!r} {}", PART, name, error, place)
             if self.meters is not None:
                 self.meters.count_decision(PART, "event_failed")
@@ -118,17 +114,6 @@
         self.tasks.add(task)
         task.add_done_callback(self._handle_task_end)
 
-    async def run_forever(
-        self, make_coroutine: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Runs a coroutine function forever, again whenever it ends."""
-        while True:
-            try:
-                await make_coroutine()
-            except Exception as error:
-                logger.error("{}: {!r}", PART, error)
-            await asyncio.sleep(RERUN_S)
-
     def _handle_task_end(self, task: asyncio.Task[None]) -> None:
         """Removes a background task that has ended; logs its exception."""
         self.tasks.discard(task)
@@ -242,12 +227,6 @@
         self.journal.add(PART, "call_failed", fields)
 
 
-def _find_place(error: Exception) -> str:
-    """Returns the innermost calls that led to an error, for one log line."""
-    frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
-    return " > ".join(f"{frame.name}:{frame.lineno}" for frame in frames)
-
-
 @functools.singledispatch
 def perform(effect: Any, engine: Engine) -> None:
     """Performs one effect."""
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -10,7 +10,7 @@
 import uvloop
 from loguru import logger
 
-from cuminwall import exceptions, plainhttp
+from cuminwall import exceptions, plainhttp, reruns
 from cuminwall.direct import (
     engine,
     events,
@@ -145,7 +145,9 @@
         )
         self.engine.reread_store = follower_.reread
         self.engine.restart_watch = follower_.restart_watch
-        self.engine.start_task(self.engine.run_forever(follower_.follow))
+        self.engine.start_task(
+            reruns.run_forever(engine.PART, follower_.follow)
+        )
         await plainhttp.serve(*settings.ready, self._answer_probe)
         await plainhttp.serve(*settings.metrics, self._answer_metrics)
         await self.engine.callers.listen(*settings.callers)
