Keep the background loops running after an unexpected error

Callers of the PostgreSQL path: one instance kept an old configuration for good after one malformed value in the store, without a line in the log. In the same way it could stop reading the instance list, watching the store, renewing its record or feeding the time to the reducer.

Cause: the loops of `Upkeep` expected StoreUnavailableError alone; any other error ended the task, and nobody looks at its result until the instance stops.

Fix: each loop runs under `reruns.run_forever`, which logs the error with its place and runs the loop again after 0.5 s. Loading looks for an unmet request before it waits for one, or the request during which the error came would be lost.

Not changed (by reading, not run): a value that stays malformed is met in each round, so a relay goes on without what follows it, with a line in the log each time.

--- a/src/cuminwall/upkeep.py
+++ b/src/cuminwall/upkeep.py
@@ -21,6 +21,7 @@
     peers,
     ports,
     relays,
+    reruns,
     storecalls,
 )
 from cuminwall.confighead import Snapshot
@@ -119,11 +120,28 @@
             )
 
     async def _tick(self) -> None:
+        await reruns.run_forever(PREFIX, self._feed_ticks)
+
+    async def _announce(self) -> None:
+        await reruns.run_forever(PREFIX, self._renew_record)
+
+    async def _read_list(self) -> None:
+        await reruns.run_forever(PREFIX, self._poll_list)
+
+    async def _watch(self) -> None:
+        await reruns.run_forever(PREFIX, self._watch_as_relay)
+
+    async def _load_configurations(self) -> None:
+        await reruns.run_forever(PREFIX, self._load_on_request)
+
+    async def _feed_ticks(self) -> None:
+        """Feeds the time to the reducer."""
         while True:
             self.engine.feed(events.Tick(time.monotonic()))
             await asyncio.sleep(self.engine.state.times.tick_s)
 
-    async def _announce(self) -> None:
+    async def _renew_record(self) -> None:
+        """Renews this instance's record in the instance list."""
         while True:
             try:
                 await self.instances.announce(self.record)
@@ -133,7 +151,8 @@
                 )
             await asyncio.sleep(self.engine.state.times.list_interval_s)
 
-    async def _read_list(self) -> None:
+    async def _poll_list(self) -> None:
+        """Reads the instance list."""
         while True:
             try:
                 records = await self.instances.list_instances()
@@ -147,7 +166,7 @@
                 self.engine.feed(listed)
             await asyncio.sleep(self.engine.state.times.list_interval_s)
 
-    async def _watch(self) -> None:
+    async def _watch_as_relay(self) -> None:
         """Watches the store while this instance is a relay."""
         while True:
             if not relays.needs_watch(self.engine.state):
@@ -197,14 +216,15 @@
             if key not in present:
                 self._feed_entry(ports.StoreEntry(key, b"", revision))
 
-    async def _load_configurations(self) -> None:
+    async def _load_on_request(self) -> None:
         """Loads newer configurations, from the store or from a peer."""
         while True:
-            await self.load_requested.wait()
-            self.load_requested.clear()
+            # A request may be left from before an unexpected error.
             while self.engine.state.config.version < self.wanted_version:
                 if not await self._load_once():
                     await asyncio.sleep(FETCH_PAUSE_S)
+            await self.load_requested.wait()
+            self.load_requested.clear()
 
     async def _load_once(self) -> bool:
         """Loads the configuration from the first source that has it.
