--- a/tests/store_model.py
+++ b/tests/store_model.py
@@ -121,6 +121,21 @@
     is_known: Callable[["ModelInstance"], bool]
 
 
+class DeafnessEnd(NamedTuple):
+    """What happens when the watches report changes again.
+
+    Attributes:
+      is_cut: Whether the calls that wait at this moment are cut.
+      is_woken: Whether they look for changes at once, otherwise.
+      is_drop_exact: Whether the history is dropped up to the last answer of a
+        watch meanwhile only.
+    """
+
+    is_cut: bool = True
+    is_woken: bool = True
+    is_drop_exact: bool = False
+
+
 class Impairment:
     """Whether something is impaired, and when it last was.
 
@@ -177,6 +192,7 @@
       is_busy: Whether each call is refused.
       is_slow: Whether each call takes long.
       is_deaf: Whether the watches report nothing.
+      deaf_as_of: The revision of the last answer meanwhile, 0 if none.
     """
 
     world: "StoreWorld"
@@ -193,6 +209,7 @@
         self.is_busy = False
         self.is_slow = False
         self.is_deaf = False
+        self.deaf_as_of = 0
 
     @property
     def era(self) -> int:
@@ -235,6 +252,26 @@
             raise ports.HistoryLostError(f"no history after {after}")
         return self.log[bisect.bisect_right(self.log_revisions, after) :]
 
+    def begin_deafness(self) -> None:
+        """Lets the watches report nothing from now on."""
+        self.is_deaf = True
+        self.deaf_as_of = 0
+        self.world.impairment.count += 1
+        self.world.note("", "fault: watches are deaf")
+
+    def end_deafness(self, ending: "DeafnessEnd") -> None:
+        """Drops the history, and lets the watches report changes again."""
+        self.is_deaf = False
+        self.world.impairment.count -= 1
+        self.world.impairment.ended_at = self.world.now
+        up_to = self.deaf_as_of if ending.is_drop_exact else None
+        self.drop_history(up_to)
+        self.world.note("", f"fault: watches are no longer deaf, {ending}")
+        if ending.is_cut:
+            self.cut_all()
+        elif ending.is_woken:
+            self.wake_all()
+
     def restore(self) -> None:
         """Restores a copy that lacks all leases, in a new era."""
         for lease in list(self.leases):
@@ -364,6 +401,8 @@
                 if waiter.is_hung:
                     await self._hang()
                 if not waiter.woken.done():
+                    if store.is_deaf:
+                        store.deaf_as_of = store.revision
                     return ports.StoreItems([], store.revision)
                 waiter.woken.result()
         finally:
