--- a/tests/store_model.py
+++ b/tests/store_model.py
@@ -495,6 +495,7 @@
             lambda: store_view.find_wait_s(self.state, world.now),
         )
         self.task = world.loop.create_task(self.follower.follow())
+        self.task.add_done_callback(self._handle_end)
 
     def handle_event(self, event: Any) -> None:
         """Handles an event, later if the process is paused."""
@@ -504,6 +505,12 @@
         self.handled = type(event).__name__
         super().handle_event(event)
 
+    def _handle_end(self, task: asyncio.Task[None]) -> None:
+        """Reports a follower that has ended by itself."""
+        if not task.cancelled():
+            error = task.exception() or RuntimeError("the follower has ended")
+            self.world.errors.append(error)
+
     def pause(self) -> None:
         """Stops the process."""
         self.running.clear()
@@ -547,6 +554,8 @@
       failures: Which instances lacked a change for too long, by instance and
         change.
       trace: What happened: time, instance or "", and text.
+      errors: What was raised by callbacks and tasks; `run` raises it.
+      random_state: That of the common generator before.
     """
 
     store: ModelStore
@@ -565,7 +574,9 @@
         self.pending: list[Change] = []
         self.failures: dict[tuple[str, str], Failure] = {}
         self.trace: list[tuple[float, str, str]] = []
-        self.operations = 0
+        self.errors: list[BaseException] = []
+        self.loop.set_exception_handler(self._handle_error)
+        self.random_state = random.getstate()
         self.is_over = False
         super().__init__((), (), seed, limits_, make_catalog())
         # The follower draws its backoff from the common generator.
@@ -598,14 +609,23 @@
     def run(self, seconds: float) -> None:
         """Advances the time and runs what is scheduled."""
         self.loop.run_until_complete(asyncio.sleep(seconds))
+        if self.errors:
+            raise self.errors[0]
+
+    def _handle_error(self, loop: Any, context: dict[str, Any]) -> None:
+        """Records an error of a callback or a task."""
+        del loop
+        error = context.get("exception")
+        self.errors.append(error or RuntimeError(context["message"]))
 
     def close(self) -> None:
         """Ends the followers and the event loop."""
         self.is_over = True
         for task in asyncio.all_tasks(self.loop):
             task.cancel()
-        self.run(0.0)
+        self.run(direct_world.LINK_S)
         self.loop.close()
+        random.setstate(self.random_state)
 
     def start(self, name: str) -> ModelInstance:  # type: ignore[override]
         """Starts or restarts an instance."""
--- a/tests/test_direct_store_model.py
+++ b/tests/test_direct_store_model.py
@@ -215,6 +215,23 @@
         self.check_kinds(ending)
 
 
+class RandomFaultsTest(ModelTestCase):
+    """Faults that overlap, drawn by a seed."""
+
+    def check_seed(
+        self, size: int, seed: int, kinds: tuple[str, ...], bursts: int
+    ) -> None:
+        """Checks one run."""
+        world = self.make_world(size, RATE, seed)
+        store_faults.Plan(world, seed, kinds).run(bursts)
+        self.check(world)
+
+    def test_small_fleet(self) -> None:
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                self.check_seed(SMALL_FLEET, seed, store_faults.ALLOWED, 3)
+
+
 class ChangingStore:
     """A store that reports a change soon after each call.
 
