Model: a coordinator that ends in a fleet of 80 or more instances

From 80 instances on the pause (instances / 200 s) is not shorter than the 0.4 s between two regular requests, whose timer restarts the watch. Each restart cancels the pause of the last.

--- a/tests/store_model.py
+++ b/tests/store_model.py
@@ -763,7 +763,7 @@
         lines = []
         for at, name, text in self.trace:
             if name in ("", first.instance) or text.startswith("fault"):
-                lines.append(f"{at - START_S:8.3f} {name} {text}")
+                lines.append(f"{at - START_S:8.3f} {name} {text[:200]}")
             if text == f"lacks {first.change}":
                 break
         head = f"{len(failures)} failures at {count} instances; {first}"
--- a/tests/test_direct_store_model.py
+++ b/tests/test_direct_store_model.py
@@ -8,6 +8,7 @@
 from tests import direct_world, store_faults, store_model
 
 FLEET = 73  # Instances, as in the largest deployment with this bound.
+LARGE_FLEET = 195
 START_S = 6.0  # Until all instances have registered and one coordinates.
 WARM_S = 4.0  # Of traffic, until tokens are asked for all the time.
 SMALL_FLEET = 9
@@ -104,6 +105,23 @@
     def test_changes_are_known_after_the_end_of_the_coordinator(self) -> None:
         self.check_all(*self.kill_coordinator())
 
+    def test_large_fleet_without_traffic_replaces_its_coordinator(self) -> None:
+        # The pause is longer than the time between two regular requests. In
+        # doubt, all put off the call that would tell of the end.
+        for size in (81, LARGE_FLEET):
+            with self.subTest(size=size):
+                world = store_model.StoreWorld(size, 1, store_model.LARGE)
+                self.addCleanup(world.close)
+                world.run(START_S + WARM_S)
+                since = world.now
+                world.kill(world.coordinator().name)
+                world.run(3.0)
+                world.change_route()
+                world.run(8.0)
+                self.check_all(world, since)
+                epochs = [i.state.own_lease.epoch for i in world.alive()]
+                self.assertEqual(sum(1 for each in epochs if each), 1)
+
     def test_follower_calls_though_it_is_restarted_in_its_pause(self) -> None:
         loop = store_model.SimulatedLoop()
         self.addCleanup(loop.close)
