--- a/tests/store_model.py
+++ b/tests/store_model.py
@@ -648,6 +648,11 @@
         """Returns the instances that are alive."""
         return [each for each in self.instances.values() if each.is_alive]
 
+    def count_links(self, server: direct_world.FakeServer) -> int:
+        """Returns 0: the servers accept any number of connections."""
+        del server
+        return 0
+
     def wait_calls(self) -> list["Waiter"]:
         """Returns the calls that wait at the store, of living instances."""
         return [w for w in self.store.waiters if w.client.instance.is_alive]
