--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,8 @@
 	$(BIN)/python -m tools.run_tests
 
 check: setup
-	$(BIN)/ruff format --check src platform tests bench tools
-	$(BIN)/ruff check src platform tests bench tools
+	$(BIN)/ruff format --check src platform tests bench tools soak
+	$(BIN)/ruff check src platform tests bench tools soak
 	$(BIN)/mypy
 
 capacity: setup
