Soak: more faults, processor waits and doubts in the report

A silent store answered nothing more on idle connections either, which is another fault; it has its own name now.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,12 +11,12 @@
 HOST = "127.0.0.1"
 ZONE_WEIGHTS = (366.0, 280.0, 266.0, 288.0)
 CONNECT_TIMEOUT_S = 2.0
-RAMP_S = 3.0  # Over which the sessions are opened.
+RAMP_S = 6.0  # Over which the sessions are opened.
 RETRIES = 2
 RETRY_PAUSE_S = 0.05
 REOPEN_PAUSE_S = 0.3
 REFUSED_PAUSE_S = 3.0  # After a database or key was refused.
-PROBE_PAUSE_S = 0.2
+PROBE_PAUSE_S = 0.6
 TRANSACTION_STATEMENTS = 3
 TRANSACTION_WRITE_PART = 0.5
 LAG_CHECK_S = 0.02
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -69,16 +69,20 @@
         )
 
     def move(self) -> None:
-        """Moves a busy database to another service."""
+        """Swaps the services of two busy databases of a kind.
+
+        A swap keeps the load of the services even.
+        """
         kind = self.rng.choices(
             deployment.KINDS, [each.weight for each in deployment.KINDS]
         )[0]
-        number = self.rng.randrange(len(self.services))
-        database = f"{kind.letter}{number}"
-        before = self.routes[database]
-        others = [each for each in self.services if each != before]
-        self.routes = {**self.routes, database: self.rng.choice(others)}
-        self.write(f"{database} from {before} to {self.routes[database]}")
+        candidates = []
+        for number in range(len(self.services)):
+            candidates.append(f"{kind.letter}{number}")
+        one, other = self.rng.sample(candidates, 2)
+        before = self.routes
+        self.routes = {**before, one: before[other], other: before[one]}
+        self.write(f"{one} from {before[one]} to {before[other]}, {other} back")
 
     def withdraw(self) -> None:
         """Withdraws a key, if there is one left that may be withdrawn."""
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -78,6 +78,18 @@
     store: int
 
 
+class Scheduling(NamedTuple):
+    """How a process was scheduled since its start.
+
+    Attributes:
+      ran_s: How long it ran.
+      waited_s: How long it could have run and waited for a processor.
+    """
+
+    ran_s: float
+    waited_s: float
+
+
 class Daemon:
     """One instance.
 
@@ -133,6 +145,13 @@
         """Returns whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
+    def read_scheduling(self) -> Scheduling:
+        """Returns how the process was scheduled."""
+        assert self.process is not None
+        path = pathlib.Path(f"/proc/{self.process.pid}/schedstat")
+        ran_ns, waited_ns, _ = path.read_text(encoding="ascii").split()
+        return Scheduling(int(ran_ns) / 1e9, int(waited_ns) / 1e9)
+
     async def wait_until_ready(self, until: float) -> bool:
         """Returns whether it became ready by a time."""
         while time.monotonic() < until:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -8,7 +8,6 @@
 SERVICE_COUNT = 4
 WORKSPACE_COUNT = 79
 MAX_CONNECTIONS = 49
-RATE_FACTOR = 1.6  # Of a workspace's rate over its usual traffic.
 MIN_RATE_PER_S = 2.0
 BURST_S = 1.0  # Of the rate.
 IDLE_ROUTES = 40
@@ -68,19 +67,22 @@
     return [f"svc{number}{rng.randrange(100)}" for number in range(4)]
 
 
-def make_workspaces(rng: random.Random, per_s: float) -> list[Workspace]:
+def make_workspaces(
+    rng: random.Random, per_s: float, rate_factor: float
+) -> list[Workspace]:
     """Returns the workspaces, a few of them large.
 
     Args:
       rng: Chooses their order.
       per_s: Operations a second of all of them together.
+      rate_factor: What each may do over what it usually does.
     """
     weights = [1.0 / (rank + 2) for rank in range(WORKSPACE_COUNT)]
     rng.shuffle(weights)
     result = []
     for number, weight in enumerate(weights):
         share = weight / sum(weights)
-        rate = max(MIN_RATE_PER_S, round(RATE_FACTOR * share * per_s, 1))
+        rate = max(MIN_RATE_PER_S, round(rate_factor * share * per_s, 1))
         keys = (f"k{number}a", f"k{number}b")
         result.append(Workspace(f"w{number}", share, rate, keys))
     return result
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -44,6 +44,8 @@
             "slow": self._be_slow,
             "deaf": self._be_deaf,
             "hang": self._hang,
+            "dead_connections": self._silence_connections,
+            "pause_coordinator": self._pause_coordinator,
             "kill_coordinator": self._kill_coordinator,
             "kill": self._kill,
             "pause": self._pause,
@@ -138,6 +140,10 @@
             await asyncio.sleep(for_s)
             self.store.hangs_watches = False
 
+    async def _silence_connections(self, for_s: float) -> None:
+        with self._impaired("dead_connections", for_s):
+            self.store.silence_connections()
+
     async def _kill_coordinator(self, for_s: float) -> None:
         del for_s
         name = self.store.find_coordinator()
@@ -146,6 +152,13 @@
             if instance.name == name:
                 await instance.kill()
 
+    async def _pause_coordinator(self, for_s: float) -> None:
+        name = self.store.find_coordinator()
+        self._record("pause_coordinator", name)
+        for instance in self.instances:
+            if instance.name == name:
+                await instance.pause(for_s)
+
     async def _kill(self, for_s: float) -> None:
         del for_s
         instance = self.rng.choice(self.instances)
--- a/soak/measures.py
+++ b/soak/measures.py
@@ -74,6 +74,25 @@
     return delays
 
 
+def find_doubts(
+    timeline: Timeline,
+    follows: dict[str, list[Follow]],
+    by_instance: dict[str, logs.Log],
+) -> list[Gap]:
+    """Returns how long it took from each doubt to the next call for changes."""
+    gaps = []
+    for instance, log in by_instance.items():
+        for line in log.lines:
+            if line.part != "store" or line.event != "in_doubt":
+                continue
+            for call in follows[instance]:
+                if call.began_at >= line.at:
+                    length_s = round(call.began_at - line.at, 3)
+                    gaps.append(Gap(instance, line.at, length_s))
+                    break
+    return [gap for gap in gaps if gap.at >= timeline.began_at]
+
+
 def find_gaps(
     timeline: Timeline, follows: dict[str, list[Follow]]
 ) -> list[Gap]:
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -36,20 +36,15 @@
     "slow": 4.5,
     "deaf": 1.0,
     "hang": 0.5,
+    "dead_connections": 0.0,
     "kill_coordinator": 0.0,
+    "pause_coordinator": 2.0,
     "kill": 0.0,
     "pause": 2.0,
 }
-SCENARIOS = (
-    "calm",
-    "coordinator",
-    "silent",
-    "hang",
-    "deaf",
-    "busy",
-    "slow",
-    "random",
-)
+CALM = "calm"
+RANDOM = "random"
+SCENARIOS = (CALM, RANDOM, *DURATIONS_S)
 
 
 def make_plan(scenario: str, seed: int, length_s: float) -> list[Step]:
@@ -58,8 +53,8 @@
     steps = _make_changes(rng, length_s)
     last_s = length_s - END_CALM_S
     at_s = FIRST_FAULT_S
-    while scenario != "calm" and at_s < last_s:
-        if scenario == "random":
+    while scenario != CALM and at_s < last_s:
+        if scenario == RANDOM:
             steps.extend(_make_cycle(rng, at_s))
         else:
             steps.extend(_make_fault(scenario, at_s))
@@ -77,9 +72,8 @@
     return steps
 
 
-def _make_fault(scenario: str, at_s: float) -> list[Step]:
+def _make_fault(kind: str, at_s: float) -> list[Step]:
     """Returns a fault and moves right after its beginning and its end."""
-    kind = "kill_coordinator" if scenario == "coordinator" else scenario
     for_s = DURATIONS_S[kind]
     return [
         Step(at_s, kind, for_s),
--- a/soak/report.py
+++ b/soak/report.py
@@ -54,6 +54,12 @@
         f" children {result.instance_cpu_s:.0f} s",
         f"instances that ended by themselves: {result.ends}",
     ]
+    busiest = sorted(result.scheduling.items(), key=lambda each: -each[1].ran_s)
+    for name, scheduling in busiest[:3]:
+        lines.append(
+            f"  {name} ran {scheduling.ran_s:.1f} s, waited for a processor"
+            f" {scheduling.waited_s:.1f} s"
+        )
     if quantiles:
         lines.append(f"durations ms: p50 {quantiles[49]} p99 {quantiles[98]}")
     return lines
@@ -167,6 +173,16 @@
     for gap in arrivals[:SHOWN]:
         at_s = result.timeline.since_start(gap.at)
         lines.append(f"  {gap.length_s} s from {at_s} at {gap.instance}")
+    doubts = measures.find_doubts(result.timeline, follows, result.logs)
+    doubts.sort(key=lambda each: -each.length_s)
+    lengths = [gap.length_s for gap in doubts]
+    lines.append(
+        f"doubts: {len(doubts)}; until the next call: median"
+        f" {_median(lengths)} s; longest:"
+    )
+    for gap in doubts[:SHOWN]:
+        at_s = result.timeline.since_start(gap.at)
+        lines.append(f"  {gap.length_s} s from {at_s} at {gap.instance}")
     cancelled = 0
     reads = 0
     for calls in follows.values():
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,6 @@
 """Command line: runs a scenario once and prints its report.
 
-Example: python -m soak.run --scenario=coordinator --seed=1
+Example: python -m soak.run --scenario=kill_coordinator --seed=1
 """
 
 import asyncio
@@ -22,6 +22,9 @@
 INSTANCES = flags.DEFINE_integer("instances", 73, "How many instances.")
 SESSIONS = flags.DEFINE_integer("sessions", 2000, "Open sessions.")
 PER_S = flags.DEFINE_float("per_s", 600.0, "Operations a second.")
+RATE_FACTOR = flags.DEFINE_float(
+    "rate_factor", 1.6, "Rate of each workspace over its usual traffic."
+)
 SECONDS = flags.DEFINE_float("seconds", 50.0, "How long callers send.")
 PROCESSES = flags.DEFINE_integer("processes", 2, "Processes of callers.")
 TREE = flags.DEFINE_string("tree", str(site.ROOT), "Tree of the instances.")
@@ -43,6 +46,7 @@
         INSTANCES.value,
         SESSIONS.value,
         PER_S.value,
+        RATE_FACTOR.value,
         SECONDS.value,
         PROCESSES.value,
         pathlib.Path(TREE.value).resolve(),
--- a/soak/site.py
+++ b/soak/site.py
@@ -44,6 +44,7 @@
       instances: How many instances.
       sessions: How many sessions the callers keep open.
       per_s: Operations a second.
+      rate_factor: The rate of each workspace over its usual traffic.
       seconds: How long the callers send, in seconds.
       processes: How many processes of callers.
       tree: The source tree whose instances run.
@@ -56,6 +57,7 @@
     instances: int
     sessions: int
     per_s: float
+    rate_factor: float
     seconds: float
     processes: int
     tree: pathlib.Path
@@ -78,6 +80,7 @@
       max_lag_s: How late this process was at most.
       memory_mb: Resident memory of the instances.
       instance_cpu_s: Processor time of all child processes.
+      scheduling: How each instance was scheduled.
       ends: Instances that ended by themselves, with their exit codes.
     """
 
@@ -92,6 +95,7 @@
     max_lag_s: float
     memory_mb: float
     instance_cpu_s: float
+    scheduling: dict[str, daemons.Scheduling]
     ends: list[tuple[str, int]]
 
 
@@ -108,7 +112,9 @@
         self.options = options
         self.rng = random.Random(options.seed)
         self.services = deployment.make_services(self.rng)
-        self.workspaces = deployment.make_workspaces(self.rng, options.per_s)
+        self.workspaces = deployment.make_workspaces(
+            self.rng, options.per_s, options.rate_factor
+        )
         self.timeline = timeline.Timeline(time.monotonic())
         self.wall_clock_offset_s = time.time() - time.monotonic()
         self.store = Store()
@@ -156,6 +162,10 @@
         ended_at = self.timeline.began_at + options.seconds
         await asyncio.sleep(max(0.0, ended_at - time.monotonic()))
         memory_mb = self._measure_memory_mb()
+        scheduling = {}
+        for instance in self.instances:
+            if instance.is_running():
+                scheduling[instance.name] = instance.read_scheduling()
         ends = self._find_ends()
         await self._wait_for_callers()
         lag.cancel()
@@ -183,6 +193,7 @@
             self.max_lag_s,
             memory_mb,
             usage.ru_utime + usage.ru_stime,
+            scheduling,
             ends,
         )
 
--- a/soak/store.py
+++ b/soak/store.py
@@ -108,6 +108,7 @@
         self.waiters: dict[webserver.Connection, Waiter] = {}
         self.open_follows: dict[webserver.Connection, Follow] = {}
         self.connections: set[webserver.Connection] = set()
+        self.busy_connections: set[webserver.Connection] = set()
         self.tasks: list[asyncio.Task[None]] = []
 
     async def listen(self, instance: str, port: int) -> None:
@@ -141,6 +142,11 @@
     def fall_silent(self) -> None:
         """Answers nothing from now on, not even the calls that wait."""
         self.is_silent = True
+        for connection in self.busy_connections:
+            connection.is_mute = True
+
+    def silence_connections(self) -> None:
+        """Answers nothing more on any open connection; new ones work."""
         for connection in self.connections:
             connection.is_mute = True
 
@@ -169,6 +175,7 @@
     def _forget(self, connection: webserver.Connection) -> None:
         """Handles the end of a connection."""
         self.connections.discard(connection)
+        self.busy_connections.discard(connection)
         waiter = self.waiters.pop(connection, None)
         if waiter is not None:
             waiter.timer.cancel()
@@ -190,6 +197,7 @@
     ) -> None:
         """Handles a call of an instance."""
         self.connections.add(connection)
+        self.busy_connections.add(connection)
         self.call_counts[_name_call(call.path)] += 1
         if call.path in (WATCH_PATH, RANGE_PATH):
             wait_s = int(call.query.get("WaitMs", 0)) / 1000
@@ -229,6 +237,7 @@
         if connection.is_mute:
             return
         self._close_follow(connection, str(answer.status))
+        self.busy_connections.discard(connection)
         connection.answer(answer.status, answer.body)
 
     def _carry_out(
