--- a/soak/servers.py
+++ b/soak/servers.py
@@ -79,6 +79,7 @@
         self.ran = 0
         self.shed = 0
         self.port = 0
+        self.listener: asyncio.Server | None = None
         self.free_slots = SLOTS
         self.queue: collections.deque[tuple[float, Callable[[], None]]] = (
             collections.deque()
@@ -88,9 +89,17 @@
         """Listens, and registers in the store."""
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(lambda: Session(self), HOST, 0)
+        self.listener = listener
         self.port = listener.sockets[0].getsockname()[1]
         self.register()
 
+    def stop(self) -> None:
+        """Ends all connections."""
+        if self.listener is not None:
+            self.listener.close()
+        for session in list(self.sessions):
+            session.close()
+
     def register(self) -> None:
         """Writes its entry."""
         entry = {
@@ -183,7 +192,7 @@
         if word == "STARTUP":
             self._open(rest.split(" "))
         elif word == "TERMINATE":
-            self._close()
+            self.close()
         else:
             number, _, text = rest.partition(" ")
             self._run(number, text)
@@ -203,9 +212,10 @@
 
     def _refuse(self, code: str) -> None:
         self._send(f"ERROR {code} {self.server.name}")
-        self._close()
+        self.close()
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Ends the connection."""
         if self.transport is not None:
             self.transport.close()
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -142,6 +142,9 @@
                     process.wait()
             for instance in self.instances:
                 instance.end()
+            self.store.stop()
+            for server in self.fleet.by_name.values():
+                server.stop()
 
     async def _run(self) -> Result:
         options = self.options
--- a/soak/store.py
+++ b/soak/store.py
@@ -110,6 +110,7 @@
         self.connections: set[webserver.Connection] = set()
         self.busy_connections: set[webserver.Connection] = set()
         self.tasks: list[asyncio.Task[None]] = []
+        self.listeners: list[asyncio.Server] = []
 
     async def listen(self, instance: str, port: int) -> None:
         """Listens for the calls of one instance."""
@@ -120,12 +121,21 @@
             handler = functools.partial(self._handle, instance)
             return webserver.Connection(handler, self._forget)
 
-        await loop.create_server(make, HOST, port)
+        self.listeners.append(await loop.create_server(make, HOST, port))
 
     def start(self) -> None:
         """Starts to end leases."""
         self.tasks.append(asyncio.create_task(self._expire()))
 
+    def stop(self) -> None:
+        """Ends all connections, and no more leases."""
+        for task in self.tasks:
+            task.cancel()
+        for listener in self.listeners:
+            listener.close()
+        for connection in list(self.connections):
+            connection.abort()
+
     def put(self, key: str, value: object) -> int:
         """Writes as the operator or a backend server; returns the revision."""
         revision = self.items.write_json(key, value)
