--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from cuminwall import exceptions, plainhttp
+from soak import relays
 from soak.timeline import Timeline
 
 HOST = "127.0.0.1"
@@ -69,13 +70,14 @@
 
 
 class Ports(NamedTuple):
-    """The ports of an instance, the last that of its store."""
+    """The ports of an instance, of its store and of its relay."""
 
     callers: int
     ready: int
     peers: int
     metrics: int
     store: int
+    relay: int
 
 
 class Scheduling(NamedTuple):
@@ -98,6 +100,7 @@
       zone: Its availability zone.
       ports: Its ports.
       log: The file of its output.
+      relay: Passes on what other instances send.
       process: The process, once started.
     """
 
@@ -121,6 +124,7 @@
             name=name, zone=zone, host=HOST, **ports._asdict()
         )
         self.settings.write_text(text, encoding="utf-8")
+        self.relay = relays.Relay(ports.relay, ports.peers)
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -185,6 +189,20 @@
         await asyncio.sleep(RESTART_S)
         self.start()
 
+    async def cut(self, for_s: float) -> None:
+        """Holds back all that others and this instance tell each other.
+
+        Only connections that others opened are held: these are the ones that
+        an instance gets requests by.
+        """
+        began_at = time.monotonic()
+        self.timeline.add_impairment(
+            self.name, "cut", began_at, began_at + for_s
+        )
+        self.relay.hold()
+        await asyncio.sleep(for_s)
+        self.relay.release()
+
     async def pause(self, for_s: float) -> None:
         """Pauses the process."""
         assert self.process is not None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,7 @@
             "hang": self._hang,
             "dead_connections": self._silence_connections,
             "pause_coordinator": self._pause_coordinator,
+            "cut_coordinator": self._cut_coordinator,
             "kill_coordinator": self._kill_coordinator,
             "kill": self._kill,
             "pause": self._pause,
@@ -152,6 +153,13 @@
             if instance.name == name:
                 await instance.kill()
 
+    async def _cut_coordinator(self, for_s: float) -> None:
+        name = self.store.find_coordinator()
+        self._record("cut_coordinator", name)
+        for instance in self.instances:
+            if instance.name == name:
+                await instance.cut(for_s)
+
     async def _pause_coordinator(self, for_s: float) -> None:
         name = self.store.find_coordinator()
         self._record("pause_coordinator", name)
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -39,6 +39,7 @@
     "dead_connections": 0.0,
     "kill_coordinator": 0.0,
     "pause_coordinator": 2.0,
+    "cut_coordinator": 10.0,
     "kill": 0.0,
     "pause": 2.0,
 }
--- a/soak/site.py
+++ b/soak/site.py
@@ -142,6 +142,7 @@
                     process.wait()
             for instance in self.instances:
                 instance.end()
+                instance.relay.stop()
             self.store.stop()
             for server in self.fleet.by_name.values():
                 server.stop()
@@ -235,7 +236,9 @@
                 name, zone, each, options.tree, options.folder, self.timeline
             )
             self.instances.append(instance)
+            self.store.relay_ports[each.peers] = each.relay
             await self.store.listen(name, each.store)
+            await instance.relay.start()
         for instance in self.instances:
             instance.start()
             await asyncio.sleep(0)
--- a/soak/store.py
+++ b/soak/store.py
@@ -22,6 +22,7 @@
 RENEWAL_PRICE = 0.1  # Of a read.
 LEASE_CHECK_S = 0.02
 COORDINATOR_KEY = "cuminwall/coordinator"
+MEMBER_PREFIX = "cuminwall/instances/"
 PROTECTED = ("op/", "servers/")
 WATCH_PATH = "/v1/kv-watch"
 RANGE_PATH = "/v1/kv-range"
@@ -86,6 +87,7 @@
       hangs_watches: Whether calls that wait are never answered.
       deaf_revision: The newest revision that watches hear of; None for all.
       is_lease_time_stopped: Whether leases don't run out.
+      relay_ports: The port of the relay of each port of an instance.
       promote: Handles the promotion of a backend server.
     """
 
@@ -103,6 +105,7 @@
         self.hangs_watches = False
         self.deaf_revision: int | None = None
         self.is_lease_time_stopped = False
+        self.relay_ports: dict[int, int] = {}
         self.promote: Callable[[str, str], bool] = lambda service, name: False
         self.lease_ends: dict[int, float] = {}
         self.waiters: dict[webserver.Connection, Waiter] = {}
@@ -317,11 +320,20 @@
                 return Answer(404, b"{}")
             if put["Key"].startswith(PROTECTED):
                 return Answer(403, b"{}")
-            puts.append((put["Key"], put["Value"], lease))
+            value = put["Value"]
+            if put["Key"].startswith(MEMBER_PREFIX):
+                value = self._use_relay(value)
+            puts.append((put["Key"], value, lease))
         revision = self.items.write(puts, fields.get("Remove", []))
         self._tell_waiters()
         return _encode({"Revision": revision})
 
+    def _use_relay(self, value: str) -> str:
+        """Returns an instance's record with the port of its relay."""
+        record = json.loads(base64.b64decode(value))
+        record["port"] = self.relay_ports.get(record["port"], record["port"])
+        return base64.b64encode(json.dumps(record).encode()).decode()
+
     def _keep(self, lease: int) -> Answer:
         if lease not in self.lease_ends:
             return Answer(404, b"{}")
