--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -1,6 +1,7 @@
 """The instances as processes of their own, with their output in files."""
 
 import asyncio
+import math
 import os
 import pathlib
 import signal
@@ -102,6 +103,7 @@
       log: The file of its output.
       relay: Passes on what other instances send.
       process: The process, once started.
+      is_removed: Whether it was killed for good.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         self.settings.write_text(text, encoding="utf-8")
         self.relay = relays.Relay(ports.relay, ports.peers)
         self.process: subprocess.Popen[bytes] | None = None
+        self.is_removed = False
 
     def start(self) -> None:
         """Starts the process."""
@@ -189,6 +192,14 @@
         await asyncio.sleep(RESTART_S)
         self.start()
 
+    def remove(self) -> None:
+        """Kills the process for good."""
+        self.is_removed = True
+        self.timeline.add_impairment(
+            self.name, "removed", time.monotonic(), math.inf
+        )
+        self.end()
+
     async def cut(self, for_s: float) -> None:
         """Holds back all that others and this instance tell each other.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,7 @@
             "hang": self._hang,
             "dead_connections": self._silence_connections,
             "pause_coordinator": self._pause_coordinator,
+            "remove_coordinator": self._remove_coordinator,
             "cut_coordinator": self._cut_coordinator,
             "kill_coordinator": self._kill_coordinator,
             "kill": self._kill,
@@ -153,6 +154,14 @@
             if instance.name == name:
                 await instance.kill()
 
+    async def _remove_coordinator(self, for_s: float) -> None:
+        del for_s
+        name = self.store.find_coordinator()
+        self._record("remove_coordinator", name)
+        for instance in self.instances:
+            if instance.name == name:
+                instance.remove()
+
     async def _cut_coordinator(self, for_s: float) -> None:
         name = self.store.find_coordinator()
         self._record("cut_coordinator", name)
--- a/soak/measures.py
+++ b/soak/measures.py
@@ -1,5 +1,6 @@
 """Measures of a run: when versions came into force, and calls to the store."""
 
+import math
 from typing import NamedTuple
 
 from soak import logs
@@ -59,6 +60,8 @@
         for instance, log in by_instance.items():
             in_force = logs.find_in_force(log, version.number, version.sent_at)
             due_at = timeline.find_due_at(instance, version)
+            if math.isinf(due_at):
+                continue
             if in_force is None and ended_at < due_at:
                 continue
             at = ended_at if in_force is None else in_force
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -38,14 +38,21 @@
     "hang": 0.5,
     "dead_connections": 0.0,
     "kill_coordinator": 0.0,
+    "remove_coordinator": 0.0,
     "pause_coordinator": 2.0,
     "cut_coordinator": 10.0,
     "kill": 0.0,
     "pause": 2.0,
 }
+# Scenarios of several faults, each with the time since the first one.
+COMPOUNDS = {
+    "silent_kill": ((0.0, "silent"), (4.0, "kill_coordinator")),
+    "silent_remove": ((0.0, "silent"), (3.5, "remove_coordinator")),
+    "silent_cut": ((0.0, "silent"), (4.0, "cut_coordinator")),
+}
 CALM = "calm"
 RANDOM = "random"
-SCENARIOS = (CALM, RANDOM, *DURATIONS_S)
+SCENARIOS = (CALM, RANDOM, *DURATIONS_S, *COMPOUNDS)
 
 
 def make_plan(scenario: str, seed: int, length_s: float) -> list[Step]:
@@ -57,6 +64,9 @@
     while scenario != CALM and at_s < last_s:
         if scenario == RANDOM:
             steps.extend(_make_cycle(rng, at_s))
+        elif scenario in COMPOUNDS:
+            for after_s, kind in COMPOUNDS[scenario]:
+                steps.extend(_make_fault(kind, at_s + after_s))
         else:
             steps.extend(_make_fault(scenario, at_s))
         at_s += CYCLE_S
--- a/soak/site.py
+++ b/soak/site.py
@@ -315,6 +315,8 @@
         ends = []
         for instance in self.instances:
             process = instance.process
+            if instance.is_removed:
+                continue
             if process is not None and process.poll() is not None:
                 ends.append((instance.name, process.returncode))
         return ends
