--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -191,6 +191,9 @@
         self.process.wait()
         await asyncio.sleep(RESTART_S)
         self.start()
+        self.timeline.add_impairment(
+            self.name, "killed", began_at, time.monotonic()
+        )
 
     def remove(self) -> None:
         """Kills the process for good."""
@@ -213,6 +216,9 @@
         self.relay.hold()
         await asyncio.sleep(for_s)
         self.relay.release()
+        self.timeline.add_impairment(
+            self.name, "cut", began_at, time.monotonic()
+        )
 
     async def pause(self, for_s: float) -> None:
         """Pauses the process."""
@@ -224,6 +230,9 @@
         self.process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         self.process.send_signal(signal.SIGCONT)
+        self.timeline.add_impairment(
+            self.name, "paused", began_at, time.monotonic()
+        )
 
     def end(self) -> None:
         """Ends the process for good."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -74,6 +74,10 @@
         self._record(kind)
         self.timeline.add_impairment(timeline.EVERYONE, kind, now, now + for_s)
         yield
+        # It may have lasted longer than planned.
+        self.timeline.add_impairment(
+            timeline.EVERYONE, kind, now, time.monotonic()
+        )
         self._record(f"{kind} ended")
 
     async def _wait_for_store(self) -> None:
