--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,9 +6,6 @@
 from soak import requests
 from soak.timeline import Timeline
 
-UNKNOWN_DATABASE = "NODB"
-UNKNOWN_KEY = "UNAUTH"
-
 
 class Case(NamedTuple):
     """A request that was handled as only an older configuration allows.
@@ -41,8 +38,6 @@
     Attributes:
       cases: What was found.
       statements: How many statements were checked.
-      oldest_s: The greatest age of a version that a request, of an instance in
-        touch, disregarded without being a case.
     """
 
     def __init__(self, timeline: Timeline):
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -64,7 +64,10 @@
 
 def make_services(rng: random.Random) -> list[str]:
     """Returns the names of the services."""
-    return [f"svc{number}{rng.randrange(100)}" for number in range(4)]
+    names = []
+    for number in range(SERVICE_COUNT):
+        names.append(f"svc{number}{rng.randrange(100)}")
+    return names
 
 
 def make_workspaces(
