--- a/tests/store_model.py
+++ b/tests/store_model.py
@@ -493,6 +493,7 @@
             lambda: world.now,
             lambda: follower.pause_s(len(self.state.members)),
             lambda: store_view.find_wait_s(self.state, world.now),
+            lambda: store_view.is_whole_read_due(self.state, world.now),
         )
         self.task = world.loop.create_task(self.follower.follow())
         self.task.add_done_callback(self._handle_end)
