--- a/src/cuminwall/direct/store_view.py
+++ b/src/cuminwall/direct/store_view.py
@@ -4,9 +4,9 @@
 it came, or its connection is dead while new ones work. Other calls then tell
 nothing about it. Each call has a price, so not every instance can wait for a
 short time only. The coordinator does, and tells the others the newest change
-that it knows, and how long ago the store confirmed that. An instance that lacks
-that change for a while, hears nothing from the coordinator, or has had no recent
-confirmation calls anew and waits for a short time as well.
+that it knows, and how long ago the store confirmed that. An instance that
+lacks that change for a while, hears nothing from the coordinator, or has had no
+recent confirmation calls anew and waits for a short time as well.
 
 A watch may also leave a change out and claim to tell all up to a later one. The
 coordinator reads the whole store from time to time to find such a change.
