Read an answer of the store to its end while it is arriving

Callers got the routes and keys of an older configuration, for as long as it lasted: on a slow link a whole reading of the store takes longer than its timeout of 1.5 s, so no reading ever ended. After the timeout a call waited only for 15 ms without data, which packets on a slow link exceed.

An answer that has begun may now pause for 0.3 s, and ends at four times the timeout as before, so a dead peer and a trickling answer still end (test_trickling_answer_ends is unchanged). A store that does not begin to answer is given up as before.

--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -23,6 +23,9 @@
 # event loop or more: one pass reads from the socket, the next handles the data.
 LOOK_S = 0.005
 QUIET_LOOKS = 3  # Looks without data after which a call fails.
+# How long an answer that has begun may pause after the timeout: on a slow link
+# its packets wait behind others.
+MAX_STALL_S = 0.3
 # An answer that goes on arriving after the timeout ends no later than this many
 # times the timeout after it, unless the looks so far were fewer than these: a
 # slow event loop needs the time for itself.
@@ -105,7 +108,8 @@
           method: The method.
           path: The path, with its query.
           timeout_s: Timeout of the whole call, in seconds. An answer that has
-            arrived is read even if this process was held up beyond it.
+            arrived is read even if this process was held up beyond it, and one
+            that is arriving may take up to four times as long.
           headers: The headers besides those of the connection and the body.
           body: The body, as JSON.
           may_send: Tells, once there is a connection, whether to send the call.
@@ -174,6 +178,7 @@
     Attributes:
       timeout_s: When it passes, in seconds from the start of the block.
       reads: How often data was read in the block.
+      read_at: When data was read last, by the loop's clock.
       has_passed: Whether it has passed.
       loop: The event loop.
       limit: Ends the block.
@@ -187,6 +192,7 @@
     def __init__(self, timeout_s: float):
         self.timeout_s = timeout_s
         self.reads = 0
+        self.read_at = 0.0
         self.has_passed = False
         self.loop = asyncio.get_running_loop()
         self.limit = asyncio.timeout(None)
@@ -211,6 +217,11 @@
             self.timer.cancel()
         await self.limit.__aexit__(kind, error, trace)
 
+    def record_read(self) -> None:
+        """Records that data was read."""
+        self.reads += 1
+        self.read_at = self.loop.time()
+
     def _pass(self) -> None:
         """Begins to look for data."""
         self.has_passed = True
@@ -228,7 +239,10 @@
             self.quiet_looks = 0
         now = self.loop.time()
         is_late = now >= self.latest_end and self.looks >= MIN_LOOKS
-        if is_late or self.quiet_looks >= QUIET_LOOKS:
+        is_quiet = self.quiet_looks >= QUIET_LOOKS
+        if self.reads and now < self.read_at + MAX_STALL_S:
+            is_quiet = False
+        if is_late or is_quiet:
             self.limit.reschedule(now)
             return
         self.timer = self.loop.call_later(LOOK_S, self._look)
@@ -261,7 +275,7 @@
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
                 received = await self.reader.read(READ_BYTES)
-                deadline.reads += 1
+                deadline.record_read()
                 self.protocol.receive_data(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
