Read the whole store when the changes are larger than it

A call for changes answers with each version since the last one.

The adapter knows how large the whole store was when it was last read, and the head of an answer tells its length: one that is longer is not read, and the whole store is. So an instance is behind by two readings at most, however many versions there were.

--- a/src/cuminwall/direct/follower.py
+++ b/src/cuminwall/direct/follower.py
@@ -1,6 +1,8 @@
 """Follows the store: reads it whole once, then watches for changes.
 
-If changes were missed, the whole store is read again. It is also read again
+If changes were missed, the whole store is read again; so it is if the changes
+since the last answer are larger than that: each has a copy of what changed, and
+on a slow link they would come faster than they are read. It is also read again
 after a failed call, since the answers before it may have left changes out, and
 from time to time where others rely on what is known here. While the store does
 not answer, the last known state stays in force.
@@ -95,7 +97,7 @@
                     raise
                 self.is_restarting = False
                 continue
-            except ports.HistoryLostError:
+            except (ports.HistoryLostError, ports.TooManyChangesError):
                 self.revision = None
                 continue
             except exceptions.StoreUnavailableError as error:
--- a/src/cuminwall/direct/ports.py
+++ b/src/cuminwall/direct/ports.py
@@ -19,6 +19,10 @@
     """The store no longer has all changes since a revision."""
 
 
+class TooManyChangesError(exceptions.CuminwallError):
+    """The changes since a revision are larger than the whole store."""
+
+
 class Login(NamedTuple):
     """A caller's first message: its database and its key."""
 
@@ -128,6 +132,7 @@
 
         Raises:
           HistoryLostError: The store no longer has all these changes.
+          TooManyChangesError: To read the whole store takes less time.
         """
 
     def is_answer_arriving(self) -> bool:
--- a/src/cuminwall/exceptions.py
+++ b/src/cuminwall/exceptions.py
@@ -17,6 +17,10 @@
     """A connection ended while an answer was awaited."""
 
 
+class AnswerTooLargeError(ConnectionLostError):
+    """An answer is larger than its reader accepts."""
+
+
 class NotSentError(CuminwallError):
     """A call was not sent, since its reason had lapsed by then."""
 
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -112,6 +112,7 @@
         headers: tuple[tuple[str, str], ...] = (),
         body: bytes = b"",
         may_send: Callable[[], bool] = lambda: True,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """Returns the answer to one call, whatever its status.
 
@@ -124,8 +125,11 @@
           headers: The headers besides those of the connection and the body.
           body: The body, as JSON.
           may_send: Tells, once there is a connection, whether to send the call.
+          max_bytes: Maximum length of the answer's body.
 
         Raises:
+          exceptions.AnswerTooLargeError: The answer is longer; most of it was
+            not read.
           exceptions.NotSentError: `may_send` returned false.
           exceptions.AnswerTimeoutError: No complete answer arrived in time.
           exceptions.ConnectionLostError: The connection failed.
@@ -148,7 +152,9 @@
                     raise TimeoutError
                 if not may_send():
                     raise exceptions.NotSentError(path)
-                response = await connection.run(request, body, deadline)
+                response = await connection.run(
+                    request, body, deadline, max_bytes
+                )
         except TimeoutError as error:
             _abort(connection)
             if error.errno is not None:
@@ -276,7 +282,11 @@
         self.protocol = h11.Connection(h11.CLIENT)
 
     async def run(
-        self, request: h11.Request, body: bytes, deadline: _Deadline
+        self,
+        request: h11.Request,
+        body: bytes,
+        deadline: _Deadline,
+        max_bytes: int,
     ) -> Response:
         """Sends a request and returns its answer."""
         data = self.protocol.send(request) or b""
@@ -297,11 +307,11 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = _decode_headers(event)
+                _check_size(_announced_bytes(headers), max_bytes)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > MAX_BODY_BYTES:
-                    raise EOFError(f"answer longer than {MAX_BODY_BYTES} bytes")
+                _check_size(size, max_bytes)
             elif isinstance(event, h11.EndOfMessage):
                 return Response(status, b"".join(parts), headers)
             elif isinstance(event, h11.ConnectionClosed):
@@ -331,6 +341,18 @@
     return tuple(decoded)
 
 
+def _announced_bytes(headers: tuple[tuple[str, str], ...]) -> int:
+    """Returns the length of the body that a head tells; 0 if it tells none."""
+    text = dict(headers).get("content-length", "")
+    return int(text) if text.isdecimal() else 0
+
+
+def _check_size(size: int, max_bytes: int) -> None:
+    """Raises AnswerTooLargeError for a body that is too long."""
+    if size > max_bytes:
+        raise exceptions.AnswerTooLargeError(f"{size} bytes, not {max_bytes}")
+
+
 def _abort(connection: _ClientConnection | None) -> None:
     if connection is not None:
         connection.abort()
