Tell in the log how long an abandoned statement had waited, and for what

Two thirds of the requests that only test the configuration got no answer before their deadline, and the log had one line of each: abandoned, with its id. It now has what the line of an answered one has: database, service, server, the stages' times, and the configuration with its confirmation.

--- a/src/cuminwall/direct/operations.py
+++ b/src/cuminwall/direct/operations.py
@@ -103,13 +103,8 @@
     """Ends an operation whose caller has disconnected."""
     was_sent = operation.connection is not None
     _end(state, operation)
-    out.append(
-        Note(
-            PART,
-            "abandoned",
-            {"request": operation.statement.request, "offered": was_sent},
-        )
-    )
+    fields = {"offered": was_sent, **_log_fields(state, operation)}
+    out.append(Note(PART, "abandoned", fields))
 
 
 def _end(state: State, operation: Operation) -> None:
@@ -134,13 +129,24 @@
     state: State, operation: Operation, answer: Answer, kind: str, outcome: str
 ) -> Note:
     """Returns the log line of an answered operation."""
-    session = operation.session
     fields = {
+        "kind": kind,
+        "outcome": outcome,
+        **_log_fields(state, operation),
+    }
+    if answer.failure is not None:
+        fields["cause"] = answer.failure.detail
+    return Note(PART, "answered", fields)
+
+
+def _log_fields(state: State, operation: Operation) -> dict[str, Any]:
+    """Returns what the log tells of an operation at its end."""
+    session = operation.session
+    return {
         "request": operation.statement.request,
         "session": session.number,
+        "database": session.database,
         "workspace": session.workspace,
-        "kind": kind,
-        "outcome": outcome,
         "service": operation.route.service,
         "server": operation.server,
         "offers": operation.attempts,
@@ -149,9 +155,6 @@
         **store_view.config_fields(state),
         **_stage_times(operation, state.now),
     }
-    if answer.failure is not None:
-        fields["cause"] = answer.failure.detail
-    return Note(PART, "answered", fields)
 
 
 def _stage_times(operation: Operation, now: float) -> dict[str, Any]:
--- a/tests/test_direct_store_view.py
+++ b/tests/test_direct_store_view.py
@@ -20,6 +20,8 @@
 # From a change until an instance whose call is never answered knows it: it is
 # in doubt, the coordinator's next reply comes, and it calls anew.
 SEEN_S = store_view.UNCONFIRMED_S + 2 * 0.4 + 0.1
+# The log's names of the stages of a statement.
+STAGES = ("token_ms", "connection_ms", "server_ms")
 
 
 def make_world() -> direct_world.World:
@@ -273,9 +275,26 @@
         world.run(1.0)
         (line,) = instance.log_fields("answered")
         self.assertEqual(line["service"], "s")
+        self.assertEqual(line["database"], "db")
         self.assertEqual(line["config"], world.config.version)
         self.assertLess(line["config_age_ms"], 1000.0)
 
+    def test_abandoned_statement_tells_how_long_it_took(self) -> None:
+        world = make_world()
+        instance = find_follower(world)
+        caller = instance.caller()
+        world.run(0.1)
+        caller.send(statements.Read("r1", "x"))
+        world.run(0.001)
+        caller.leave()
+        (line,) = instance.log_fields("abandoned")
+        self.assertEqual(line["request"], "r1")
+        self.assertEqual(line["service"], "s")
+        self.assertEqual(line["config"], world.config.version)
+        self.assertAlmostEqual(line["ms"], 1.0, places=1)
+        stages = [line.get(name, 0.0) for name in STAGES]
+        self.assertAlmostEqual(sum(stages), line["ms"], places=1)
+
 
 class WaitTest(unittest.TestCase):
     """Calls that wait a short time are few, since each has a price."""
