--- a/tests/test_direct_review_config.py
+++ b/tests/test_direct_review_config.py
@@ -499,14 +499,27 @@
     """The thresholds allow for what a healthy fleet of each size needs."""
 
     SLOW_ANSWER_S = 0.2  # Of the store, or of the coordinator.
+    # Around the size at which the pause after a change is as long as the time
+    # between two regular requests, and the largest that one coordinator serves.
+    SIZES = (9, 73, 79, 80, 88, 195, 360)
+
+    def request_interval_s(self, size: int) -> float:
+        """Returns the time between two requests of one instance."""
+        regular_s = limits.DEFAULTS.share_request_interval_s
+        return max(regular_s, size / lender.MAX_REQUESTS_PER_S)
 
     def test_oldest_confirmation_of_a_healthy_instance(self) -> None:
-        interval_s = limits.DEFAULTS.share_request_interval_s
-        for size in (9, 73, 195):
+        for size in self.SIZES:
             view_s = follower.pause_s(size) + store_view.SHORT_WAIT_S
-            oldest_s = view_s + interval_s + 2 * self.SLOW_ANSWER_S
+            oldest_s = view_s + self.request_interval_s(size)
+            oldest_s += 2 * self.SLOW_ANSWER_S
             self.assertLess(oldest_s, store_view.MAX_VIEW_AGE_S, size)
 
+    def test_coordinator_is_heard_before_an_instance_is_in_doubt(self) -> None:
+        for size in self.SIZES:
+            heard_s = self.request_interval_s(size) + self.SLOW_ANSWER_S
+            self.assertLess(heard_s, store_view.UNCONFIRMED_S, size)
+
 
 class SuccessionTest(unittest.TestCase):
     """No coordinator is left while records of instances keep changing."""
--- a/tests/test_direct_store_model.py
+++ b/tests/test_direct_store_model.py
@@ -109,9 +109,16 @@
     def test_large_fleet_without_traffic_replaces_its_coordinator(self) -> None:
         # The pause is longer than the time between two regular requests. In
         # doubt, all put off the call that would tell of the end.
-        for size in (81, LARGE_FLEET):
+        cases = (
+            (79, store_model.GROWN),
+            (80, store_model.GROWN),
+            (81, store_model.LARGE),
+            (88, store_model.GROWN),
+            (LARGE_FLEET, store_model.LARGE),
+        )
+        for size, bounds in cases:
             with self.subTest(size=size):
-                world = store_model.StoreWorld(size, 1, store_model.LARGE)
+                world = store_model.StoreWorld(size, 1, bounds)
                 self.addCleanup(world.close)
                 world.run(START_S + WARM_S)
                 since = world.now
@@ -124,6 +131,12 @@
                 self.assertEqual(sum(1 for each in epochs if each), 1)
 
     def test_follower_calls_though_it_is_restarted_in_its_pause(self) -> None:
+        for size in (FLEET, 79, 80, 88, LARGE_FLEET, 2900):
+            with self.subTest(size=size):
+                self.check_restarted_follower(size)
+
+    def check_restarted_follower(self, size: int) -> None:
+        """Checks that a follower in a fleet of a size calls the store."""
         loop = store_model.SimulatedLoop()
         self.addCleanup(loop.close)
         store = ChangingStore(loop)
@@ -132,7 +145,7 @@
             store,
             lambda event: None,
             loop.time,
-            lambda: follower.pause_s(FLEET),
+            lambda: follower.pause_s(size),
             lambda: waits.pop() if waits else store_view.SHORT_WAIT_S,
         )
 
@@ -142,6 +155,7 @@
                 await asyncio.sleep(0.1)
                 follower_.restart_watch()
             task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
 
         loop.run_until_complete(restart())
         ends = [*store.call_times, loop.time()]
