Read messages of a neighbouring version while a fleet is upgraded

Old and new instances dropped each other's replies when a message had one field more, so while a fleet was upgraded nobody who had the other version's coordinator was confirmed, and shares ran out.

An unknown field at the end is ignored, and the two fields that replies have gained have defaults that confirm nothing: the instance then relies on the store.

tests.test_codec.MixedVersionsTest failed for every type before and passes.

--- a/src/cuminwall/codec.py
+++ b/src/cuminwall/codec.py
@@ -3,6 +3,11 @@
 A message is an array: the number of its type, then its fields. Fields that
 are messages or plain tuples are encoded the same way; a failure is encoded as
 its reason.
+
+While a fleet is upgraded, processes of two versions exchange messages. A new
+field is added at the end of its type, with a default for messages that lack it;
+a process that does not know it ignores it. A field that must not be ignored
+makes another type.
 """
 
 from typing import Any
@@ -21,11 +26,13 @@
     Attributes:
       types: The NamedTuple types; the index of a type is its number.
       numbers: The number of each type.
+      sizes: How many fields each type has, by its number.
     """
 
     def __init__(self, types: tuple[type, ...]):
         self.types = types
         self.numbers = {type_: number for number, type_ in enumerate(types)}
+        self.sizes = [len(type_.__annotations__) for type_ in types]
 
     def encode(self, message: Any) -> bytes:
         """Returns the CBOR encoding of a message."""
@@ -72,4 +79,4 @@
             return tuple(fields)
         if number < 0:
             raise ValueError(number)
-        return self.types[number](*fields)
+        return self.types[number](*fields[: self.sizes[number]])
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -3,6 +3,7 @@
 A type's position in `TYPES` is its number on the wire.
 """
 
+import math
 from typing import NamedTuple
 
 from cuminwall import codec
@@ -64,7 +65,8 @@
         holds.
       sent_at: When the reply was sent, on the coordinator's clock.
       newest_change: The store's revision of the newest change that it knows.
-      view_age_s: How long ago the store confirmed that there was no newer one.
+      view_age_s: How long ago the store confirmed that there was no newer one;
+        infinite if the coordinator does not tell.
     """
 
     number: int
@@ -74,8 +76,8 @@
     interval_s: float
     is_reported: bool
     sent_at: float
-    newest_change: int
-    view_age_s: float
+    newest_change: int = 0
+    view_age_s: float = math.inf
 
 
 class FindCoordinator(NamedTuple):
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,6 +1,7 @@
 """Tests of the CBOR encoding of messages and frames."""
 
 import enum
+import math
 import types
 import typing
 import unittest
@@ -10,6 +11,7 @@
 from hypothesis import strategies as st
 
 from cuminwall import exceptions, frames, messages, outcomes
+from cuminwall.direct import messages as direct_messages
 
 quiet = settings(derandomize=True, deadline=None, database=None)
 brief = settings(quiet, max_examples=25)
@@ -21,7 +23,7 @@
     bytes: st.binary(max_size=20),
     types.NoneType: st.none(),
 }
-ALL_CODECS = (messages.CODEC, frames.CODEC)
+ALL_CODECS = (messages.CODEC, frames.CODEC, direct_messages.CODEC)
 values = st.recursive(
     st.none()
     | st.booleans()
@@ -111,3 +113,31 @@
         number = messages.CODEC.numbers[messages.LeaseRelease]
         with self.assertRaises(exceptions.ProtocolError):
             messages.decode(cbor2.dumps([number, 0, "ledger"]))
+
+
+class MixedVersionsTest(unittest.TestCase):
+    """While a fleet is upgraded, messages may have other fields."""
+
+    def check_type(self, codec, type_):
+        @brief
+        @given(message=strategy_for(type_), added=PLAIN[str])
+        def is_read(message, added):
+            packed = cbor2.loads(codec.encode(message))
+            found = codec.decode(cbor2.dumps([*packed, added]))
+            self.assertEqual(found, message)
+
+        is_read()
+
+    def test_added_field_is_ignored(self):
+        for codec in ALL_CODECS:
+            for type_ in codec.types:
+                with self.subTest(type=type_.__name__):
+                    self.check_type(codec, type_)
+
+    def test_reply_of_an_older_coordinator_confirms_nothing(self):
+        reply = direct_messages.ShareReply(7, 3, (), 1, 0.1, True, 50.0)
+        packed = cbor2.loads(direct_messages.CODEC.encode(reply))
+        for count in (8, 9):
+            found = direct_messages.CODEC.decode(cbor2.dumps(packed[:count]))
+            self.assertEqual(found.view_age_s, math.inf)
+            self.assertEqual(found.number, 7)
