--- a/soak/changes.py
+++ b/soak/changes.py
@@ -11,6 +11,7 @@
 FIRST_VERSION = 7
 MAX_STEP = 4  # Between two versions.
 ADDED = "x"  # First letter of the databases that are added.
+GROWN_ROUTES = 1700  # That are added at once.
 
 
 class Operator:
@@ -101,6 +102,14 @@
         self.routes = {**self.routes, database: service}
         self.write(f"{database} added")
 
+    def grow(self) -> None:
+        """Adds many routes at once, which callers don't use."""
+        grown: dict[str, str] = {}
+        for _ in range(GROWN_ROUTES):
+            grown[f"grown{len(self.routes) + len(grown)}"] = self.services[0]
+        self.routes = {**self.routes, **grown}
+        self.write(f"{len(grown)} routes added")
+
     def change(self) -> None:
         """Makes any of the changes."""
         change = self.rng.choices(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -37,6 +37,7 @@
         self.actions: dict[str, Callable[[float], Awaitable[None]]] = {
             "change": self._change,
             "move": self._move,
+            "grow": self._grow,
             "silent": self._be_silent,
             "silent_lapse": self._be_silent_and_lapse,
             "busy": self._be_busy,
@@ -95,6 +96,12 @@
         await self._wait_for_store()
         self.operator.move()
 
+    async def _grow(self, for_s: float) -> None:
+        del for_s
+        await self._wait_for_store()
+        self._record("grow")
+        self.operator.grow()
+
     async def _be_silent(self, for_s: float) -> None:
         with self._impaired("silent", for_s):
             self.store.is_lease_time_stopped = True
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -49,6 +49,7 @@
     "silent_kill": ((0.0, "silent"), (4.0, "kill_coordinator")),
     "silent_remove": ((0.0, "silent"), (3.5, "remove_coordinator")),
     "silent_cut": ((0.0, "silent"), (4.0, "cut_coordinator")),
+    "grow": ((0.0, "grow"),),
 }
 CALM = "calm"
 RANDOM = "random"
@@ -84,8 +85,13 @@
 
 
 def _make_fault(kind: str, at_s: float) -> list[Step]:
-    """Returns a fault and moves right after its beginning and its end."""
-    for_s = DURATIONS_S[kind]
+    """Returns a fault and moves right after its beginning and its end.
+
+    Args:
+      kind: The fault; one that `DURATIONS_S` does not name has no duration.
+      at_s: When it comes, in seconds.
+    """
+    for_s = DURATIONS_S.get(kind, 0.0)
     return [
         Step(at_s, kind, for_s),
         Step(at_s + SOON_S, "move"),
--- a/soak/run.py
+++ b/soak/run.py
@@ -33,6 +33,10 @@
     "first_port", daemons.FIRST_PORT, "Where to look for free ports."
 )
 
+LINK_MBPS = flags.DEFINE_float(
+    "link_mbps", 0.0, "Of each instance's link to the store, in Mbit/s."
+)
+
 
 def main(argv: list[str]) -> None:
     """Runs the scenario; exits with 1 if there was a case in touch."""
@@ -52,6 +56,7 @@
         pathlib.Path(TREE.value).resolve(),
         folder,
         FIRST_PORT.value,
+        LINK_MBPS.value,
     )
     before = os.getloadavg()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/soak/site.py
+++ b/soak/site.py
@@ -50,6 +50,8 @@
       tree: The source tree whose instances run.
       folder: For settings, logs and results.
       first_port: Where to look for free ports.
+      link_mbps: What the link from the store to one instance carries, in
+        Mbit/s; 0 for any amount.
     """
 
     seed: int
@@ -63,6 +65,7 @@
     tree: pathlib.Path
     folder: pathlib.Path
     first_port: int
+    link_mbps: float = 0.0
 
 
 class Result(NamedTuple):
@@ -118,6 +121,7 @@
         self.timeline = timeline.Timeline(time.monotonic())
         self.wall_clock_offset_s = time.time() - time.monotonic()
         self.store = Store()
+        self.store.link_bytes_per_s = options.link_mbps * 1e6 / 8
         self.checks = checks.Checks(self.timeline)
         self.fleet = servers.Fleet()
         self.operator = changes.Operator(
--- a/soak/store.py
+++ b/soak/store.py
@@ -89,6 +89,7 @@
       is_lease_time_stopped: Whether leases don't run out.
       relay_ports: The port of the relay of each port of an instance.
       promote: Handles the promotion of a backend server.
+      link_bytes_per_s: What the link to one instance carries; 0 for any amount.
     """
 
     def __init__(self) -> None:
@@ -107,6 +108,7 @@
         self.is_lease_time_stopped = False
         self.relay_ports: dict[int, int] = {}
         self.promote: Callable[[str, str], bool] = lambda service, name: False
+        self.link_bytes_per_s = 0.0
         self.lease_ends: dict[int, float] = {}
         self.waiters: dict[webserver.Connection, Waiter] = {}
         self.open_follows: dict[webserver.Connection, Follow] = {}
@@ -122,7 +124,9 @@
 
         def make() -> webserver.Connection:
             handler = functools.partial(self._handle, instance)
-            return webserver.Connection(handler, self._forget)
+            return webserver.Connection(
+                handler, self._forget, self.link_bytes_per_s
+            )
 
         self.listeners.append(await loop.create_server(make, HOST, port))
 
--- a/soak/webserver.py
+++ b/soak/webserver.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, cast
 
 HEAD_END = b"\r\n\r\n"
+PACKET_BYTES = 4096  # What a slow link carries at once.
 
 
 class Call(NamedTuple):
@@ -37,13 +38,18 @@
       handler: Handles a call; it answers with `answer`, now or later.
       on_lost: Called when the connection has ended.
       is_mute: Whether nothing is answered on it any more.
+      link_bytes_per_s: What its link carries; 0 for any amount.
     """
 
     def __init__(
-        self, handler: Handler, on_lost: Callable[["Connection"], None]
+        self,
+        handler: Handler,
+        on_lost: Callable[["Connection"], None],
+        link_bytes_per_s: float = 0.0,
     ):
         self.handler = handler
         self.on_lost = on_lost
+        self.link_bytes_per_s = link_bytes_per_s
         self.is_mute = False
         self.received = bytearray()
         self.transport: asyncio.Transport | None = None
@@ -83,7 +89,19 @@
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        self.transport.write(head.encode() + body)
+        self._send(head.encode() + body)
+
+    def _send(self, data: bytes) -> None:
+        """Sends bytes, as fast as the link carries them."""
+        if self.transport is None or self.is_mute:
+            return
+        if not self.link_bytes_per_s or len(data) <= PACKET_BYTES:
+            self.transport.write(data)
+            return
+        self.transport.write(data[:PACKET_BYTES])
+        delay_s = PACKET_BYTES / self.link_bytes_per_s
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._send, data[PACKET_BYTES:])
 
     def abort(self) -> None:
         """Ends the connection at once."""
