Keep the ports of a site's processes until they listen

The entry of DemonstrationTest in KNOWN-RED.txt: beside other runs a stand-in database server sometimes ended before it told its ports. Ports were looked for among those that the system gives to outgoing connections and freed again, so any connection of any process could take one before the stand-in listened. A trial whose port is taken gives the recorded error, JSONDecodeError at an empty line, at the same place.

The error itself came twice in many runs, so that it is gone is concluded from the cause, not shown by a run; if it comes again it is a new finding.

--- a/src/cuminwall_standins/site.py
+++ b/src/cuminwall_standins/site.py
@@ -111,11 +111,13 @@
       document: The configuration last applied.
       version: The version of that configuration.
       daemon_settings: Additional settings for daemons started from now on.
+      reserved: Sockets that keep the ports of processes from others.
     """
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
         self.daemon_settings: dict[str, Any] = {}
+        self.reserved: list[socket.socket] = []
         self.platform: Process | None = None
         self.servers: dict[tuple[str, str], Process] = {}
         self.server_arguments: dict[tuple[str, str], tuple[str, ...]] = {}
@@ -142,7 +144,7 @@
     async def start_group(self, plan: GroupPlan) -> None:
         """Starts the servers of a database group."""
         self.plans[plan.service] = plan
-        ports = find_free_ports(3 * len(plan.servers))
+        ports = self.reserve_ports(3 * len(plan.servers))
         members = ",".join(
             f"{HOST}:{ports[3 * place + 1]}"
             for place in range(len(plan.servers))
@@ -183,7 +185,7 @@
         self, instance: str, zone: str, **timings: float
     ) -> Process:
         """Starts a daemon; it serves once a configuration is applied."""
-        port, peer_port, http_port = find_free_ports(3)
+        port, peer_port, http_port = self.reserve_ports(3)
         settings = {
             "instance": instance,
             "zone": zone,
@@ -284,6 +286,25 @@
             process.send(signal.SIGKILL)
         for process in everything:
             await process.process.wait()
+        for each in self.reserved:
+            each.close()
+        self.reserved.clear()
+
+    def reserve_ports(self, count: int) -> list[int]:
+        """Returns unused ports that nobody else gets while the site runs.
+
+        The system gives a port that is bound to no other socket. A process may
+        listen on it all the same if it allows the address to be reused, as
+        those of a site do.
+        """
+        ports = []
+        for _ in range(count):
+            reserved = socket.socket()
+            self.reserved.append(reserved)
+            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            reserved.bind((HOST, 0))
+            ports.append(reserved.getsockname()[1])
+        return ports
 
     async def _start_server(self, key: tuple[str, str]) -> None:
         """Starts the process of a server."""
@@ -336,18 +357,6 @@
         return Process(name, process, ports, log_path)
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Returns ports that are currently unused."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
-
-
 def make_verifier(password: str) -> str:
     """Returns the SCRAM-SHA-256 verifier of a password."""
     mechanism = scramp.ScramMechanism("SCRAM-SHA-256")
