Don't take a hold-up of this process for silence of the server

After a hold-up the timer is due before the socket was read, so what had arrived did not count; in the test the server is in the same process and had no time to answer.

After the timeout the loop looks for data three times, 5 ms apart, as the HTTP client does. A server that is silent is given up 15 ms later than before (its test is unchanged).

--- a/src/cuminwall/backend_channel.py
+++ b/src/cuminwall/backend_channel.py
@@ -22,6 +22,10 @@
 # Reading pauses while more than this many bytes wait for the sink.
 HIGH_WATER_BYTES = 256 * 1024
 CLOSE_TIMEOUT_S = 1.0
+# After a timeout, what has arrived is still read: a process that was held up
+# has its timers due before it has read anything.
+LOOK_S = 0.005
+QUIET_LOOKS = 3  # Looks without data after which the server counts as silent.
 
 
 class CloseReason(NamedTuple):
@@ -269,12 +273,22 @@
             self.reading_paused = False
             cast(asyncio.Transport, self.transport).resume_reading()
 
-    def check_timeout(self, timeout_s: float) -> None:
-        """Closes the connection if the server was silent for `timeout_s`."""
+    def check_timeout(self, timeout_s: float, looks: int = 0) -> None:
+        """Closes the connection if the server was silent for `timeout_s`.
+
+        Args:
+          timeout_s: The timeout, in seconds.
+          looks: How often it has looked for data after the timeout.
+        """
         silent_s = self.loop.time() - self.last_active_at
         if self.waiter is None:
             # The exchange waits for the sink, not for the server.
             silent_s = 0.0
+        if silent_s >= timeout_s and looks < QUIET_LOOKS:
+            self.timer = self.loop.call_later(
+                LOOK_S, self.check_timeout, timeout_s, looks + 1
+            )
+            return
         if silent_s >= timeout_s:
             self.fail(
                 backend_errors.BackendTimeoutError,
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import struct
+import time
 import unittest
 
 import uvloop
@@ -205,6 +206,16 @@
         )
         self.assertEqual(tags(answer.completion), "C")
 
+    async def test_hold_up_of_this_process_is_no_silence_of_the_server(self):
+        task = asyncio.create_task(
+            self.run_round(query("rows 10"), timeout_s=SILENCE_S)
+        )
+        # The request is sent; the server, in this process too, has not read it.
+        await asyncio.sleep(0)
+        time.sleep(2 * SILENCE_S)
+        answer = await task
+        self.assertEqual(tags(answer.completion), "T" + "D" * 10 + "C")
+
     async def test_server_error(self):
         answer = await self.run_round(query("begin;fail 22012"))
         self.assertEqual(answer.status, b"E")
