--- a/soak/webserver.py
+++ b/soak/webserver.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, cast
 
 HEAD_END = b"\r\n\r\n"
-PACKET_BYTES = 4096  # What a slow link carries at once.
+PACKET_BYTES = 8192  # What a slow link carries at once.
 
 
 class Call(NamedTuple):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -116,27 +116,25 @@
                 self.assertNotEqual(one, plans.make_plan(scenario, 4, 60.0))
 
 
-class TestOldConfigurationAfterWatchesHang(unittest.TestCase):
-    """Instances ran statements by a route that had long been moved.
-
-    Calls that waited for changes were never answered, while all other calls
-    were, and the instances went on waiting.
-    """
+class SoakTestCase(unittest.TestCase):
+    """Runs a few instances for a short time."""
 
-    def test_a_moved_route_is_in_force_within_the_bound(self):
+    def run_soak(self, scenario, seconds, link_mbps=0.0):
+        """Fails if an instance in touch used an older configuration."""
         with tempfile.TemporaryDirectory() as folder:
             options = site.Options(
                 seed=1,
-                scenario="hang",
+                scenario=scenario,
                 instances=4,
                 sessions=40,
                 per_s=60.0,
                 rate_factor=1.6,
-                seconds=22.0,
+                seconds=seconds,
                 processes=1,
                 tree=site.ROOT,
                 folder=pathlib.Path(folder),
                 first_port=choose_first_port(),
+                link_mbps=link_mbps,
             )
             began_at = time.monotonic()
             running = asyncio.wait_for(site.Site(options).run(), GUARD_S)
@@ -157,5 +155,28 @@
         self.assertEqual(late, [])
 
 
+class TestOldConfigurationAfterWatchesHang(SoakTestCase):
+    """Instances ran statements by a route that had long been moved.
+
+    Calls that waited for changes were never answered, while all other calls
+    were, and the instances went on waiting.
+    """
+
+    def test_a_moved_route_is_in_force_within_the_bound(self):
+        self.run_soak("hang", 22.0)
+
+
+class TestOldConfigurationOnSlowLinks(SoakTestCase):
+    """Instances went on with routes and keys of a smaller configuration.
+
+    A larger one took longer to arrive than a call of the store may take.
+    """
+
+    LINK_MBPS = 2.4
+
+    def test_a_large_configuration_is_in_force_within_the_bound(self):
+        self.run_soak("grow", 24.0, self.LINK_MBPS)
+
+
 if __name__ == "__main__":
     unittest.main()
