Log the length and CRC of a statement's text as it was received

A request id or database of up to a megabyte, which callers choose, made a line of that length, which then was dropped: fields are cut at 256 characters.

--- a/src/cuminwall/direct/journal.py
+++ b/src/cuminwall/direct/journal.py
@@ -16,6 +16,7 @@
 from cuminwall import outputs
 
 MAX_LINES_PER_S = 400  # For each part of the program.
+MAX_FIELD_CHARS = 256  # Callers choose ids and names of up to a megabyte.
 
 
 class Journal:
@@ -78,8 +79,9 @@
             "instance": self.instance,
             "part": part,
             "event": event,
-            **fields,
         }
+        for name, value in fields.items():
+            line[name] = _shorten(value)
         data = json.dumps(line, default=str).encode() + b"\n"
         if not self.output.write(data):
             self.dropped += 1
@@ -93,6 +95,13 @@
         self._append(now, "journal", "lines_dropped", {"count": dropped})
 
 
+def _shorten(value: Any) -> Any:
+    """Returns a field's value; of a long text its beginning and its length."""
+    if not isinstance(value, str) or len(value) <= MAX_FIELD_CHARS:
+        return value
+    return f"{value[:MAX_FIELD_CHARS]}... ({len(value)} characters)"
+
+
 def capture(journal: Journal, level: str = "INFO") -> None:
     """Replaces the sinks of `loguru` by a journal."""
 
--- a/src/cuminwall/direct/operations.py
+++ b/src/cuminwall/direct/operations.py
@@ -1,5 +1,6 @@
 """The life cycle of an operation: created, admitted, answered or abandoned."""
 
+import zlib
 from typing import Any
 
 from cuminwall import buckets
@@ -152,11 +153,18 @@
         "offers": operation.attempts,
         "after": operation.min_position,
         "ms": round(1000 * (state.now - operation.arrived_at), 1),
+        **text_fields(operation.statement.text),
         **store_view.config_fields(state),
         **_stage_times(operation, state.now),
     }
 
 
+def text_fields(text: str) -> dict[str, Any]:
+    """Returns what the log tells of a statement's text as it was received."""
+    data = text.encode("utf-8", "surrogateescape")
+    return {"text_bytes": len(data), "text_crc": f"{zlib.crc32(data):08x}"}
+
+
 def _stage_times(operation: Operation, now: float) -> dict[str, Any]:
     """Returns for how long an operation was in each stage, in milliseconds.
 
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -580,6 +580,7 @@
                 "session": session.number,
                 "reason": reason.name.lower(),
                 "cause": detail,
+                **operations.text_fields(statement.text),
                 **store_view.config_fields(state),
             },
         )
--- a/tests/test_direct_sessions.py
+++ b/tests/test_direct_sessions.py
@@ -1,6 +1,7 @@
 """Sessions of direct service: answers to callers, and what servers run."""
 
 import unittest
+import zlib
 
 from cuminwall.direct import events, statements
 from cuminwall.direct.answers import Phase, Reason
@@ -56,6 +57,15 @@
         unknown_name = Reason.UNKNOWN_STATEMENT
         self.assertEqual(caller.reasons(), [None, None, unknown_name])
 
+    def test_log_line_identifies_the_text(self) -> None:
+        caller = self.instance.caller()
+        caller.send(statements.Write("2", "WRITE 1 x\udcff "))
+        self.world.run(0.5)
+        (line,) = self.instance.log_fields("answered")
+        self.assertEqual(line["text_bytes"], 11)
+        crc = zlib.crc32(b"WRITE 1 x\xff ")
+        self.assertEqual(line["text_crc"], f"{crc:08x}")
+
     def test_values_do_not_reach_another_session(self) -> None:
         one = self.instance.caller()
         one.send(statements.Assign("1", "SET x 1", "x", "1"))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -40,6 +40,14 @@
         self.assertEqual(line["request"], "5c")
         self.assertEqual(line["instance"], "a")
 
+    def test_long_text_of_a_caller_is_shortened(self) -> None:
+        self.journal.add("work", "answered", {"request": "x" * 2**20})
+        self.journal.flush()
+        (line,) = self.lines()
+        self.assertEqual(
+            line["request"], "x" * 256 + "... (1048576 characters)"
+        )
+
     def test_rate_of_one_part(self) -> None:
         for _ in range(journal.MAX_LINES_PER_S + 50):
             self.journal.add("work", "answered", {})
