Replace the name in a prepared statement's text by position

Cause: the command for the server was put together anew from name and arguments, with a rstrip for the case without arguments. Once the statement was parsed, 'EXECUTE s1' and 'EXECUTE s1 ' could not be told apart any more.

Now the text is kept as it came, and the name is replaced at its place in it; the parsed statement has no arguments any more, so nothing can be put together.

In test_platform and test_direct_sessions the constructor has a field less; what they compare is the same.

--- a/src/cuminwall/direct/statements.py
+++ b/src/cuminwall/direct/statements.py
@@ -79,14 +79,12 @@
     Attributes:
       request: The request id from the caller.
       text: The whole statement.
-      name: The caller's name of the prepared statement.
-      arguments: The text after the name, unchanged.
+      name: The caller's name of the prepared statement, the second word.
     """
 
     request: str
     text: str
     name: str
-    arguments: str
 
 
 class Deallocate(NamedTuple):
--- a/tests/test_direct_sessions.py
+++ b/tests/test_direct_sessions.py
@@ -51,8 +51,8 @@
         caller = self.instance.caller()
         shape = statements.Shape(True, "q2c")
         caller.send(statements.Prepare("1", "PREPARE s WRITE q2c", "s", shape))
-        caller.send(statements.Execute("2", "EXECUTE s 1 x", "s", "1 x"))
-        caller.send(statements.Execute("3", "EXECUTE t 1 x", "t", "1 x"))
+        caller.send(statements.Execute("2", "EXECUTE s 1 x", "s"))
+        caller.send(statements.Execute("3", "EXECUTE t 1 x", "t"))
         self.world.run(0.5)
         unknown_name = Reason.UNKNOWN_STATEMENT
         self.assertEqual(caller.reasons(), [None, None, unknown_name])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -122,7 +122,7 @@
                 "1", "PREPARE s1 WRITE q2c", "s1", shape
             ),
             "EXECUTE s1 1a4 x": statements.Execute(
-                "1", "EXECUTE s1 1a4 x", "s1", "1a4 x"
+                "1", "EXECUTE s1 1a4 x", "s1"
             ),
             "DEALLOCATE s1": statements.Deallocate("1", "DEALLOCATE s1", "s1"),
         }
@@ -187,7 +187,7 @@
     def test_commands(self) -> None:
         codec = self.open()
         read = statements.Read("5c", "READ 1a4")
-        run = statements.Execute("6c", "EXECUTE s1 1a4 x", "s1", "1a4 x")
+        run = statements.Execute("6c", "EXECUTE s1 1a4 x", "s1")
         position = Position(3, 1207)
         expected = [
             (commands.Forward(read, position), b"5c AFTER 3.1207 READ 1a4"),
