Name prepared statements on backend connections by number

Cause: the name was the shape's text in hex, so the text was decoded, encoded and written twice. It is a number in letters now, one for each definition on a connection, and never used again there, not even after a reset: as before, a PREPARE that failed unnoticed can't make an EXECUTE run another definition.

Both tests failed before: UnicodeEncodeError, and names of 2,007 characters.

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -9,6 +9,8 @@
 limit an idle connection of one workspace is closed to open one for another.
 """
 
+import string
+
 from cuminwall.direct import groups, membership
 from cuminwall.direct.callers_state import Operation, Session
 from cuminwall.direct.commands import (
@@ -47,6 +49,7 @@
 MAX_UNUSED_S = 1.5
 ROUNDING_S = 1e-6
 MAX_PREPARED = 200  # Prepared statements kept on one connection.
+NAME_CHARACTERS = string.ascii_lowercase + string.ascii_uppercase
 
 
 def max_connections(state: State, server: Server) -> int:
@@ -255,29 +258,35 @@
     batch: list[tuple[Command, AnswerKind]] = []
     if connection.session is None and _must_reset(connection, session):
         connection.values = {}
-        connection.prepared = set()
+        connection.prepared = {}
         batch.append((ResetConnection(), AnswerKind.PREPARATION))
     for name, value in session.values.items():
         if connection.values.get(name) == value:
             continue
         connection.values[name] = value
         batch.append((AssignValue(name, value), AnswerKind.PREPARATION))
-    if shape is not None:
-        name = prepared_name(shape)
-        if name not in connection.prepared:
-            connection.prepared.add(name)
-            batch.append((PrepareShape(name, shape), AnswerKind.PREPARATION))
+    if shape is not None and shape not in connection.prepared:
+        name = _make_prepared_name(connection)
+        connection.prepared[shape] = name
+        batch.append((PrepareShape(name, shape), AnswerKind.PREPARATION))
     return batch
 
 
-def prepared_name(shape: Shape) -> str:
-    """Returns the name of a prepared statement on backend connections.
+def _make_prepared_name(connection: Connection) -> str:
+    """Returns a new name for a prepared statement on a connection.
 
-    Sessions that prepare the same definition share it on a connection. The
-    name encodes the whole definition, so two definitions never collide.
+    Sessions that prepare the same definition share it on a connection. A name
+    never stands for another definition later, not even after a reset, so a
+    command that failed unnoticed can't run the wrong one. Names are short, so
+    that statements hardly grow.
     """
-    kind = "w" if shape.writes else "r"
-    return kind + shape.text.encode().hex()
+    number = connection.names_used
+    connection.names_used += 1
+    name = NAME_CHARACTERS[number % len(NAME_CHARACTERS)]
+    while number >= len(NAME_CHARACTERS):
+        number = number // len(NAME_CHARACTERS) - 1
+        name = NAME_CHARACTERS[number % len(NAME_CHARACTERS)] + name
+    return name
 
 
 def close_unused(
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -208,7 +208,9 @@
 @_command_for.register
 def _(statement: statements.Execute, operation: Operation) -> Command:
     shape = operation.session.prepared_statements[statement.name]
-    name = connections.prepared_name(shape)
+    connection = operation.connection
+    assert connection is not None
+    name = connection.prepared[shape]
     return ForwardExecute(statement, name, _statement_position(operation))
 
 
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -11,6 +11,7 @@
 from cuminwall.direct.answers import Position, Status
 from cuminwall.direct.callers_state import Operation, Session
 from cuminwall.direct.commands import Command
+from cuminwall.direct.statements import Shape
 
 
 class ConnectionStatus(enum.Enum):
@@ -61,7 +62,8 @@
       session: The session whose transaction it holds, or None.
       pending_answers: The answers still to come, oldest first.
       values: The session values in force on it.
-      prepared: The names of the prepared statements on it.
+      prepared: The names of the prepared statements on it, by definition.
+      names_used: How many names of prepared statements it has ever had.
       last_used_at: When it was last used.
       last_sent_at: When its last command was sent.
       is_new: Whether no statement was ever sent on it.
@@ -78,6 +80,7 @@
         "pending_answers",
         "values",
         "prepared",
+        "names_used",
         "last_used_at",
         "last_sent_at",
         "is_new",
@@ -93,7 +96,8 @@
         self.session: Session | None = None
         self.pending_answers: deque[AnswerKind] = deque()
         self.values: dict[str, str] = {}
-        self.prepared: set[str] = set()
+        self.prepared: dict[Shape, str] = {}
+        self.names_used = 0
         self.last_used_at = 0.0
         self.last_sent_at = 0.0
         self.is_new = True
--- a/tests/test_statement_text.py
+++ b/tests/test_statement_text.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, str(ROOT / "platform"))
 
 from fleet import lines  # noqa: E402
+from tests import test_direct_sessions  # noqa: E402
 
 REQUEST = "5c"
 NAME = "w7"
@@ -42,6 +43,30 @@
         sent = forward_execute("EXECUTE s1 1a4 ", Position(3, 9))
         self.assertEqual(sent, b"QUERY 5c AFTER 3.9 EXECUTE w7 1a4 \r\n")
 
+    def test_a_shape_that_is_not_utf8_is_prepared(self) -> None:
+        world = test_direct_sessions.make_world()
+        caller = world.instances["a"].caller()
+        text = b"PREPARE s WRITE \xff\xfe".decode("utf-8", "surrogateescape")
+        caller.send(lines.parse_statement("1", text))
+        caller.send(lines.parse_statement("2", "EXECUTE s 1 x"))
+        world.run(2.0)
+        self.assertEqual(caller.reasons(), [None, None])
+
+    def test_names_of_many_shapes_differ_and_stay_short(self) -> None:
+        world = test_direct_sessions.make_world()
+        caller = world.instances["a"].caller()
+        names = set()
+        for number in range(300):
+            shape = f"PREPARE s WRITE {'x' * 1000}{number}"
+            caller.send(lines.parse_statement("1", shape))
+            caller.send(lines.parse_statement("2", "EXECUTE s 1 x"))
+            world.run(0.1)
+            for link in world.instances["a"].links.values():
+                names.update(link.prepared)
+        self.assertEqual(caller.reasons(), [None] * 600)
+        self.assertEqual(len(names), 300)
+        self.assertLessEqual(max(len(name) for name in names), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
