Refuse a message that is not allowed with an error, and go on

Cause: the limit was checked on the incomplete rest only, and the codec knew no other answer to a wrong message than an exception, which closed the socket.

Now such a message is a malformed statement: told by ERROR MALFORMED with its cause, in its order, nothing of the session lost.

--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -6,12 +6,15 @@
 
 from loguru import logger
 
-from cuminwall import exceptions, plainhttp
-from cuminwall.direct import events, ports
-from cuminwall.direct.answers import Answer, Failure
+from cuminwall import plainhttp
+from cuminwall.direct import events, ports, statements
+from cuminwall.direct.answers import Answer, Failure, Reason
+from cuminwall.direct.statements import Statement
 
 PART = "callers"
 
+NO_LOGIN = Failure(Reason.MALFORMED, "the first message must be a login")
+
 LOGIN_S = 10.0  # Timeout of the login.
 FLUSH_CHECK_S = 0.02  # Between two looks at what is still to be sent.
 FLUSH_S = 2.0  # How long a closed connection may take to send its output.
@@ -113,15 +116,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Decodes received bytes into messages."""
-        if self.session not in self.callers.sockets:
-            return
-        try:
-            messages = self.codec.feed(data)
-        except exceptions.ProtocolError as error:
-            logger.warning("{}: {}: {}", PART, self.session, error)
-            self.close()
-            return
-        for message in messages:
+        for message in self.codec.feed(data):
+            if self.session not in self.callers.sockets:
+                return
             self._handle(message)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -170,18 +167,21 @@
         if isinstance(message, ports.Terminate):
             self.close()
             return
-        if isinstance(message, ports.Login):
-            self._login(message, now)
-            return
         if not self.is_logged_in:
-            self.close()
+            self._login(message, now)
             return
+        if isinstance(message, ports.Login):
+            message = statements.Malformed(
+                "", "", "the session is open already"
+            )
         event = events.StatementArrived(now, self.session, message)
         self.callers.on_event(event)
 
-    def _login(self, message: ports.Login, now: float) -> None:
-        """Handles the login message."""
-        if self.is_logged_in:
+    def _login(self, message: ports.Login | Statement, now: float) -> None:
+        """Handles the first message."""
+        if not isinstance(message, ports.Login):
+            logger.warning("{}: {}: {}", PART, self.session, NO_LOGIN.detail)
+            self.write(self.codec.encode_rejection(NO_LOGIN))
             self.close()
             return
         self.is_logged_in = True
--- a/src/cuminwall/direct/ports.py
+++ b/src/cuminwall/direct/ports.py
@@ -43,8 +43,7 @@
     def feed(self, data: bytes) -> list[CallerMessage]:
         """Returns the messages that the bytes complete.
 
-        Raises:
-          exceptions.ProtocolError: The bytes are not valid messages.
+        What is no valid message is returned as `statements.Malformed`.
         """
 
     def encode_acceptance(self) -> bytes:
--- a/src/cuminwall/direct/statements.py
+++ b/src/cuminwall/direct/statements.py
@@ -96,10 +96,17 @@
 
 
 class Malformed(NamedTuple):
-    """A statement of no known kind."""
+    """A message that is no statement, or none that is allowed.
+
+    Attributes:
+      request: Its request id, or "" if it has none.
+      text: Its text; "" if that was not kept.
+      cause: What is wrong with it.
+    """
 
     request: str
     text: str
+    cause: str = "malformed statement"
 
 
 Statement = (
