Test of refused messages: end at the end of the connection

On the code before it read an ended connection for ever, without a pause, so that its own timeout never came.

--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -55,7 +55,9 @@
         found: list[bytes] = []
         async with asyncio.timeout(TIMEOUT_S):
             while not found or not found[-1].startswith(until):
-                found.append(await self.reader.readline())
+                line = await self.reader.readline()
+                self.assertTrue(line, f"the connection ended after {found}")
+                found.append(line)
         return found
 
     async def log_in(self) -> None:
