Leave the minimum position of a long read to a transaction around it

Cause: the limit held for what is received, not for what is sent. A read over 200,000 characters at a replica now runs as one that needs proof of a primary does: in a transaction of its own, whose opening carries the position. Its own text leaves unchanged. The test failed before: one command with the position was sent.

--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -1,8 +1,9 @@
 """Assigns operations to backend servers and sends their statements.
 
 A read that must see every commit runs in a transaction of its own or of its
-caller, since a server opens one only while it is the primary. The statement
-is sent only once the server has opened that transaction.
+caller, since a server opens one only while it is the primary. So does a long
+read, whose minimum position the opening carries. The statement is sent only
+once the server has opened that transaction.
 """
 
 import functools
@@ -34,6 +35,9 @@
 )
 from cuminwall.direct.state import State
 
+# A longer text gets no prefix, as a message of a limited size may not grow.
+MAX_PREFIXED_CHARS = 200_000
+
 
 def assign(state: State, operation: Operation, out: list[Effect]) -> None:
     """Assigns an operation to a server, or queues it until one may run it."""
@@ -84,10 +88,10 @@
     if transaction is not None and transaction.connection is connection:
         batch.append((make_command(operation), AnswerKind.STATEMENT))
         mark_sent(state, operation)
-    elif transaction is not None or _needs_primary_proof(operation):
-        read_only = transaction is not None and transaction.read_only
+    elif transaction is not None or _needs_own_transaction(operation):
+        is_read = transaction is None or transaction.read_only
         open_command = OpenTransaction(
-            read_only and operation.min_position is not None,
+            is_read and operation.min_position is not None,
             operation.min_position,
         )
         batch.append((open_command, AnswerKind.BEGIN))
@@ -187,9 +191,20 @@
     )
 
 
-def _needs_primary_proof(operation: Operation) -> bool:
-    """Returns whether a read needs proof that its server is the primary."""
-    return not operation.writes and operation.min_position is None
+def _needs_own_transaction(operation: Operation) -> bool:
+    """Returns whether a single read runs in a transaction of its own.
+
+    It does for proof that its server is the primary, or to leave the minimum
+    position to the opening of the transaction.
+    """
+    if operation.writes:
+        return False
+    return operation.min_position is None or _is_long(operation)
+
+
+def _is_long(operation: Operation) -> bool:
+    """Returns whether a statement's own command must not grow."""
+    return len(operation.statement.text) > MAX_PREFIXED_CHARS
 
 
 def _find_shape(operation: Operation) -> statements.Shape | None:
@@ -224,6 +239,6 @@
 
     In a transaction the command that opens it carries the position.
     """
-    if operation.session.transaction is not None:
+    if operation.session.transaction is not None or _is_long(operation):
         return None
     return operation.min_position
--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -4,9 +4,10 @@
 import pathlib
 import sys
 import unittest
+from typing import Any
 
-from cuminwall.direct import callers, events
-from tests import test_direct_sessions
+from cuminwall.direct import callers, effects, events, statements
+from tests import direct_world, test_direct_sessions
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # A package named `platform` would clash with the standard library's module.
@@ -102,5 +103,36 @@
         self.assertEqual(self.instance.callers, {})
 
 
+class LongReadTest(unittest.TestCase):
+    """A read of a megabyte left as a longer message, with its position."""
+
+    def test_its_position_is_in_the_transaction_around_it(self) -> None:
+        world = test_direct_sessions.make_world()
+        caller = world.instances["a"].caller("aged")
+        caller.send(statements.Write("1", "WRITE 1 x"))
+        world.run(0.3)
+        text = "READ 1 ".ljust(MAX_LINE_BYTES - len("QUERY 2 "), "x")
+        # So that a replica runs the read.
+        instance = world.instances["a"]
+        instance.state.servers["p"].overloaded_until = world.now + 9.0
+        sent: list[bytes] = []
+        perform = world.perform
+
+        def record(instance: direct_world.Instance, effect: Any) -> None:
+            if isinstance(effect, effects.SendCommands):
+                for command in effect.commands:
+                    sent.append(lines.ServerLines().encode_command(command))
+            perform(instance, effect)
+
+        world.perform = record
+        caller.send(statements.Read("2", text))
+        world.run(1.0)
+        self.assertEqual(caller.reasons(), [None, None])
+        begin, read, end = sent
+        self.assertRegex(begin, rb"^QUERY - AFTER \S+ BEGIN READ\r\n$")
+        self.assertEqual(read, f"QUERY 2 {text}\r\n".encode())
+        self.assertEqual(end, b"QUERY - ROLLBACK\r\n")
+
+
 if __name__ == "__main__":
     unittest.main()
