--- a/src/cuminwall/direct/commands.py
+++ b/src/cuminwall/direct/commands.py
@@ -5,6 +5,9 @@
 from cuminwall.direct.answers import Position
 from cuminwall.direct.statements import Execute, Shape, Statement
 
+# Of the names that prepared statements have on connections to servers.
+MAX_NAME_CHARS = 3
+
 
 class Forward(NamedTuple):
     """Runs a caller's statement, its id and text unchanged.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -35,6 +35,7 @@
     Position,
     Reason,
     Status,
+    failed,
 )
 from cuminwall.direct.catalog import Freshness
 
@@ -185,6 +186,23 @@
             self.assertIsInstance(found, statements.Malformed)
             self.assertEqual((found.request, found.text), ("1", ""))
 
+    def test_no_message_outgrows_the_limit_by_another_name(self) -> None:
+        for text in ("EXECUTE s 1 ", "PREPARE s WRITE "):
+            for size in range(MAX_LINE_BYTES - 4, MAX_LINE_BYTES + 1):
+                line = f"QUERY 1 {text}".encode().ljust(size, b"\xff")
+                (found,) = lines.CallerLines().feed(line + b"\r\n")
+                room = size + 2 <= MAX_LINE_BYTES
+                is_refused = isinstance(found, statements.Malformed)
+                self.assertEqual(is_refused, not room, (text, size))
+
+    def test_error_of_a_server_does_not_outgrow_the_limit(self) -> None:
+        detail = "x" * MAX_LINE_BYTES
+        answer = failed(Reason.FAILED, detail, Phase.IDLE)
+        data = lines.CallerLines().encode_answer(answer)
+        error, ready, _ = data.split(b"\r\n")
+        self.assertEqual(len(error), MAX_LINE_BYTES)
+        self.assertEqual(ready, b"READY I -")
+
     def test_messages_that_are_not_allowed(self) -> None:
         junk = (
             b"",
