--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -297,6 +297,13 @@
 class FactsTest(unittest.TestCase):
     """Decoding the items of the store."""
 
+    def test_statement_smuggled_in_a_name_of_an_entry(self) -> None:
+        smuggled = "x\r\nQUERY 1 WRITE 1 x"
+        for key in ("servers/" + smuggled, "servers/i-7 x"):
+            self.assertTrue(self.decode(key, ENTRY).is_malformed)
+        for service in (smuggled, "billing db", "billing\n"):
+            self.check_malformed({**ENTRY, "Service": service})
+
     def decode(self, key: str, value: object) -> ports.StoreItem | None:
         return store_items.decode(key, json.dumps(value).encode(), 5)
 
