Take an empty value or shape, if the blank in front of it is there

The last field extends to the end of the line, so it may be empty; 'SET a' has none and is malformed as before.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -195,6 +195,14 @@
                 is_refused = isinstance(found, statements.Malformed)
                 self.assertEqual(is_refused, not room, (text, size))
 
+    def test_empty_value_and_shape(self) -> None:
+        value = lines.parse_statement("1", "SET n ")
+        self.assertEqual(value, statements.Assign("1", "SET n ", "n", ""))
+        text = "PREPARE s READ "
+        empty = statements.Shape(False, "")
+        expected = statements.Prepare("1", text, "s", empty)
+        self.assertEqual(lines.parse_statement("1", text), expected)
+
     def test_error_of_a_server_does_not_outgrow_the_limit(self) -> None:
         detail = "x" * MAX_LINE_BYTES
         answer = failed(Reason.FAILED, detail, Phase.IDLE)
