Read no more of a caller while 16 of its statements wait for answers

What callers saw: one that sent more than 64 statements at once was disconnected without an error ('sessions flooded'), and up to that each of them might keep a megabyte here.

Cause: nothing held a caller back. Its socket is no longer read while 16 statements wait; the rest waits in the caller's own buffers. The bound of a session's queue stays as a guard. The test with 300 statements at once failed before: no answer after the session had been closed; messages behind a message that ended the session are no longer handled.

--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -1,6 +1,7 @@
 """The connections of callers: sockets and their messages."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from typing import cast
 
@@ -19,6 +20,8 @@
 FLUSH_CHECK_S = 0.02  # Between two looks at what is still to be sent.
 FLUSH_S = 2.0  # How long a closed connection may take to send its output.
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
+# Statements of a caller that wait for their answer; more are not read.
+MAX_UNANSWERED = 16
 
 
 class Callers:
@@ -70,6 +73,7 @@
         caller = self.sockets.get(session)
         if caller is not None:
             caller.write(caller.codec.encode_answer(answer))
+            caller.count_answer()
 
     def close(self, session: int) -> None:
         """Closes a connection after its output has been sent."""
@@ -94,7 +98,12 @@
 
 
 class CallerSocket(asyncio.Protocol):
-    """One caller's connection."""
+    """One caller's connection.
+
+    Attributes:
+      pending: The messages that wait until earlier ones are answered.
+      unanswered: How many statements were passed on and not answered yet.
+    """
 
     def __init__(self, callers: Callers):
         self.callers = callers
@@ -103,6 +112,10 @@
         self.session = 0
         self.is_logged_in = False
         self.timer: asyncio.TimerHandle | None = None
+        self.pending: collections.deque[ports.CallerMessage] = (
+            collections.deque()
+        )
+        self.unanswered = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers a new connection and starts the login timeout."""
@@ -116,10 +129,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Decodes received bytes into messages."""
-        for message in self.codec.feed(data):
-            if self.session not in self.callers.sockets:
-                return
-            self._handle(message)
+        self.pending.extend(self.codec.feed(data))
+        self._handle_pending()
+        transport = self.transport
+        if not self.pending or transport is None or transport.is_closing():
+            return
+        transport.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the end of the connection."""
@@ -144,6 +159,14 @@
             )
             transport.abort()
 
+    def count_answer(self) -> None:
+        """Counts an answer, after which pending messages may go on."""
+        self.unanswered -= 1
+        if self.pending:
+            # The answer may be an effect of an event that is being handled.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._continue)
+
     def count_unsent(self) -> int:
         """Returns how many bytes wait to be sent."""
         if self.transport is None:
@@ -161,6 +184,22 @@
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(FLUSH_S, self.transport.abort)
 
+    def _continue(self) -> None:
+        """Handles pending messages, and reads on once there are none."""
+        self._handle_pending()
+        transport = self.transport
+        if self.pending or transport is None or transport.is_closing():
+            return
+        transport.resume_reading()
+
+    def _handle_pending(self) -> None:
+        """Handles the pending messages that need not wait for answers."""
+        while self.pending and self.unanswered < MAX_UNANSWERED:
+            if self.session not in self.callers.sockets:
+                self.pending.clear()
+                return
+            self._handle(self.pending.popleft())
+
     def _handle(self, message: ports.CallerMessage) -> None:
         """Turns a message into an event."""
         now = self.callers.clock()
@@ -174,6 +213,7 @@
             message = statements.Malformed(
                 "", "", "the session is open already"
             )
+        self.unanswered += 1
         event = events.StatementArrived(now, self.session, message)
         self.callers.on_event(event)
 
--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -19,8 +19,8 @@
 TIMEOUT_S = 5.0
 
 
-class RefusedMessageTest(unittest.IsolatedAsyncioTestCase):
-    """Callers were disconnected without an error for a wrong message."""
+class CallerTestCase(unittest.IsolatedAsyncioTestCase):
+    """A caller on a real socket, answered by a simulated instance."""
 
     async def asyncSetUp(self) -> None:
         self.world = test_direct_sessions.make_world()
@@ -44,11 +44,16 @@
             self.callers.accept_session(event.session)
         if not isinstance(event, events.StatementArrived):
             return
-        answered = len(self.simulated.answers)
         self.simulated.send(event.statement)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.answer, event.session)
+
+    def answer(self, session: int) -> None:
+        """Lets time pass, and passes the answers on."""
         self.world.run(1.0)
-        for answer in self.simulated.answers[answered:]:
-            self.callers.reply(event.session, answer)
+        for answer in self.simulated.answers:
+            self.callers.reply(session, answer)
+        self.simulated.answers.clear()
 
     async def ask(self, data: bytes, until: bytes = b"READY") -> list[bytes]:
         """Sends bytes; returns the lines up to one that begins as told."""
@@ -67,6 +72,28 @@
         await self.ask(b"QUERY 1 SET x  1 \r\n")
         await self.ask(b"QUERY 2 PREPARE s READ q\r\n")
 
+
+class PipelinedStatementTest(CallerTestCase):
+    """A caller that sent many statements at once was disconnected."""
+
+    async def test_many_statements_at_once_are_all_answered(self) -> None:
+        await self.log_in()
+        count = 300
+        sent = [b"QUERY r%d READ 1\r\n" % number for number in range(count)]
+        self.writer.write(b"".join(sent))
+        for number in range(count):
+            row, _, _ = await self.ask(b"")
+            self.assertEqual(row, b"ROW row of r%d\r\n" % number)
+
+    async def test_a_login_before_statements_at_once(self) -> None:
+        await self.ask(b"STARTUP db key\r\nQUERY 1 READ 1\r\n")
+        row, _, _ = await self.ask(b"")
+        self.assertEqual(row, b"ROW row of 1\r\n")
+
+
+class RefusedMessageTest(CallerTestCase):
+    """Callers were disconnected without an error for a wrong message."""
+
     async def test_each_is_refused_and_the_session_goes_on(self) -> None:
         await self.log_in()
         refused = (
