Pass on at once what was read of a caller, and stop reading behind it

One whose key was withdrawn ended as idle while 25 of 41 statements were unanswered.

All that was read is a session's now, as before, and only reading stops while 16 are unanswered. What can be read at once bounds the queue, so its own bound is a guard against errors of ours. The test failed before: 16 of 41 had arrived.

--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -1,7 +1,6 @@
 """The connections of callers: sockets and their messages."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 from typing import cast
 
@@ -20,7 +19,7 @@
 FLUSH_CHECK_S = 0.02  # Between two looks at what is still to be sent.
 FLUSH_S = 2.0  # How long a closed connection may take to send its output.
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
-# Statements of a caller that wait for their answer; more are not read.
+# While so many statements of a caller are unanswered, no more are read.
 MAX_UNANSWERED = 16
 
 
@@ -101,8 +100,9 @@
     """One caller's connection.
 
     Attributes:
-      pending: The messages that wait until earlier ones are answered.
-      unanswered: How many statements were passed on and not answered yet.
+      unanswered: How many statements were passed on and not answered yet. Each
+        gets one answer, unless the session ends.
+      is_paused: Whether nothing is read because of that.
     """
 
     def __init__(self, callers: Callers):
@@ -112,10 +112,8 @@
         self.session = 0
         self.is_logged_in = False
         self.timer: asyncio.TimerHandle | None = None
-        self.pending: collections.deque[ports.CallerMessage] = (
-            collections.deque()
-        )
         self.unanswered = 0
+        self.is_paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers a new connection and starts the login timeout."""
@@ -129,12 +127,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Decodes received bytes into messages."""
-        self.pending.extend(self.codec.feed(data))
-        self._handle_pending()
-        transport = self.transport
-        if not self.pending or transport is None or transport.is_closing():
-            return
-        transport.pause_reading()
+        for message in self.codec.feed(data):
+            if self.session not in self.callers.sockets:
+                return
+            self._handle(message)
+        if self.unanswered >= MAX_UNANSWERED:
+            self._pause()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the end of the connection."""
@@ -160,12 +158,13 @@
             transport.abort()
 
     def count_answer(self) -> None:
-        """Counts an answer, after which pending messages may go on."""
+        """Counts an answer, after which more may be read."""
         self.unanswered -= 1
-        if self.pending:
-            # The answer may be an effect of an event that is being handled.
-            loop = asyncio.get_running_loop()
-            loop.call_soon(self._continue)
+        if not self.is_paused or self.unanswered >= MAX_UNANSWERED:
+            return
+        self.is_paused = False
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def count_unsent(self) -> int:
         """Returns how many bytes wait to be sent."""
@@ -184,21 +183,12 @@
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(FLUSH_S, self.transport.abort)
 
-    def _continue(self) -> None:
-        """Handles pending messages, and reads on once there are none."""
-        self._handle_pending()
-        transport = self.transport
-        if self.pending or transport is None or transport.is_closing():
+    def _pause(self) -> None:
+        """Stops reading until enough statements are answered."""
+        if self.transport is None or self.transport.is_closing():
             return
-        transport.resume_reading()
-
-    def _handle_pending(self) -> None:
-        """Handles the pending messages that need not wait for answers."""
-        while self.pending and self.unanswered < MAX_UNANSWERED:
-            if self.session not in self.callers.sockets:
-                self.pending.clear()
-                return
-            self._handle(self.pending.popleft())
+        self.is_paused = True
+        self.transport.pause_reading()
 
     def _handle(self, message: ports.CallerMessage) -> None:
         """Turns a message into an event."""
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -37,7 +37,9 @@
 
 PART = "sessions"
 
-MAX_INBOX = 64  # Statements of one caller queued behind the one in progress.
+# Statements of one caller queued behind the one in progress. A caller that is
+# read no further has sent fewer, as what is read at once is bounded.
+MAX_INBOX = 32 * 1024
 FIRST_CONFIG_WAIT_S = 1.5  # How long a login waits for the first configuration.
 
 
--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -33,6 +33,8 @@
         address = server.sockets[0].getsockname()
         self.reader, self.writer = await asyncio.open_connection(*address)
         self.addCleanup(self.writer.close)
+        self.arrived = 0
+        self.is_answering = True
 
     def handle(self, event: events.Event) -> None:
         """Passes a caller's event to the simulated instance, with its answer.
@@ -45,8 +47,10 @@
         if not isinstance(event, events.StatementArrived):
             return
         self.simulated.send(event.statement)
-        loop = asyncio.get_running_loop()
-        loop.call_soon(self.answer, event.session)
+        self.arrived += 1
+        if self.is_answering:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.answer, event.session)
 
     def answer(self, session: int) -> None:
         """Lets time pass, and passes the answers on."""
@@ -85,6 +89,20 @@
             row, _, _ = await self.ask(b"")
             self.assertEqual(row, b"ROW row of r%d\r\n" % number)
 
+    async def test_all_that_was_read_reaches_its_session(self) -> None:
+        await self.log_in()
+        self.arrived = 0
+        self.is_answering = False
+        for count in (41, 41):
+            self.writer.write(b"QUERY 1 SET x 1\r\n" * count)
+            await self.writer.drain()
+            await asyncio.sleep(0.1)
+        # What came later waits in the caller's buffers, not here.
+        self.assertEqual(self.arrived, 41)
+        self.answer(1)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.arrived, 82)
+
     async def test_a_login_before_statements_at_once(self) -> None:
         await self.ask(b"STARTUP db key\r\nQUERY 1 READ 1\r\n")
         row, _, _ = await self.ask(b"")
