Close the connection of a caller whose statement could not be handled

A closed connection promises nothing, which is true. The place of an error stands before its text in the log line now, as a text may be long. The test failed before.

--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -104,9 +104,12 @@
         except Exception as error:
             name = type(event).__name__
             place = reruns.find_place(error)
-            logger.error("{}: {} failed: {!r} {}", PART, name, error, place)
+            logger.error("{}: {} failed: {} {!r}", PART, name, place, error)
             if self.meters is not None:
                 self.meters.count_decision(PART, "event_failed")
+            if isinstance(event, events.StatementArrived):
+                # Its caller would wait for an answer for ever.
+                self.callers.close(event.session)
 
     def start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine as a background task."""
--- a/tests/test_direct_engine.py
+++ b/tests/test_direct_engine.py
@@ -38,6 +38,16 @@
         self.assertTrue(made.state.is_store_up)
         logged.assert_called_once()
 
+    async def test_a_caller_whose_statement_failed_waits_for_ever(self) -> None:
+        made = self.make_engine()
+        made.callers = mock.Mock()
+        now = engine.boot_clock()
+        unknown = cast(Any, object())
+        made.handle_event(events.CallerArrived(now, 7, "db", "key"))
+        with mock.patch("cuminwall.direct.sessions.handle_statement", None):
+            made.handle_event(events.StatementArrived(now, 7, unknown))
+        made.callers.close.assert_called_once_with(7)
+
     async def test_a_malformed_peer_message_is_survived(self) -> None:
         made = self.make_engine()
         message = events.PeerMessageReceived(engine.boot_clock(), "b", object())
