Take a success without a server's proof as a lost answer

Cause: answers are matched by their order alone. Only a read, write or commit has a proof, so a success without one is no answer to it: the connection is closed, and the statement goes the way of any lost answer. The test failed before: no rows.

--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -438,8 +438,13 @@
     """Handles the answer to one command of a connection."""
     if expected is AnswerKind.PREPARATION:
         if answer.failure is not None:
-            connections.close(state, connection, out)
-            retries.handle_connection_end(state, connection, None, False, out)
+            _close_unreliable(state, connection, out)
+        return
+    is_statement = expected is AnswerKind.STATEMENT
+    if is_statement and answer.failure is None and not answer.completion:
+        # Without a proof it is no server's answer to a read, write or commit.
+        # That answer was lost, and this one is to a later command.
+        _close_unreliable(state, connection, out)
         return
     if expected is AnswerKind.BEGIN:
         results.handle_transaction_opened(state, connection, answer, out)
@@ -447,3 +452,11 @@
         results.handle_statement_answered(state, connection, answer, out)
     elif expected is AnswerKind.END:
         results.handle_transaction_ended(state, connection, answer, out)
+
+
+def _close_unreliable(
+    state: State, connection: Connection, out: list[Effect]
+) -> None:
+    """Closes a connection whose statement has no answer that may be used."""
+    connections.close(state, connection, out)
+    retries.handle_connection_end(state, connection, None, False, out)
--- a/tests/test_direct_sessions.py
+++ b/tests/test_direct_sessions.py
@@ -78,6 +78,17 @@
             if link.server.name == "p":
                 self.assertEqual(link.values, {})
 
+    def test_success_without_the_proof_of_a_server(self) -> None:
+        # The answer to a read is lost, that to the ROLLBACK behind it arrives.
+        caller = self.instance.caller()
+        self.world.servers["p"].lose_answers = 1
+        caller.send(statements.Read("1", "READ 1"))
+        self.world.run(4.0)
+        (answer,) = caller.answers
+        self.assertIsNone(answer.failure)
+        self.assertEqual(answer.rows, ("row of 1",))
+        self.assertEqual(answer.completion, "proof p")
+
     def test_rollback_discards_writes(self) -> None:
         caller = self.instance.caller()
         caller.send(statements.Begin("1", "BEGIN", False))
