--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -35,7 +35,8 @@
 )
 from cuminwall.direct.state import State
 
-# A longer text gets no prefix, as a message of a limited size may not grow.
+# Of the id and text of a statement that gets a prefix. A message of a limited
+# size may not grow, and this is far below 1 MiB at four bytes a character.
 MAX_PREFIXED_CHARS = 200_000
 
 
@@ -204,7 +205,8 @@
 
 def _is_long(operation: Operation) -> bool:
     """Returns whether a statement's own command must not grow."""
-    return len(operation.statement.text) > MAX_PREFIXED_CHARS
+    statement = operation.statement
+    return len(statement.request) + len(statement.text) > MAX_PREFIXED_CHARS
 
 
 def _find_shape(operation: Operation) -> statements.Shape | None:
--- a/tests/test_direct_callers.py
+++ b/tests/test_direct_callers.py
@@ -151,12 +151,19 @@
 class LongReadTest(unittest.TestCase):
     """A read of a megabyte left as a longer message, with its position."""
 
-    def test_its_position_is_in_the_transaction_around_it(self) -> None:
+    def test_a_long_text(self) -> None:
+        length = MAX_LINE_BYTES - len("QUERY 2 ")
+        self.check_read("2", "READ 1 ".ljust(length, "x"))
+
+    def test_a_long_request_id(self) -> None:
+        self.check_read("2" * (MAX_LINE_BYTES - len("QUERY  READ 1")), "READ 1")
+
+    def check_read(self, request: str, text: str) -> None:
+        """Checks that the read's position is in the transaction around it."""
         world = test_direct_sessions.make_world()
         caller = world.instances["a"].caller("aged")
         caller.send(statements.Write("1", "WRITE 1 x"))
         world.run(0.3)
-        text = "READ 1 ".ljust(MAX_LINE_BYTES - len("QUERY 2 "), "x")
         # So that a replica runs the read.
         instance = world.instances["a"]
         instance.state.servers["p"].overloaded_until = world.now + 9.0
@@ -170,12 +177,12 @@
             perform(instance, effect)
 
         world.perform = record
-        caller.send(statements.Read("2", text))
+        caller.send(statements.Read(request, text))
         world.run(1.0)
         self.assertEqual(caller.reasons(), [None, None])
         begin, read, end = sent
         self.assertRegex(begin, rb"^QUERY - AFTER \S+ BEGIN READ\r\n$")
-        self.assertEqual(read, f"QUERY 2 {text}\r\n".encode())
+        self.assertEqual(read, f"QUERY {request} {text}\r\n".encode())
         self.assertEqual(end, b"QUERY - ROLLBACK\r\n")
 
 
