--- a/src/cuminwall/direct/journal.py
+++ b/src/cuminwall/direct/journal.py
@@ -15,8 +15,10 @@
 
 from cuminwall import outputs
 
+TEXT = "text"  # The field of a message of the program itself.
 MAX_LINES_PER_S = 400  # For each part of the program.
 MAX_FIELD_CHARS = 256  # Callers choose ids and names of up to a megabyte.
+MAX_TEXT_CHARS = 4096  # Of a message of the program itself.
 
 
 class Journal:
@@ -81,7 +83,8 @@
             "event": event,
         }
         for name, value in fields.items():
-            line[name] = _shorten(value)
+            most = MAX_TEXT_CHARS if name == TEXT else MAX_FIELD_CHARS
+            line[name] = _shorten(value, most)
         data = json.dumps(line, default=str).encode() + b"\n"
         if not self.output.write(data):
             self.dropped += 1
@@ -95,11 +98,11 @@
         self._append(now, "journal", "lines_dropped", {"count": dropped})
 
 
-def _shorten(value: Any) -> Any:
+def _shorten(value: Any, most: int) -> Any:
     """Returns a field's value; of a long text its beginning and its length."""
-    if not isinstance(value, str) or len(value) <= MAX_FIELD_CHARS:
+    if not isinstance(value, str) or len(value) <= most:
         return value
-    return f"{value[:MAX_FIELD_CHARS]}... ({len(value)} characters)"
+    return f"{value[:most]}... ({len(value)} characters)"
 
 
 def capture(journal: Journal, level: str = "INFO") -> None:
@@ -108,7 +111,7 @@
     def sink(message: Any) -> None:
         record = message.record
         part, _, text = record["message"].partition(": ")
-        fields = {"text": text, "level": record["level"].name.lower()}
+        fields = {TEXT: text, "level": record["level"].name.lower()}
         journal.add(part, "message", fields)
 
     logger.remove()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -48,6 +48,13 @@
             line["request"], "x" * 256 + "... (1048576 characters)"
         )
 
+    def test_message_of_the_program_is_whole(self) -> None:
+        text = "configuration: " + "; ".join(["x" * 80] * 5)
+        self.journal.add("store", "message", {"text": text})
+        self.journal.flush()
+        (line,) = self.lines()
+        self.assertEqual(line["text"], text)
+
     def test_rate_of_one_part(self) -> None:
         for _ in range(journal.MAX_LINES_PER_S + 50):
             self.journal.add("work", "answered", {})
