--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -188,10 +188,10 @@
 
     def test_no_message_outgrows_the_limit_by_another_name(self) -> None:
         for text in ("EXECUTE s 1 ", "PREPARE s WRITE "):
-            for size in range(MAX_LINE_BYTES - 4, MAX_LINE_BYTES + 1):
+            for size in range(MAX_LINE_BYTES - 6, MAX_LINE_BYTES + 1):
                 line = f"QUERY 1 {text}".encode().ljust(size, b"\xff")
                 (found,) = lines.CallerLines().feed(line + b"\r\n")
-                room = size + 2 <= MAX_LINE_BYTES
+                room = size + commands.MAX_NAME_CHARS - 1 <= MAX_LINE_BYTES
                 is_refused = isinstance(found, statements.Malformed)
                 self.assertEqual(is_refused, not room, (text, size))
 
@@ -254,6 +254,16 @@
         self.assertEqual(codec.feed(b"READY I 3.1\r\n"), [ports.Opened()])
         return codec
 
+    def test_endless_line(self) -> None:
+        codec = self.open()
+        with self.assertRaises(exceptions.ProtocolError):
+            codec.feed(b"x" * (MAX_LINE_BYTES + 2))
+
+    def test_line_over_the_limit_whose_end_is_there(self) -> None:
+        codec = self.open()
+        with self.assertRaises(exceptions.ProtocolError):
+            codec.feed(b"ROW ".ljust(MAX_LINE_BYTES + 1, b"x") + b"\r\n")
+
     def test_refused_connection(self) -> None:
         codec = lines.ServerLines()
         result = codec.feed(b"ERROR TOOMANY 22\r\n")
