Allow prepared statements' names of up to five characters

Five are enough for 387 million. What is refused for lack of room grows by two bytes at the limit, for names under five characters.

--- a/src/cuminwall/direct/commands.py
+++ b/src/cuminwall/direct/commands.py
@@ -5,8 +5,9 @@
 from cuminwall.direct.answers import Position
 from cuminwall.direct.statements import Execute, Shape, Statement
 
-# Of the names that prepared statements have on connections to servers.
-MAX_NAME_CHARS = 3
+# Of the names that prepared statements have on connections to servers. They
+# are never used again on one, and 387 million is more than one ever needs.
+MAX_NAME_CHARS = 5
 
 
 class Forward(NamedTuple):
--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -280,13 +280,17 @@
     command that failed unnoticed can't run the wrong one. Names are short, so
     that statements hardly grow.
     """
-    number = connection.names_used
     connection.names_used += 1
-    name = NAME_CHARACTERS[number % len(NAME_CHARACTERS)]
-    while number >= len(NAME_CHARACTERS):
-        number = number // len(NAME_CHARACTERS) - 1
-        name = NAME_CHARACTERS[number % len(NAME_CHARACTERS)] + name
-    return name
+    return spell_number(connection.names_used)
+
+
+def spell_number(number: int) -> str:
+    """Returns a positive number in letters: a to Z, aa to ZZ, and so on."""
+    letters = ""
+    while number:
+        number, index = divmod(number - 1, len(NAME_CHARACTERS))
+        letters = NAME_CHARACTERS[index] + letters
+    return letters
 
 
 def close_unused(
--- a/tests/test_statement_text.py
+++ b/tests/test_statement_text.py
@@ -4,7 +4,7 @@
 import sys
 import unittest
 
-from cuminwall.direct import commands
+from cuminwall.direct import commands, connections
 from cuminwall.direct.answers import Position
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -52,6 +52,13 @@
         world.run(2.0)
         self.assertEqual(caller.reasons(), [None, None])
 
+    def test_names_are_short_and_differ(self) -> None:
+        names = [connections.spell_number(each) for each in range(1, 3000)]
+        self.assertEqual((names[0], names[51], names[52]), ("a", "Z", "aa"))
+        self.assertEqual(len(set(names)), len(names))
+        last = connections.spell_number(387_000_000)
+        self.assertEqual(len(last), commands.MAX_NAME_CHARS)
+
     def test_names_of_many_shapes_differ_and_stay_short(self) -> None:
         world = test_direct_sessions.make_world()
         caller = world.instances["a"].caller()
