Undo a failed transaction at once, and answer no statement before its login

Now any failure that is told to a caller undoes the transaction. And statements that came with the login, before the first configuration, were answered before the login, a read with 'no such database'; they wait until the session is open now.

Both tests failed before, in five places.

--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -108,7 +108,8 @@
         )
         close(state, session, out)
         return
-    state.ready_sessions.append(session)
+    if session not in state.holds.logins:
+        state.ready_sessions.append(session)
 
 
 def handle_caller_left(state: State, number: int, out: list[Effect]) -> None:
@@ -182,6 +183,7 @@
         return
     _find_workspace(state, session)
     out.append(AcceptSession(session.number))
+    state.ready_sessions.append(session)
 
 
 def _find_workspace(state: State, session: Session) -> None:
@@ -488,14 +490,12 @@
         return
     if transaction is not None and transaction.read_only and writes:
         reason = Reason.NOT_PRIMARY
-        _roll_back(state, transaction, out)
         _fail(session, reason, "read-only transaction", statement, state, out)
         return
     failure = _find_denial(state, session)
     if failure is not None:
         reason = failure.reason
         if transaction is not None:
-            _roll_back(state, transaction, out)
             reason = Reason.ROLLED_BACK
         _fail(session, reason, failure.detail, statement, state, out)
         return
@@ -576,10 +576,15 @@
     state: State,
     out: list[Effect],
 ) -> None:
-    """Answers a statement with a failure; fails its transaction, if any."""
+    """Answers a statement with a failure; fails its transaction, if any.
+
+    What a failed transaction did is undone at once, so that it holds no
+    connection until its caller ends it.
+    """
     phase = Phase.IDLE
     if session.transaction is not None:
         phase = Phase.FAILED
+        _roll_back(state, session.transaction, out)
     session.phase = phase
     out.append(
         Note(
--- a/tests/test_direct_sessions.py
+++ b/tests/test_direct_sessions.py
@@ -5,6 +5,7 @@
 
 from cuminwall.direct import events, statements
 from cuminwall.direct.answers import Phase, Reason
+from cuminwall.direct.servers_state import ConnectionStatus
 from tests import direct_world
 
 
@@ -39,6 +40,15 @@
         world.run(1.0)
         self.assertTrue(caller.is_open)
 
+    def test_statement_sent_with_the_login_is_answered_too_early(self) -> None:
+        world = direct_world.World(("a",))
+        caller = world.instances["a"].caller()
+        caller.send(statements.Assign("1", "SET x 1", "x", "1"))
+        self.assertEqual(caller.answers, [])
+        world.run(1.0)
+        self.assertTrue(caller.is_open)
+        self.assertEqual(caller.reasons(), [None])
+
 
 class StatementTest(unittest.TestCase):
     """Statements outside and inside transactions."""
@@ -78,6 +88,30 @@
             if link.server.name == "p":
                 self.assertEqual(link.values, {})
 
+    def test_refused_message_leaves_its_transaction_open(self) -> None:
+        refused = (
+            statements.Malformed("3", "HELLO"),
+            statements.Begin("3", "BEGIN", False),
+            statements.Execute("3", "EXECUTE s 1", "s"),
+            statements.Deallocate("3", "DEALLOCATE s", "s"),
+        )
+        for statement in refused:
+            with self.subTest(statement):
+                caller = self.instance.caller()
+                caller.send(statements.Begin("1", "BEGIN", False))
+                caller.send(statements.Write("2", "WRITE 1 x"))
+                self.world.run(0.5)
+                caller.send(statement)
+                self.world.run(0.5)
+                statuses = set()
+                for connection in self.instance.state.connections.values():
+                    statuses.add(connection.status)
+                self.assertEqual(statuses, {ConnectionStatus.IDLE})
+                self.assertEqual(caller.answers[-1].phase, Phase.FAILED)
+                caller.send(statements.Rollback("4", "ROLLBACK"))
+                self.world.run(0.5)
+                self.assertEqual(caller.answers[-1].phase, Phase.IDLE)
+
     def test_success_without_the_proof_of_a_server(self) -> None:
         # The answer to a read is lost, that to the ROLLBACK behind it arrives.
         caller = self.instance.caller()
