Keep the quotes of setting names that are keywords

What callers saw: SET app."user" = 'x', which PostgreSQL accepts, reached the server as SET LOCAL app.user = 'x', a syntax error. After set_config('app.user', 'x', false) the session's later statements were refused, as the statement that sets the value again on a connection, SET app.user TO 'x', is a syntax error too; so is RESET.

Cause: quote_identifier wrote a name without quotes if its letters allow that, also when it is a keyword, and backend_settings wrote names as they are. Names are now quoted as PostgreSQL's quote_ident() does, in all three places, which also makes SET search_path = "user" read "user" with quotes again, as on the server.

--- a/src/cuminwall/backend_settings.py
+++ b/src/cuminwall/backend_settings.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from cuminwall import settings_syntax
+
 # RESET ALL does not reset these, so they would leak into later sessions.
 # With synchronous_commit off a commit is answered before it is in the log, so
 # a position read after it could be below the session's own writes.
@@ -94,7 +96,7 @@
         in_force = {}
     for name in in_force:
         if name not in wanted:
-            statements.append(f"RESET {name}")
+            statements.append(f"RESET {settings_syntax.quote_name(name)}")
     for name, value in wanted.items():
         if in_force.get(name) == value:
             continue
@@ -107,7 +109,7 @@
     literal = _quote(value)
     if name.lower() in _LIST_NAMES:
         return f"SELECT pg_catalog.set_config('{name}', {literal}, false)"
-    return f"SET {name} TO {literal}"
+    return f"SET {settings_syntax.quote_name(name)} TO {literal}"
 
 
 def _quote(value: str) -> str:
--- a/src/cuminwall/settings_syntax.py
+++ b/src/cuminwall/settings_syntax.py
@@ -7,7 +7,7 @@
 import re
 from typing import Any, NamedTuple
 
-from pglast import ast, enums
+from pglast import ast, enums, keywords
 
 from cuminwall import session_effects
 
@@ -17,6 +17,12 @@
 
 _Kind = enums.VariableSetKind
 _SIMPLE_NAME = re.compile(r"[a-z_][a-z0-9_]*\Z")
+# PostgreSQL's quote_ident() quotes every keyword but the unreserved ones.
+_QUOTED_KEYWORDS = (
+    keywords.COL_NAME_KEYWORDS
+    | keywords.RESERVED_KEYWORDS
+    | keywords.TYPE_FUNC_NAME_KEYWORDS
+)
 _AGE = re.compile(r"\s*(\d{1,9}(?:\.\d{1,9})?)\s*(ms|s|min|h)?\s*\Z")
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 _UTF8_NAMES = frozenset({"utf8", "unicode"})
@@ -174,11 +180,9 @@
         return PassedThrough(may_write=False)
     effect = session_effects.SettingChanged(name, value)
     if value is None:
-        return SessionChange(
-            effect, f"SET LOCAL {_quote_name(name)} TO DEFAULT"
-        )
+        return SessionChange(effect, f"SET LOCAL {quote_name(name)} TO DEFAULT")
     literals = ", ".join(quote_literal(item) for item in values)
-    return SessionChange(effect, f"SET LOCAL {_quote_name(name)} = {literals}")
+    return SessionChange(effect, f"SET LOCAL {quote_name(name)} = {literals}")
 
 
 def _parse_multiple(
@@ -240,10 +244,11 @@
 
 def quote_identifier(text: str) -> str:
     """Returns `text` as an identifier, quoted if necessary."""
-    if _SIMPLE_NAME.match(text):
+    if _SIMPLE_NAME.match(text) and text not in _QUOTED_KEYWORDS:
         return text
     return '"' + text.replace('"', '""') + '"'
 
 
-def _quote_name(name: str) -> str:
+def quote_name(name: str) -> str:
+    """Returns the name of a setting, each of its parts quoted if necessary."""
     return ".".join(quote_identifier(part) for part in name.split("."))
--- /dev/null
+++ b/tests/test_caller_text.py
@@ -0,0 +1,48 @@
+"""Tests that what a caller sends reaches the backend server as it was sent."""
+
+import unittest
+
+from pglast import ast, parser
+
+from cuminwall import backend_settings, session_effects, statements
+
+# Words that PostgreSQL's grammar accepts as a part of a name in quotes only.
+QUOTED_ONLY = ("user", "order", "table", "left", "select")
+
+
+def parse_assignment(sql):
+    """Returns the parsed form of the only statement, which is a SET."""
+    (raw,) = parser.parse_sql(sql)
+    assert isinstance(raw.stmt, ast.VariableSetStmt), raw.stmt
+    return raw.stmt
+
+
+class SettingNameTest(unittest.TestCase):
+    """The names of settings in the statements that are written anew."""
+
+    def test_name_that_needs_quotes_loses_them_in_set_local(self):
+        for word in QUOTED_ONLY:
+            for sql in (f"SET app.\"{word}\" = 'x'", f'RESET app."{word}"'):
+                with self.subTest(sql):
+                    found = statements.classify(sql)
+                    sent = parse_assignment(found.sql)
+                    self.assertTrue(sent.is_local)
+                    self.assertEqual(sent.name, f"app.{word}")
+
+    def test_name_that_needs_quotes_loses_them_on_another_connection(self):
+        for word in QUOTED_ONLY:
+            name = f"app.{word}"
+            with self.subTest(name):
+                change = backend_settings.plan_change({}, {name: "x"}, False)
+                self.assertEqual(parse_assignment(change.sql).name, name)
+                change = backend_settings.plan_change({name: "x"}, {}, False)
+                self.assertEqual(parse_assignment(change.sql).name, name)
+
+    def test_list_element_that_needs_quotes_loses_them(self):
+        found = statements.classify('SET search_path = "user", b')
+        effect = session_effects.SettingChanged("search_path", '"user", b')
+        self.assertEqual(found.effects, ((effect,),))
+
+
+if __name__ == "__main__":
+    unittest.main()
