Send a Parse with more than 32,767 parameter types whole

What callers saw: a Parse may declare up to 65,535 types; one with 32,768 or more reached the server without any, so the server inferred them anew: the statement was not the one that was sent.

Cause: the count was read as a signed number, and a negative one taken as none; it was written as a signed number too. Both are unsigned now, as in PostgreSQL. The stand-in database read its counts in the same way.

Evidence: the Parse that is sent has the caller's bytes behind the name; the cases of 32,768 and 65,535 types failed before, with a count of 0.

--- a/src/cuminwall/round_building.py
+++ b/src/cuminwall/round_building.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from cuminwall import session_rounds
 
-_INT16 = struct.Struct("!h")
+_UINT16 = struct.Struct("!H")
 
 
 class RoundBuilder:
@@ -169,10 +169,8 @@
         """Adds a Parse under a name derived from its content."""
         name, offset = wire.read_cstring(payload)
         sql, offset = wire.read_cstring(payload, offset)
-        (count,) = _INT16.unpack_from(payload, offset)
-        type_oids = struct.unpack_from(
-            f"!{max(count, 0)}I", payload, offset + 2
-        )
+        (count,) = _UINT16.unpack_from(payload, offset)
+        type_oids = struct.unpack_from(f"!{count}I", payload, offset + 2)
         statement = self.session.cache.classify(sql)
         refusal = self._check(statement)
         if refusal is not None:
--- a/src/cuminwall/wire.py
+++ b/src/cuminwall/wire.py
@@ -23,6 +23,7 @@
 _HEADER = struct.Struct("!cI")
 _INT16 = struct.Struct("!h")
 _INT32 = struct.Struct("!i")
+_UINT16 = struct.Struct("!H")
 _UINT32 = struct.Struct("!I")
 
 
@@ -189,7 +190,7 @@
 
 def parse_message(name: str, sql: str, type_oids: Sequence[int] = ()) -> bytes:
     """Returns a Parse of `sql` as the statement `name`."""
-    payload = cstring(name) + cstring(sql) + _INT16.pack(len(type_oids))
+    payload = cstring(name) + cstring(sql) + _UINT16.pack(len(type_oids))
     for oid in type_oids:
         payload += _UINT32.pack(oid)
     return Message(b"P", payload).encode()
--- a/src/cuminwall_standins/messages.py
+++ b/src/cuminwall_standins/messages.py
@@ -56,7 +56,7 @@
     """Returns the contents of a Parse."""
     name, offset = wire.read_cstring(payload)
     text, offset = wire.read_cstring(payload, offset)
-    (count,) = _unpack("!h", payload, offset)
+    (count,) = _unpack("!H", payload, offset)
     return Parse(name, text, _unpack(f"!{count}I", payload, offset + 2))
 
 
@@ -65,7 +65,7 @@
     portal, offset = wire.read_cstring(payload)
     statement, offset = wire.read_cstring(payload, offset)
     formats, offset = _read_formats(payload, offset)
-    (count,) = _unpack("!h", payload, offset)
+    (count,) = _unpack("!H", payload, offset)
     offset += 2
     values: list[bytes | None] = []
     for _ in range(count):
@@ -100,7 +100,7 @@
 def parameter_description(type_oids: Sequence[int]) -> bytes:
     """Returns a ParameterDescription."""
     count = len(type_oids)
-    payload = struct.pack(f"!h{count}I", count, *type_oids)
+    payload = struct.pack(f"!H{count}I", count, *type_oids)
     return wire.Message(b"t", payload).encode()
 
 
@@ -124,7 +124,7 @@
 
 
 def _read_formats(payload: bytes, offset: int) -> tuple[tuple[int, ...], int]:
-    (count,) = _unpack("!h", payload, offset)
+    (count,) = _unpack("!H", payload, offset)
     formats = _unpack(f"!{count}h", payload, offset + 2)
     return formats, offset + 2 + 2 * count
 
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -4,7 +4,13 @@
 
 from pglast import ast, parser
 
-from cuminwall import backend_settings, session_effects, statements
+from cuminwall import (
+    backend_settings,
+    session_effects,
+    session_rounds,
+    statements,
+    wire,
+)
 
 # Words that PostgreSQL's grammar accepts as a part of a name in quotes only.
 QUOTED_ONLY = ("user", "order", "table", "left", "select")
@@ -44,5 +50,25 @@
         self.assertEqual(found.effects, ((effect,),))
 
 
+class ParameterTypeTest(unittest.TestCase):
+    """The parameter types of a Parse."""
+
+    def test_more_than_half_of_the_possible_types_are_dropped(self):
+        for count in (0, 1, 32_767, 32_768, 65_535):
+            with self.subTest(count):
+                payload = wire.cstring("") + wire.cstring("SELECT $1")
+                payload += count.to_bytes(2, "big")
+                payload += (25).to_bytes(4, "big") * count
+                session = session_rounds.SessionRounds(
+                    statements.StatementCache()
+                )
+                session.add(wire.Message(b"P", payload))
+                ready = session.add(wire.Message(b"S", b""))
+                (parse, _) = ready.round_.steps
+                (sent,) = wire.Framer().feed(parse.message)
+                _, offset = wire.read_cstring(sent.payload)
+                self.assertEqual(sent.payload[offset:], payload[1:])
+
+
 if __name__ == "__main__":
     unittest.main()
