Keep hyphens in the values of startup options

What callers saw: with options=--search_path=my-schema a session got the search path my_schema, so its names were looked up elsewhere or not found.

Cause: hyphens were replaced in the whole assignment. PostgreSQL replaces them in the name only (ParseLongOption), and does so after -c as well; now so does cuminwall.

Evidence: of the test's four cases three failed before: two values changed, and the name of one after -c was left with its hyphen.

--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -121,16 +121,14 @@
     for word in words:
         if word == "-c":
             assignment = next(words, "")
-        elif word.startswith("-c"):
+        elif word.startswith(("-c", "--")):
             assignment = word[2:]
-        elif word.startswith("--"):
-            assignment = word[2:].replace("-", "_")
         else:
             return None
         name, equals, value = assignment.partition("=")
         if not equals or not name:
             return None
-        settings[name.lower()] = value
+        settings[name.replace("-", "_").lower()] = value
     return settings
 
 
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -6,6 +6,7 @@
 
 from cuminwall import (
     backend_settings,
+    logins,
     session_effects,
     session_rounds,
     statements,
@@ -70,5 +71,20 @@
                 self.assertEqual(sent.payload[offset:], payload[1:])
 
 
+class StartupOptionTest(unittest.TestCase):
+    """The values in the options of a startup message."""
+
+    def test_hyphen_in_a_value_becomes_an_underscore(self):
+        cases = {
+            "--search-path=my-schema": {"search_path": "my-schema"},
+            "--app.a=x-y=--z-": {"app.a": "x-y=--z-"},
+            "-c search-path=my-schema": {"search_path": "my-schema"},
+            "-capp.a=--": {"app.a": "--"},
+        }
+        for text, expected in cases.items():
+            with self.subTest(text):
+                self.assertEqual(logins.parse_options(text), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
