Split startup options at blanks of ASCII only

What callers saw: a value in the startup options lost a no-break space or another blank of Unicode at its end, and with one at its start or inside it the login was refused as malformed options.

Cause: the options were split where str.isspace() holds, which takes U+0085, U+00A0, U+2028 and also U+001C to U+001F for blanks. PostgreSQL splits at the six of ASCII.

--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -41,6 +41,7 @@
 _PROTOCOL_MAJOR = 3
 _EXTENSION_PREFIX = "_pq_."
 _CONNECTION_PARAMETERS = frozenset({"user", "database", "options"})
+_OPTION_BLANKS = frozenset(" \t\n\v\f\r")
 _FALSE_WORDS = frozenset({"", "off", "false", "no", "0", "f", "n"})
 # Values that every server connection has by default, so they are not set.
 _DEFAULT_VALUES = {
@@ -87,7 +88,7 @@
 
 
 def split_options(text: str) -> list[str]:
-    """Splits startup options at white space; a backslash escapes."""
+    """Splits startup options at blanks of ASCII; a backslash escapes."""
     words = []
     word = ""
     begun = False
@@ -101,7 +102,7 @@
             escaped = True
             begun = True
             continue
-        if not character.isspace():
+        if character not in _OPTION_BLANKS:
             word += character
             begun = True
             continue
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -85,6 +85,25 @@
             with self.subTest(text):
                 self.assertEqual(logins.parse_options(text), expected)
 
+    def test_blank_of_unicode_ends_a_value(self):
+        for blank in "\x1c\x1f\x85\u00a0\u2003\u2028\u3000":
+            for value in (f"x{blank}y", f"x{blank}", f"{blank}x"):
+                with self.subTest(value=ascii(value)):
+                    options = f"-c app.a={value} --app.b=1"
+                    self.assertEqual(
+                        logins.parse_options(options),
+                        {"app.a": value, "app.b": "1"},
+                    )
+
+    def test_blank_of_ascii_becomes_part_of_a_value(self):
+        for blank in " \t\n\v\f\r":
+            with self.subTest(blank=ascii(blank)):
+                options = f"{blank}-c{blank}app.a=x{blank * 2}-capp.b=\\{blank}"
+                self.assertEqual(
+                    logins.parse_options(options),
+                    {"app.a": "x", "app.b": blank},
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
