--- /dev/null
+++ b/tests/test_caller_text.py
@@ -0,0 +1,109 @@
+"""Tests that what a caller sends reaches the backend server as it was sent."""
+
+import unittest
+
+from pglast import ast, parser
+
+from cuminwall import (
+    backend_settings,
+    logins,
+    session_effects,
+    session_rounds,
+    statements,
+    wire,
+)
+
+# Words that PostgreSQL's grammar accepts as a part of a name in quotes only.
+QUOTED_ONLY = ("user", "order", "table", "left", "select")
+
+
+def parse_assignment(sql):
+    """Returns the parsed form of the only statement, which is a SET."""
+    (raw,) = parser.parse_sql(sql)
+    assert isinstance(raw.stmt, ast.VariableSetStmt), raw.stmt
+    return raw.stmt
+
+
+class SettingNameTest(unittest.TestCase):
+    """The names of settings in the statements that are written anew."""
+
+    def test_name_that_needs_quotes_loses_them_in_set_local(self):
+        for word in QUOTED_ONLY:
+            for sql in (f"SET app.\"{word}\" = 'x'", f'RESET app."{word}"'):
+                with self.subTest(sql):
+                    found = statements.classify(sql)
+                    sent = parse_assignment(found.sql)
+                    self.assertTrue(sent.is_local)
+                    self.assertEqual(sent.name, f"app.{word}")
+
+    def test_name_that_needs_quotes_loses_them_on_another_connection(self):
+        for word in QUOTED_ONLY:
+            name = f"app.{word}"
+            with self.subTest(name):
+                change = backend_settings.plan_change({}, {name: "x"}, False)
+                self.assertEqual(parse_assignment(change.sql).name, name)
+                change = backend_settings.plan_change({name: "x"}, {}, False)
+                self.assertEqual(parse_assignment(change.sql).name, name)
+
+    def test_list_element_that_needs_quotes_loses_them(self):
+        found = statements.classify('SET search_path = "user", b')
+        effect = session_effects.SettingChanged("search_path", '"user", b')
+        self.assertEqual(found.effects, ((effect,),))
+
+
+class ParameterTypeTest(unittest.TestCase):
+    """The parameter types of a Parse."""
+
+    def test_more_than_half_of_the_possible_types_are_dropped(self):
+        for count in (0, 1, 32_767, 32_768, 65_535):
+            with self.subTest(count):
+                payload = wire.cstring("") + wire.cstring("SELECT $1")
+                payload += count.to_bytes(2, "big")
+                payload += (25).to_bytes(4, "big") * count
+                session = session_rounds.SessionRounds(
+                    statements.StatementCache()
+                )
+                session.add(wire.Message(b"P", payload))
+                ready = session.add(wire.Message(b"S", b""))
+                (parse, _) = ready.round_.steps
+                (sent,) = wire.Framer().feed(parse.message)
+                _, offset = wire.read_cstring(sent.payload)
+                self.assertEqual(sent.payload[offset:], payload[1:])
+
+
+class StartupOptionTest(unittest.TestCase):
+    """The values in the options of a startup message."""
+
+    def test_hyphen_in_a_value_becomes_an_underscore(self):
+        cases = {
+            "--search-path=my-schema": {"search_path": "my-schema"},
+            "--app.a=x-y=--z-": {"app.a": "x-y=--z-"},
+            "-c search-path=my-schema": {"search_path": "my-schema"},
+            "-capp.a=--": {"app.a": "--"},
+        }
+        for text, expected in cases.items():
+            with self.subTest(text):
+                self.assertEqual(logins.parse_options(text), expected)
+
+    def test_blank_of_unicode_ends_a_value(self):
+        for blank in "\x1c\x1f\x85\u00a0\u2003\u2028\u3000":
+            for value in (f"x{blank}y", f"x{blank}", f"{blank}x"):
+                with self.subTest(value=ascii(value)):
+                    options = f"-c app.a={value} --app.b=1"
+                    self.assertEqual(
+                        logins.parse_options(options),
+                        {"app.a": value, "app.b": "1"},
+                    )
+
+    def test_blank_of_ascii_becomes_part_of_a_value(self):
+        for blank in " \t\n\v\f\r":
+            with self.subTest(blank=ascii(blank)):
+                options = f"{blank}-c{blank}app.a=x{blank * 2}-capp.b=\\{blank}"
+                self.assertEqual(
+                    logins.parse_options(options),
+                    {"app.a": "x", "app.b": blank},
+                )
+
+
+if __name__ == "__main__":
+    unittest.main()
