Close a connection whose answer does not come, whoever waits for it

Cause: only the operation's timer watched for the answer, and the end of the operation (its caller left, or a shutdown answered it) removed it. The timer of the connection passed over connections that run a statement. So it stayed for good and counted against the limit, two of them at a server being all.

Now the time for the answer belongs to the connection: it is set with every command that is sent, and for opening; when it has passed, the connection is closed, never used again, and nothing is sent again. A statement has its route's timeout from when it was sent, so one that still runs for a caller who left is not cut sooner; an operation with a caller is handled as before, by its own timer.

--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -164,8 +164,7 @@
     server.connections.append(connection)
     state.connections[number] = connection
     out.append(make_open_effect(number, server, workspace))
-    due_at = state.now + state.limits.connect_timeout_s
-    state.set_timer(due_at, TimerKind.CONNECTION, number)
+    expect_answer(state, connection)
 
 
 def make_open_effect(
@@ -228,8 +227,6 @@
     connection.operation = None
     connection.session = None
     send(state, connection, [(EndTransaction(), AnswerKind.END)], out)
-    due_at = state.now + state.limits.connect_timeout_s
-    state.set_timer(due_at, TimerKind.CONNECTION, connection.number)
 
 
 def send(
@@ -238,13 +235,37 @@
     batch: list[tuple[Command, AnswerKind]],
     out: list[Effect],
 ) -> None:
-    """Sends commands in one batch."""
+    """Sends commands in one batch, and sets the time for their answers."""
     connection.last_sent_at = state.now
     commands = []
     for command, answer_kind in batch:
         commands.append(command)
         connection.pending_answers.append(answer_kind)
     out.append(SendCommands(connection.number, tuple(commands)))
+    expect_answer(state, connection)
+
+
+def expect_answer(state: State, connection: Connection) -> None:
+    """Sets the time by which a connection must answer, or be open.
+
+    It holds whoever waits for the answer: a statement has the timeout of its
+    route, and all else that of opening a connection.
+    """
+    timeout_s = state.limits.connect_timeout_s
+    if connection.operation is not None:
+        timeout_s = connection.operation.route.timeout_s
+    connection.answer_by = state.now + timeout_s
+    watch(state, connection)
+
+
+def watch(state: State, connection: Connection) -> None:
+    """Sets the timer for a connection's answer, unless one is due before."""
+    if state.now < connection.watched_at <= connection.answer_by:
+        return
+    connection.watched_at = connection.answer_by
+    state.set_timer(
+        connection.watched_at, TimerKind.CONNECTION, connection.number
+    )
 
 
 def prepare_commands(
--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -157,16 +157,23 @@
 def handle_connection_timer(
     state: State, connection: Connection, out: list[Effect]
 ) -> None:
-    """Checks a connection that may hang or has long been unused."""
+    """Checks a connection that may hang or has long been unused.
+
+    One that has not answered in time is closed, whether or not someone waits
+    for the answer: what it was sent may still run.
+    """
     if connection.status is ConnectionStatus.IDLE:
         connections.close_unused(state, connection, out)
         return
-    if connection.status not in (
-        ConnectionStatus.OPENING,
-        ConnectionStatus.ROLLING_BACK,
-    ):
+    if connection.status is ConnectionStatus.IDLE_IN_TRANSACTION:
+        # Nothing is unanswered; its session ends the transaction.
+        return
+    if state.now < connection.answer_by:
+        connections.watch(state, connection)
         return
-    if state.now < connection.last_sent_at + state.limits.connect_timeout_s:
+    operation = connection.operation
+    if operation is not None and operation.stage is not Stage.FINISHED:
+        handle_operation_timer(state, operation, out)
         return
     connections.close(state, connection, out)
     if connection.status is ConnectionStatus.OPENING:
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -66,6 +66,9 @@
       names_used: How many names of prepared statements it has ever had.
       last_used_at: When it was last used.
       last_sent_at: When its last command was sent.
+      answer_by: By when it must have answered, or be open; it is closed if it
+        has not.
+      watched_at: When the latest timer for that is due.
       is_new: Whether no statement was ever sent on it.
       check_at: When it is next checked whether it is needed.
     """
@@ -83,6 +86,8 @@
         "names_used",
         "last_used_at",
         "last_sent_at",
+        "answer_by",
+        "watched_at",
         "is_new",
         "check_at",
     )
@@ -100,6 +105,8 @@
         self.names_used = 0
         self.last_used_at = 0.0
         self.last_sent_at = 0.0
+        self.answer_by = 0.0
+        self.watched_at = 0.0
         self.is_new = True
         self.check_at = 0.0
 
