Give a lost answer to the ROLLBACK behind a read the time of a rollback

Cause: a read that needs the primary runs in a transaction of its own, whose ROLLBACK is sent with it. Once the read was answered, nothing set a time for the answer to the ROLLBACK: some older timer found it, that of an idle connection after 20 s at most; with the timer that each command now has, that of the read.

Now the wait for it is timed as that for any other rollback, connect_timeout_s from the answer to the read; then the connection is closed.

Evidence: tests/test_direct_abandoned.py, LostRollbackTest. A ROLLBACK that is sent by itself had its time before.

--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -228,6 +228,7 @@
     # The rollback of the transaction around a read is still unanswered.
     connection.status = ConnectionStatus.ROLLING_BACK
     connection.operation = None
+    connections.expect_answer(state, connection)
 
 
 def _free(
--- a/tests/test_direct_abandoned.py
+++ b/tests/test_direct_abandoned.py
@@ -175,5 +175,39 @@
         self.assertEqual(self.instance.opened, opened)
 
 
+class LostRollbackTest(AbandonedTestCase):
+    """The answer to a rollback of our own is lost."""
+
+    def test_rollback_behind_a_read_keeps_its_connection(self) -> None:
+        self.links.lost.add(AnswerKind.END)
+        caller = self.instance.caller()
+        caller.send(statements.Read("1", "READ 1"))
+        self.world.run(CLOSED_S + MARGIN_S)
+        self.assertEqual(caller.reasons(), [None])
+        self.assertEqual(self.busy(), [])
+        self.assertFalse(self.links.silent & set(self.instance.links))
+
+    def test_rollback_behind_an_abandoned_read(self) -> None:
+        self.links.lost.add(AnswerKind.END)
+        caller = self.instance.caller()
+        self.primary.service_s = 0.1
+        caller.send(statements.Read("1", "READ 1"))
+        self.world.run(0.02)
+        caller.leave()
+        self.world.run(0.15 + CLOSED_S + MARGIN_S)
+        self.assertEqual(self.runs("1"), 1)
+        self.assertEqual(self.busy(), [])
+
+    def test_rollback_by_itself(self) -> None:
+        self.links.lost.add(AnswerKind.END)
+        caller = self.instance.caller()
+        caller.send(statements.Begin("1", "BEGIN", False))
+        caller.send(statements.Write("2", "WRITE 1 x"))
+        self.world.run(0.1)
+        caller.send(statements.Rollback("3", "ROLLBACK"))
+        self.world.run(CLOSED_S + MARGIN_S)
+        self.assertEqual(self.busy(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
