Don't start an operation again that ended while its transaction was opened

Cause: handle_transaction_opened gave a refusal to _handle_not_run without asking whether the operation had ended. That set its stage back from FINISHED and queued it; another server ran it, inside a transaction of a session that was gone.

Now what the refusal says of the server and of the connection is recorded as before, and only then an operation that has not ended is retried, by a function of its own.

--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -43,7 +43,6 @@
         connections.close(state, connection, out)
         return
     if answer.failure is not None:
-        operation.connection = None
         _handle_not_run(state, connection, operation, answer.failure, out)
         return
     if operation.min_position is None:
@@ -87,7 +86,6 @@
         _handle_in_transaction(state, operation, connection, answer, out)
         return
     if failure is not None and failure.reason in NOT_RUN_REASONS:
-        operation.connection = None
         _handle_not_run(state, connection, operation, failure, out)
         return
     if failure is None and operation.writes:
@@ -259,10 +257,12 @@
     failure: Failure,
     out: list[Effect],
 ) -> None:
-    """Retries a statement elsewhere that a server has not run.
+    """Handles the refusal of a statement that a server has not run.
 
-    Any other failure of the opening of its transaction goes to the caller.
+    What it says of the server and of the connection holds even if the operation
+    has ended meanwhile, which nothing may start again.
     """
+    operation.connection = None
     server = connection.server
     _record_refusal(state, operation, connection, failure, out)
     if failure.reason is Reason.WRONG_SERVER or connection.pending_answers:
@@ -283,12 +283,23 @@
             },
         )
     )
+    if operation.stage is not Stage.FINISHED:
+        _retry_elsewhere(state, operation, failure, out)
+
+
+def _retry_elsewhere(
+    state: State, operation: Operation, failure: Failure, out: list[Effect]
+) -> None:
+    """Retries a statement elsewhere that its server has refused.
+
+    Any other failure of the opening of its transaction goes to the caller.
+    """
     if failure.reason not in NOT_RUN_REASONS:
         operations.finish_failed(
             state, operation, failure.reason, failure.detail, out
         )
         return
-    operation.tried.add(server.entry.server)
+    operation.tried.add(operation.server)
     operation.stage = Stage.WAITING_FOR_CONNECTION
     if operation.needs_primary and failure.reason is Reason.OVERLOADED:
         operation.retry_at = state.now + state.limits.overload_pause_s
--- a/tests/test_direct_abandoned.py
+++ b/tests/test_direct_abandoned.py
@@ -20,7 +20,7 @@
 
     Attributes:
       lost: The kinds of command whose answers are lost.
-      refused: The kinds of command that are refused.
+      refused: The kinds of command that are refused, the next time.
       reason: The reason of the refusals.
       silent: The connections on which an answer was lost.
     """
@@ -47,6 +47,7 @@
             self.silent.add(event.connection)
             return
         if kind in self.refused:
+            self.refused.discard(kind)
             self.instance.links[event.connection].phase = Phase.IDLE
             answer = event.answer._replace(
                 failure=Failure(self.reason, "test"), phase=Phase.IDLE
@@ -209,5 +210,62 @@
         self.assertEqual(self.busy(), [])
 
 
+class RefusedOpeningTest(AbandonedTestCase):
+    """The opening of a transaction is refused after its caller left."""
+
+    def open_and_leave(self, database: str, read_only: bool) -> None:
+        """Makes a caller leave before its transaction is open, or refused."""
+        self.links.refused.add(AnswerKind.BEGIN)
+        caller = self.instance.caller(database)
+        caller.send(statements.Begin("1", "BEGIN", read_only))
+        caller.send(statements.Read("2", "READ 1"))
+        caller.leave()
+        self.world.run(0.1)
+        self.assertFalse(self.links.refused)
+
+    def check(self) -> None:
+        """Fails if something runs for the caller."""
+        self.world.run(0.5)
+        self.assertEqual(self.runs("2"), 0)
+        self.assertEqual(self.busy(), [])
+        for fields in self.instance.log_fields("answered"):
+            self.assertNotEqual(fields["request"], "2")
+        for server in self.instance.state.servers.values():
+            self.assertEqual(len(server.waiting), 0)
+        for group in self.instance.state.groups.values():
+            self.assertEqual(len(group.waiting), 0)
+
+    def test_statement_runs_at_another_server(self) -> None:
+        self.links.reason = Reason.OVERLOADED
+        self.open_and_leave("aged", True)
+        self.check()
+
+    def test_statement_runs_at_the_next_primary(self) -> None:
+        config = direct_world.make_catalog(2)
+        routes = {"db": direct_world.route(timeout_s=3.0)}
+        self.world.configure(config._replace(routes=routes))
+        self.world.run(0.5)
+        self.links.reason = Reason.NOT_PRIMARY
+        self.open_and_leave("db", False)
+        self.primary.is_primary = False
+        self.replica.is_primary = True
+        self.world.write_entry(self.primary)
+        self.world.write_entry(self.replica)
+        self.check()
+
+    def test_statement_is_answered_again(self) -> None:
+        self.links.reason = Reason.FAILED
+        self.open_and_leave("db", False)
+        self.check()
+        self.assertEqual(len(self.instance.log_fields("abandoned")), 1)
+
+    def test_connection_is_not_used_again(self) -> None:
+        opened = self.instance.opened
+        self.links.reason = Reason.NOT_PRIMARY
+        self.open_and_leave("db", False)
+        self.assertEqual(self.busy(), [])
+        self.assertEqual(self.instance.opened, opened)
+
+
 if __name__ == "__main__":
     unittest.main()
