Soak: judge statements, not configurations alone

Callers draw all statements of the wire with bytes of any kind: values and prepared statements with names that collide, transactions that commit, roll back or are left, messages in pieces and several in one write, a few up to 1 MiB. The backend servers work in bytes, keep values and prepared statements for each connection, lose and cut a few answers, and note what ran and what was committed. Checks of UNASKED, MIXED, PINNED, TWICE, REFUSED and of the size of messages compare that with what callers sent and were told.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,13 +2,22 @@
 
 import asyncio
 import collections
+import functools
 import random
 import time
 from typing import Any, NamedTuple, TypedDict
 
-from soak import deployment, requests
+from soak import deployment, drawing, records, requests
+from soak.attempts import Attempt
+from soak.caller_sessions import (
+    HOST,
+    LIMIT_BYTES,
+    Caller,
+    Endpoint,
+    LostError,
+)
+from soak.statement_checks import PROMISES
 
-HOST = "127.0.0.1"
 ZONE_WEIGHTS = (366.0, 280.0, 266.0, 288.0)
 CONNECT_TIMEOUT_S = 2.0
 RAMP_S = 6.0  # Over which the sessions are opened.
@@ -17,10 +26,11 @@
 REOPEN_PAUSE_S = 0.3
 REFUSED_PAUSE_S = 3.0  # After a database or key was refused.
 PROBE_PAUSE_S = 0.3
-TRANSACTION_STATEMENTS = 3
-TRANSACTION_WRITE_PART = 0.5
+SHORT_SESSION_PART = 0.15  # Of the sessions; they serve one operation.
+LARGE_MESSAGES = 6  # Of each process of callers, at most.
+ATTEMPTS_A_PROCESS = 1_000_000
 LAG_CHECK_S = 0.02
-PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY")
+UNSURE = ("TIMEOUT", "INDOUBT", "FAILED")  # Promise nothing.
 REFUSALS = ("NODB", "UNAUTH")
 
 
@@ -66,69 +76,6 @@
     refused_at: float
 
 
-class Endpoint(NamedTuple):
-    """What a session connects to, and as whom."""
-
-    instance: str
-    port: int
-    database: str
-    key: str
-
-
-class LostError(Exception):
-    """The connection ended, or an answer didn't come in time."""
-
-
-class Caller:
-    """A session.
-
-    Attributes:
-      endpoint: What it is connected to.
-    """
-
-    def __init__(
-        self,
-        endpoint: Endpoint,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ):
-        self.endpoint = endpoint
-        self.reader = reader
-        self.writer = writer
-
-    async def read_line(self) -> str:
-        """Returns the next line.
-
-        Raises:
-          LostError: The connection ended.
-        """
-        try:
-            line = await self.reader.readuntil(b"\r\n")
-        except (asyncio.IncompleteReadError, ConnectionError) as error:
-            raise LostError(repr(error)) from error
-        return line[:-2].decode()
-
-    async def query(self, number: str, text: str) -> tuple[str, str]:
-        """Sends a statement; returns the code of its error and the state.
-
-        Raises:
-          LostError: The connection ended.
-        """
-        self.writer.write(f"QUERY {number} {text}\r\n".encode())
-        code = ""
-        while True:
-            word, _, rest = (await self.read_line()).partition(" ")
-            if word == "ERROR":
-                code = rest.split(" ")[0]
-            if word == "READY":
-                return code, rest.split(" ")[0]
-
-    def close(self) -> None:
-        """Ends the session."""
-        self.writer.write(b"TERMINATE\r\n")
-        self.writer.close()
-
-
 class Callers:
     """All callers of a process.
 
@@ -139,11 +86,16 @@
       refusals: The refusals of databases and keys.
       durations_ms: How long operations that succeeded took.
       max_lag_s: How late this process was at most.
+      asked: The statements that were sent, by request id.
     """
 
     def __init__(self, plan: Plan):
         self.plan = plan
         self.rng = random.Random(plan["seed"])
+        self.drawing = drawing.Drawing(self.rng, LARGE_MESSAGES)
+        self.asked: dict[str, records.Asked] = {}
+        self.last_session = 0
+        self.last_attempt = plan["seed"] * ATTEMPTS_A_PROCESS
         self.done_by_second: collections.Counter[int] = collections.Counter()
         self.sent_by_second: collections.Counter[int] = collections.Counter()
         self.codes: collections.Counter[str] = collections.Counter()
@@ -183,6 +135,7 @@
             "durations_ms": self.durations_ms,
             "max_lag_s": self.max_lag_s,
             "lags": dict(self.lags_by_second),
+            "asked": list(self.asked.values()),
         }
 
     async def _watch_lag(self) -> None:
@@ -216,9 +169,11 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
-                    HOST, endpoint.port
+                    HOST, endpoint.port, limit=LIMIT_BYTES
                 )
-                caller = Caller(endpoint, reader, writer)
+                self.last_session += 1
+                name = f"{self.plan['seed']}-{self.last_session}"
+                caller = Caller(endpoint, reader, writer, name, self.asked)
                 sent_at = time.monotonic()
                 writer.write(
                     f"STARTUP {endpoint.database} {endpoint.key}\r\n".encode()
@@ -227,9 +182,9 @@
         except (OSError, TimeoutError, LostError):
             self.codes["not opened"] += 1
             return "not opened"
-        if line.startswith("READY"):
+        if line.startswith(b"READY"):
             return caller
-        code = line.split(" ")[1]
+        code = line.split(b" ")[1].decode()
         self.codes[f"startup {code}"] += 1
         self._record_refusal(code, endpoint, sent_at)
         writer.close()
@@ -271,12 +226,13 @@
     async def _use(self, caller: Caller) -> None:
         """Sends operations until the session ends or is in a bad state."""
         mean_s = self.plan["sessions"] / self.plan["per_s"]
+        is_short = self.rng.random() < SHORT_SESSION_PART
         while True:
             await asyncio.sleep(self.rng.expovariate(1 / mean_s))
             if caller.reader.at_eof():
                 self.codes["closed while idle"] += 1
                 return
-            if not await self._run_once(caller):
+            if not await self._run_once(caller) or is_short:
                 return
 
     async def _run_once(self, caller: Caller) -> bool:
@@ -284,66 +240,50 @@
         kind = deployment.find_kind(caller.endpoint.database)
         self.sent_by_second[self._second()] += 1
         began_at = time.monotonic()
+        operation = self.drawing.draw_operation(
+            kind.transaction_part, kind.write_part
+        )
         try:
             async with asyncio.timeout(kind.limit_s):
-                code = await self._retry(caller, kind)
+                code, is_over = await self._retry(caller, operation)
         except (TimeoutError, LostError) as error:
             self.codes[f"session {type(error).__name__}"] += 1
             return False
         if code:
             self.codes[f"given up {code}"] += 1
-            return True
+            return not is_over
         self.done_by_second[self._second()] += 1
         self.durations_ms.append(round(1000 * (time.monotonic() - began_at), 1))
-        return True
+        return not is_over
+
+    async def _retry(
+        self, caller: Caller, operation: drawing.Operation
+    ) -> tuple[str, bool]:
+        """Runs an operation, again in full where that is allowed.
 
-    async def _retry(self, caller: Caller, kind: deployment.Kind) -> str:
-        """Runs an operation, again after a promise; returns an error code."""
-        is_transaction = self.rng.random() < kind.transaction_part
-        writes = self.rng.random() < kind.write_part
+        Returns:
+          The code of its error, and whether the session must be closed.
+        """
         code = ""
         for _ in range(1 + RETRIES):
-            if is_transaction:
-                code = await self._transact(caller, kind)
-            else:
-                code = await self._run_single(caller, writes)
+            origin = self._make_origin(caller)
+            self.last_attempt += 1
+            attempt = Attempt(
+                caller,
+                operation,
+                self.last_attempt,
+                self._make_number,
+                functools.partial(requests.encode, origin),
+            )
+            code = await attempt.run()
             if not code:
-                return ""
+                return "", attempt.is_over
             self.codes[code] += 1
-            if code not in PROMISES:
-                return code
+            self._record_refusal(code, caller.endpoint, origin.sent_at)
+            if attempt.is_over or not _may_retry(code, operation, attempt):
+                return code, attempt.is_over
             await asyncio.sleep(RETRY_PAUSE_S * self.rng.uniform(0.5, 1.5))
-        return code
-
-    async def _run_single(self, caller: Caller, writes: bool) -> str:
-        """Runs one statement; returns the code of its error."""
-        origin = self._make_origin(caller)
-        item = requests.encode(origin, 0)
-        text = f"WRITE {item} data" if writes else f"READ {item}"
-        code, _ = await caller.query(self._make_number(), text)
-        self._record_refusal(code, caller.endpoint, origin.sent_at)
-        return code
-
-    async def _transact(self, caller: Caller, kind: deployment.Kind) -> str:
-        """Runs a short transaction; returns the code of its error."""
-        origin = self._make_origin(caller)
-        may_write = kind.write_part > 0
-        begin = "BEGIN" if may_write else "BEGIN READ"
-        code, state = await caller.query(self._make_number(), begin)
-        for number in range(TRANSACTION_STATEMENTS):
-            if code:
-                break
-            item = requests.encode(origin, number)
-            text = f"READ {item}"
-            if may_write and self.rng.random() < TRANSACTION_WRITE_PART:
-                text = f"WRITE {item} data"
-            code, state = await caller.query(self._make_number(), text)
-        if not code:
-            code, state = await caller.query(self._make_number(), "COMMIT")
-        if state != "I":
-            await caller.query(self._make_number(), "ROLLBACK")
-        self._record_refusal(code, caller.endpoint, origin.sent_at)
-        return code
+        return code, False
 
     def _make_origin(self, caller: Caller) -> requests.Origin:
         endpoint = caller.endpoint
@@ -355,3 +295,14 @@
         """Returns a new id of a statement."""
         self.last_number += 1
         return f"{self.plan['seed']:08x}{self.last_number:08x}"
+
+
+def _may_retry(
+    code: str, operation: drawing.Operation, attempt: Attempt
+) -> bool:
+    """Returns whether an operation may be tried again after an error."""
+    if code in PROMISES:
+        return True
+    if code not in UNSURE:
+        return False
+    return not operation.writes or not attempt.is_decided
--- a/soak/report.py
+++ b/soak/report.py
@@ -3,7 +3,7 @@
 import collections
 import statistics
 
-from soak import measures
+from soak import measures, statement_checks
 from soak.site import Options, Result
 from soak.store import RANGE_PATH
 from soak.timeline import Version
@@ -18,6 +18,7 @@
         _describe_load,
         _describe_steps,
         _describe_cases,
+        _describe_statements,
         _describe_delays,
         _describe_calls,
         _describe_logs,
@@ -92,6 +93,25 @@
     return lines
 
 
+def _describe_statements(result: Result) -> list[str]:
+    """Describes the cases of the rules on statements."""
+    runs = result.records.runs
+    prepared = sum(bool(run.shape) for run in runs)
+    commits = result.records.commits
+    lines = [
+        f"statements that ran: {len(runs)}, {prepared} of them prepared;"
+        f" commits in the logs: {len(commits)}"
+    ]
+    for rule in statement_checks.RULES:
+        cases = [each for each in result.statement_cases if each.rule == rule]
+        lines.append(f"{rule} cases: {len(cases)}")
+        for case in cases[:SHOWN]:
+            lines.append(f"  {case.what}; id {case.number}")
+            lines.append(f"    sent {case.sent}")
+            lines.append(f"    ran {case.ran}")
+    return lines
+
+
 def _describe_delays(result: Result) -> list[str]:
     """Describes when versions came into force, and traces the latest."""
     delays = measures.find_delays(result.timeline, result.logs, result.ended_at)
--- a/soak/run.py
+++ b/soak/run.py
@@ -39,7 +39,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Runs the scenario; exits with 1 if there was a case in touch."""
+    """Runs the scenario; exits with 1 if a rule was broken."""
     del argv
     os.environ["UV_USE_IO_URING"] = "0"
     folder = pathlib.Path(OUT.value or tempfile.mkdtemp(prefix="soak-"))
@@ -70,6 +70,7 @@
     (folder / "report.txt").write_text(text, encoding="utf-8")
     print(text)
     is_broken = any(each.is_in_touch for each in result.checks.cases)
+    is_broken = is_broken or bool(result.statement_cases)
     sys.exit(1 if is_broken else 0)
 
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -5,12 +5,14 @@
 
 import asyncio
 import collections
+import enum
 import random
 import time
 from collections.abc import Callable
 from typing import NamedTuple, cast
 
-from soak import requests
+from soak import drawing, records, requests
+from soak.session_state import ConnectionState
 from soak.store import Store
 
 HOST = "127.0.0.1"
@@ -26,7 +28,35 @@
 # How long statements take, in seconds.
 WORK_S = {"p": 0.006, "b": 0.03, "o": 0.018}
 DEFAULT_WORK_S = 0.006
-OWN_ID = "-"
+
+MAX_ROWS = 2
+CONTROL_VERBS = (b"STATUS", b"STEPDOWN", b"PAUSE", b"RESUME")
+STATEMENT_VERBS = (b"READ", b"WRITE", b"EXECUTE", b"COMMIT")
+
+
+class Fault(enum.Enum):
+    """What goes wrong with a statement.
+
+    Attributes:
+      BEFORE: The connection ends before it runs.
+      AFTER: It ends after it ran, without an answer.
+      CUT: It ends in the middle of the answer.
+      SILENCE: It stays, without an answer.
+    """
+
+    BEFORE = "before"
+    AFTER = "after"
+    CUT = "cut"
+    SILENCE = "silence"
+
+
+# How likely each fault is.
+FAULT_PARTS = {
+    Fault.BEFORE: 0.004,
+    Fault.AFTER: 0.01,
+    Fault.CUT: 0.004,
+    Fault.SILENCE: 0.0005,
+}
 
 OnRun = Callable[[str, requests.Origin], None]
 
@@ -51,6 +81,8 @@
       refused: Connections refused as too many.
       ran: Reads and writes that ran.
       shed: Statements refused since too many wait.
+      records: What all servers ran and committed.
+      silent: The connections that never get an answer again.
     """
 
     def __init__(
@@ -63,6 +95,7 @@
         max_connections: int,
         on_run: OnRun,
         rng: random.Random,
+        server_records: records.ServerRecords,
     ):
         self.store = store
         self.service = service
@@ -72,6 +105,9 @@
         self.max_connections = max_connections
         self.on_run = on_run
         self.rng = rng
+        self.records = server_records
+        self.drawing = drawing.Drawing(rng, 0)
+        self.silent: list[asyncio.Transport | None] = []
         self.position = Position(1, 1000)
         self.peers: list[Server] = []
         self.sessions: set[Session] = set()
@@ -99,6 +135,9 @@
             self.listener.close()
         for session in list(self.sessions):
             session.close()
+        for transport in self.silent:
+            if transport is not None:
+                transport.close()
 
     def register(self) -> None:
         """Writes its entry."""
@@ -129,10 +168,27 @@
         loop.call_later(work_s, self._release, done)
         return True
 
-    def commit(self) -> None:
-        """Adds a commit, which the replicas apply later."""
-        term, number = self.position
-        self.position = Position(term, number + 1)
+    def choose_fault(self) -> Fault | None:
+        """Returns what goes wrong with a statement, mostly nothing."""
+        choice = self.rng.random()
+        for fault, part in FAULT_PARTS.items():
+            if choice < part:
+                return fault
+            choice -= part
+        return None
+
+    def commit(self, number: str, writes: tuple[records.Run, ...]) -> None:
+        """Adds a commit, which the replicas apply later.
+
+        Args:
+          number: The request id of the COMMIT, or of the single write.
+          writes: What takes effect.
+        """
+        position = self.position
+        self.position = Position(position.term, position.number + 1)
+        self.records.commits.append(
+            records.Commit(number, self.service, self.position, writes)
+        )
         loop = asyncio.get_running_loop()
         for peer in self.peers:
             if peer is not self:
@@ -152,16 +208,18 @@
 
 
 class Session(asyncio.Protocol):
-    """A connection to a backend server."""
+    """A connection to a backend server.
+
+    Attributes:
+      state: Its values, prepared statements and transaction.
+    """
 
     def __init__(self, server: Server):
         self.server = server
+        self.state = ConnectionState(server.records)
         self.received = bytearray()
         self.transport: asyncio.Transport | None = None
-        self.is_open = False
-        self.phase = "I"
-        self.has_written = False
-        self.inbox: collections.deque[str] = collections.deque()
+        self.inbox: collections.deque[bytes] = collections.deque()
         self.is_at_work = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -169,17 +227,24 @@
         self.transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Rolls back."""
+        """Rolls back, unless a commit is at work."""
         self.transport = None
         self.server.sessions.discard(self)
+        if not self.is_at_work:
+            self.state.end()
 
     def data_received(self, data: bytes) -> None:
         """Handles the lines that have arrived."""
         self.received += data
+        if LINE_END not in data and self.received[-2:] != LINE_END:
+            return
         *lines, rest = bytes(self.received).split(LINE_END)
         self.received = bytearray(rest)
         for line in lines:
-            self.inbox.append(line.decode())
+            size = len(line) + len(LINE_END)
+            if size > drawing.MAX_MESSAGE_BYTES:
+                self.server.records.oversized.append(size)
+            self.inbox.append(line)
         self._continue()
 
     def _continue(self) -> None:
@@ -187,15 +252,15 @@
         while self.inbox and not self.is_at_work and self.transport:
             self._handle(self.inbox.popleft())
 
-    def _handle(self, line: str) -> None:
-        word, _, rest = line.partition(" ")
-        if word == "STARTUP":
-            self._open(rest.split(" "))
-        elif word == "TERMINATE":
+    def _handle(self, line: bytes) -> None:
+        word, _, rest = line.partition(b" ")
+        if word == b"STARTUP":
+            self._open(rest.decode().split(" "))
+        elif word == b"TERMINATE":
             self.close()
         else:
-            number, _, text = rest.partition(" ")
-            self._run(number, text)
+            number, _, text = rest.partition(b" ")
+            self._run(number.decode(errors="replace"), text)
 
     def _open(self, fields: list[str]) -> None:
         server = self.server
@@ -211,7 +276,7 @@
         self._work(HANDSHAKE_S, self._send_ready)
 
     def _refuse(self, code: str) -> None:
-        self._send(f"ERROR {code} {self.server.name}")
+        self._send(f"ERROR {code} {self.server.name}".encode())
         self.close()
 
     def close(self) -> None:
@@ -219,58 +284,129 @@
         if self.transport is not None:
             self.transport.close()
 
-    def _run(self, number: str, text: str) -> None:
+    def _run(self, number: str, text: bytes) -> None:
         """Runs a statement."""
-        verb, _, tail = text.partition(" ")
-        server = self.server
-        if verb == "AFTER":
-            least, _, text = tail.partition(" ")
-            verb, _, tail = text.partition(" ")
-            term, _, count = least.partition(".")
-            if server.position < Position(int(term), int(count)):
+        verb, _, tail = text.partition(b" ")
+        if verb == b"AFTER":
+            least, _, text = tail.partition(b" ")
+            verb, _, tail = text.partition(b" ")
+            term, _, count = least.partition(b".")
+            if self.server.position < Position(int(term), int(count)):
                 self._fail("LAGGING")
                 return
-        is_primary = server.role == PRIMARY
-        if verb == "BEGIN":
-            self._begin(tail != "READ")
-        elif verb == "ROLLBACK":
-            self.phase = "I"
-            self.has_written = False
+        if verb in CONTROL_VERBS:
+            self._control(verb, tail)
+        elif verb == b"ROLLBACK":
+            self.state.end()
             self._complete([])
-        elif verb in ("READ", "WRITE", "COMMIT"):
-            if self.phase == "E" and verb != "COMMIT":
-                self._fail("MALFORMED")
-                return
-            if verb == "WRITE" and not is_primary:
-                self._fail("READONLY")
-                return
-            self._work(
-                self._choose_work_s(tail), lambda: self._finish(verb, tail)
-            )
-        elif verb == "STATUS":
+        elif self.state.phase == "E":
+            self._refuse_failed(verb)
+        elif verb in STATEMENT_VERBS:
+            self._start(number, verb, text, tail)
+        elif verb == b"BEGIN":
+            self._begin(tail != b"READ")
+        else:
+            self._change_state(verb, tail)
+
+    def _control(self, verb: bytes, tail: bytes) -> None:
+        """Runs a statement that concerns the server."""
+        server = self.server
+        if verb == b"STATUS":
             self._work(0.0005, self._tell_status)
-        elif verb == "STEPDOWN":
-            if is_primary and int(tail) > server.position.term:
+            return
+        if verb == b"STEPDOWN" and server.role == PRIMARY:
+            if int(tail) > server.position.term:
                 server.role = REPLICA
                 server.register()
-            self._tell_status()
-        elif verb in ("PAUSE", "RESUME"):
-            self._tell_status()
-        else:  # Values and prepared names, which the callers don't use.
-            self._complete([])
+        self._tell_status()
+
+    def _refuse_failed(self, verb: bytes) -> None:
+        """Refuses a statement in a failed transaction, which COMMIT ends."""
+        if verb == b"COMMIT":
+            self.state.end()
+            self._fail("ABORTED")
+            return
+        self._fail("MALFORMED")
+
+    def _change_state(self, verb: bytes, tail: bytes) -> None:
+        """Runs a statement that changes what the connection keeps."""
+        if verb == b"RESET":
+            self.state.reset()
+        elif verb == b"SET":
+            self.state.assign(tail)
+        elif verb == b"PREPARE":
+            self.state.prepare(tail)
+        elif verb == b"DEALLOCATE" and tail in self.state.prepared:
+            del self.state.prepared[tail]
+        else:
+            self._fail("MALFORMED")
+            return
+        self._complete([])
 
     def _begin(self, may_write: bool) -> None:
         """Begins a transaction."""
+        if self.state.phase != "I":
+            self._fail("MALFORMED")
+            return
         if may_write and self.server.role != PRIMARY:
             self._fail("READONLY")
             return
-        self.phase = "T"
+        self.state.begin(may_write)
         self._complete([])
 
+    def _start(
+        self, number: str, verb: bytes, text: bytes, tail: bytes
+    ) -> None:
+        """Starts a read, write or commit."""
+        writes = verb == b"WRITE"
+        shape = ""
+        item = tail
+        if verb == b"EXECUTE":
+            name, _, item = tail.partition(b" ")
+            prepared = self.state.prepared.get(name)
+            if prepared is None:
+                self._fail("NOSTMT")
+                return
+            writes = prepared.writes
+            shape = records.digest_shape(writes, prepared.shape)
+        if self._is_read_only(verb, writes):
+            self._fail("READONLY")
+            return
+        run = records.Run(
+            number,
+            self.server.name,
+            self.state.number,
+            self.state.transaction,
+            records.make_digest(records.remove_name(text)),
+            records.shorten(text),
+            writes,
+            records.digest_values(self.state.values),
+            shape,
+            "",
+            "",
+        )
+        item_text = item.split(b" ")[0].decode(errors="replace")
+        self._work(
+            self._choose_work_s(item_text),
+            lambda: self._finish(run, verb, item_text),
+        )
+
+    def _is_read_only(self, verb: bytes, writes: bool) -> bool:
+        """Returns whether a statement may not run here."""
+        state = self.state
+        is_primary = self.server.role == PRIMARY
+        if state.phase == "I":
+            return writes and not is_primary
+        if not state.may_write:
+            return writes
+        if verb == b"COMMIT" and not state.writes:
+            return False
+        return not is_primary
+
     def _choose_work_s(self, item: str) -> float:
         """Returns how long a read, write or commit takes."""
         mean_s = DEFAULT_WORK_S
-        fields = item.split(" ")[0].split("/")
+        fields = item.split("/")
         if len(fields) > 1:
             mean_s = WORK_S.get(fields[1][:1], DEFAULT_WORK_S)
         return mean_s * self.server.rng.uniform(0.5, 1.5)
@@ -281,6 +417,8 @@
         def finish() -> None:
             self.is_at_work = False
             done()
+            if self.transport is None:
+                self.state.end()
             self._continue()
 
         self.is_at_work = True
@@ -288,32 +426,70 @@
             self.is_at_work = False
             self._fail("BUSY")
 
-    def _finish(self, verb: str, tail: str) -> None:
-        """Ends a read, write or commit after its work."""
-        if self.transport is None:
-            return
+    def _finish(self, run: records.Run, verb: bytes, item: str) -> None:
+        """Ends a read, write or commit after its work.
+
+        It runs even if the connection has ended meanwhile.
+        """
         server = self.server
-        if verb == "WRITE" and server.role != PRIMARY:
+        if self._is_read_only(verb, run.writes):
             self._fail("READONLY")
             return
-        if verb == "COMMIT":
-            if self.has_written:
-                server.commit()
-            self.phase = "I"
-            self.has_written = False
-            self._complete([], self._make_proof())
+        fault = server.choose_fault()
+        if fault is Fault.BEFORE:
+            self._break_off()
             return
-        server.ran += 1
-        item = tail.split(" ")[0]
-        server.on_run(server.service, requests.decode(item))
-        if verb == "READ":
-            self._complete(["none"], self._make_proof())
+        rows = self._make_rows() if self._gives_rows(verb, run) else []
+        run = run._replace(
+            proof=self._make_proof(), rows=records.digest_all(rows)
+        )
+        server.records.runs.append(run)
+        self._take_effect(run, verb)
+        if verb != b"COMMIT":
+            server.ran += 1
+            server.on_run(server.service, requests.decode(item))
+        if fault is Fault.AFTER:
+            self._break_off()
+        elif fault is Fault.SILENCE:
+            self.transport, silent = None, self.transport
+            server.silent.append(silent)
+        elif fault is Fault.CUT:
+            self._send(b"COMPLETE " + run.proof.encode())
+            self._break_off()
+        else:
+            self._complete(rows, run.proof)
+
+    def _gives_rows(self, verb: bytes, run: records.Run) -> bool:
+        return verb != b"COMMIT" and not run.writes
+
+    def _take_effect(self, run: records.Run, verb: bytes) -> None:
+        """Commits a statement, or keeps it for the COMMIT."""
+        state = self.state
+        if verb == b"COMMIT":
+            if state.writes:
+                self.server.commit(run.number, tuple(state.writes))
+            state.end()
+        elif not run.writes:
             return
-        if self.phase == "T":
-            self.has_written = True
+        elif state.phase == "T":
+            state.writes.append(run)
         else:
-            server.commit()
-        self._complete([], self._make_proof())
+            self.server.commit(run.number, (run,))
+
+    def _make_rows(self) -> list[bytes]:
+        """Returns rows with bytes of any kind."""
+        rows = []
+        for _ in range(self.server.rng.randint(0, MAX_ROWS)):
+            rows.append(self.server.drawing.draw_text())
+        return rows
+
+    def _break_off(self) -> None:
+        """Ends the connection without an answer; rolls back."""
+        if self.transport is not None:
+            self.transport.close()
+        self.transport = None
+        self.server.sessions.discard(self)
+        self.state.end()
 
     def _make_proof(self) -> str:
         return f"{self.server.name}.{time.monotonic_ns():x}"
@@ -325,27 +501,27 @@
             f"{server.role} {term} {term}.{number} 0 0"
             f" {SLOTS - server.free_slots} {len(server.sessions)}"
         )
-        self._complete([row])
+        self._complete([row.encode()])
 
-    def _complete(self, rows: list[str], proof: str = "-") -> None:
+    def _complete(self, rows: list[bytes], proof: str = "-") -> None:
         for row in rows:
-            self._send(f"ROW {row}")
-        self._send(f"COMPLETE {proof}")
+            self._send(b"ROW " + row)
+        self._send(f"COMPLETE {proof}".encode())
         self._send_ready()
 
     def _fail(self, code: str) -> None:
-        if self.phase == "T":
-            self.phase = "E"
-        self._send(f"ERROR {code} {self.server.name}")
+        if self.state.phase == "T":
+            self.state.phase = "E"
+        self._send(f"ERROR {code} {self.server.name}".encode())
         self._send_ready()
 
     def _send_ready(self) -> None:
         term, number = self.server.position
-        self._send(f"READY {self.phase} {term}.{number}")
+        self._send(f"READY {self.state.phase} {term}.{number}".encode())
 
-    def _send(self, line: str) -> None:
+    def _send(self, line: bytes) -> None:
         if self.transport is not None:
-            self.transport.write(line.encode() + LINE_END)
+            self.transport.write(line + LINE_END)
 
 
 class Fleet:
@@ -394,5 +570,6 @@
                 each.role = REPLICA
                 each.register()
         chosen.role = PRIMARY
+        chosen.records.drop_after(chosen.service, chosen.position)
         chosen.position = Position(term, chosen.position.number)
         chosen.register()
--- a/soak/site.py
+++ b/soak/site.py
@@ -19,8 +19,10 @@
     faults,
     logs,
     plans,
+    records,
     requests,
     servers,
+    statement_checks,
     timeline,
 )
 from soak.store import Store
@@ -85,6 +87,8 @@
       instance_cpu_s: Processor time of all child processes.
       scheduling: How each instance was scheduled.
       ends: Instances that ended by themselves, with their exit codes.
+      records: What the backend servers ran and committed.
+      statement_cases: The rules on statements that were broken.
     """
 
     timeline: timeline.Timeline
@@ -100,6 +104,8 @@
     instance_cpu_s: float
     scheduling: dict[str, daemons.Scheduling]
     ends: list[tuple[str, int]]
+    records: records.ServerRecords
+    statement_cases: list[statement_checks.StatementCase]
 
 
 class Site:
@@ -123,6 +129,7 @@
         self.store = Store()
         self.store.link_bytes_per_s = options.link_mbps * 1e6 / 8
         self.checks = checks.Checks(self.timeline)
+        self.records = records.ServerRecords()
         self.fleet = servers.Fleet()
         self.operator = changes.Operator(
             self.store,
@@ -184,6 +191,7 @@
         for path in outputs:
             reports.append(json.loads(path.read_text(encoding="utf-8")))
         self._check_refusals(reports)
+        statement_cases = self._check_statements(reports)
         by_instance = {}
         for instance in self.instances:
             by_instance[instance.name] = logs.read(
@@ -203,6 +211,8 @@
             usage.ru_utime + usage.ru_stime,
             scheduling,
             ends,
+            self.records,
+            statement_cases,
         )
 
     async def _start_stand_ins(self) -> None:
@@ -220,6 +230,7 @@
                     deployment.MAX_CONNECTIONS,
                     self.checks.check_run,
                     random.Random(self.rng.random()),
+                    self.records,
                 )
                 self.fleet.add(server)
                 await server.start()
@@ -314,6 +325,19 @@
                     code, requests.Origin(*origin), refused_at
                 )
 
+    def _check_statements(
+        self, reports: list[dict[str, Any]]
+    ) -> list[statement_checks.StatementCase]:
+        """Checks what ran against what the callers sent and were told."""
+        asked = []
+        for report in reports:
+            for fields in report.pop("asked"):
+                asked.append(records.Asked(*fields))
+        path = self.options.folder / "runs.json"
+        path.write_text(json.dumps(self.records.runs), encoding="utf-8")
+        evidence = statement_checks.Evidence(asked, self.records)
+        return statement_checks.check(evidence)
+
     def _find_ends(self) -> list[tuple[str, int]]:
         """Returns the instances that ended by themselves."""
         ends = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,8 @@
 
 GUARD_S = 120.0
 MIN_STATEMENTS = 200
+MIN_PREPARED = 100
+MIN_COMMITS = 20
 MIN_MOVES = 3
 FIRST_PORT = 24_000
 PORT_RANGE = 4_000
@@ -120,7 +122,7 @@
     """Runs a few instances for a short time."""
 
     def run_soak(self, scenario, seconds, link_mbps=0.0):
-        """Fails if an instance in touch used an older configuration."""
+        """Fails if an instance broke a rule that the soak judges."""
         with tempfile.TemporaryDirectory() as folder:
             options = site.Options(
                 seed=1,
@@ -142,8 +144,12 @@
         self.assertLess(time.monotonic() - began_at, GUARD_S)
         cases = [each for each in result.checks.cases if each.is_in_touch]
         self.assertEqual(cases, [])
+        self.assertEqual(result.statement_cases, [])
         self.assertEqual(result.ends, [])
         self.assertGreater(result.checks.statements, MIN_STATEMENTS)
+        prepared = [run for run in result.records.runs if run.shape]
+        self.assertGreater(len(prepared), MIN_PREPARED)
+        self.assertGreater(len(result.records.commits), MIN_COMMITS)
         moves = [
             each for each in result.timeline.versions if "from" in each.change
         ]
