Soak: lost primaries, failed statements, and operations tried again elsewhere

A scenario in which the primary of a service crashes and is back after 4 s. Servers also fail statements that ran, and callers try an operation again on another session after theirs was lost.

--- a/soak/caller_sessions.py
+++ b/soak/caller_sessions.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from soak import records
-from soak.drawing import LINE_END, Prepared
+from soak.drawing import LINE_END, Operation, Prepared
 
 HOST = "127.0.0.1"
 LIMIT_BYTES = 1024 * 1024 + 2
@@ -67,6 +67,8 @@
       prepared: The prepared statements that were acknowledged, by name.
       outstanding: The statements that are not answered yet.
       state: The state that the last READY told.
+      unfinished: An operation to try again on another session, after this one
+        was lost; None if there is none.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.prepared: dict[bytes, Prepared] = {}
         self.outstanding: collections.deque[Statement] = collections.deque()
         self.state = "I"
+        self.unfinished: Operation | None = None
 
     async def read_line(self) -> bytes:
         """Returns the next line.
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,7 +30,8 @@
 LARGE_MESSAGES = 6  # Of each process of callers, at most.
 ATTEMPTS_A_PROCESS = 1_000_000
 LAG_CHECK_S = 0.02
-UNSURE = ("TIMEOUT", "INDOUBT", "FAILED")  # Promise nothing.
+FAILED = "FAILED"
+UNSURE = ("TIMEOUT", "INDOUBT", FAILED)  # Promise nothing.
 REFUSALS = ("NODB", "UNAUTH")
 
 
@@ -213,18 +214,38 @@
     async def _keep_session(self) -> None:
         """Keeps a session open and sends operations on it."""
         await asyncio.sleep(RAMP_S * self.rng.random())
+        unfinished = None
+        lost: Endpoint | None = None
         while True:
-            caller = await self._open(self._choose_endpoint())
+            endpoint = self._choose_endpoint()
+            if unfinished is not None and lost is not None:
+                endpoint = endpoint._replace(
+                    database=lost.database, key=lost.key
+                )
+            caller = await self._open(endpoint)
             if isinstance(caller, str):
                 is_refused = caller in REFUSALS
                 pause_s = REFUSED_PAUSE_S if is_refused else REOPEN_PAUSE_S
                 await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
                 continue
-            await self._use(caller)
+            await self._use(caller, unfinished)
+            lost = caller.endpoint
+            unfinished = caller.unfinished
             caller.close()
 
-    async def _use(self, caller: Caller) -> None:
-        """Sends operations until the session ends or is in a bad state."""
+    async def _use(
+        self, caller: Caller, unfinished: drawing.Operation | None
+    ) -> None:
+        """Sends operations until the session ends or is in a bad state.
+
+        Args:
+          caller: The session.
+          unfinished: What another session was lost with, if anything.
+        """
+        if unfinished is not None:
+            self.codes["tried again on another session"] += 1
+            if not await self._run_once(caller, unfinished):
+                return
         mean_s = self.plan["sessions"] / self.plan["per_s"]
         is_short = self.rng.random() < SHORT_SESSION_PART
         while True:
@@ -235,14 +256,22 @@
             if not await self._run_once(caller) or is_short:
                 return
 
-    async def _run_once(self, caller: Caller) -> bool:
-        """Runs an operation; returns whether the session goes on."""
+    async def _run_once(
+        self, caller: Caller, operation: drawing.Operation | None = None
+    ) -> bool:
+        """Runs an operation; returns whether the session goes on.
+
+        Args:
+          caller: The session.
+          operation: What to run; None to draw one.
+        """
         kind = deployment.find_kind(caller.endpoint.database)
         self.sent_by_second[self._second()] += 1
         began_at = time.monotonic()
-        operation = self.drawing.draw_operation(
-            kind.transaction_part, kind.write_part
-        )
+        if operation is None:
+            operation = self.drawing.draw_operation(
+                kind.transaction_part, kind.write_part
+            )
         try:
             async with asyncio.timeout(kind.limit_s):
                 code, is_over = await self._retry(caller, operation)
@@ -275,7 +304,12 @@
                 self._make_number,
                 functools.partial(requests.encode, origin),
             )
-            code = await attempt.run()
+            try:
+                code = await attempt.run()
+            except LostError:
+                if not operation.writes or not attempt.is_decided:
+                    caller.unfinished = operation
+                raise
             if not code:
                 return "", attempt.is_over
             self.codes[code] += 1
@@ -305,4 +339,6 @@
         return True
     if code not in UNSURE:
         return False
+    if code == FAILED:
+        return not operation.writes
     return not operation.writes or not attempt.is_decided
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
-from soak import changes, daemons, plans, timeline
+from soak import changes, daemons, plans, servers, timeline
 from soak.store import Store
 
 POLL_S = 0.005
@@ -27,8 +27,12 @@
         instances: list[daemons.Daemon],
         timeline_: timeline.Timeline,
         rng: random.Random,
+        fleet: servers.Fleet,
+        services: list[str],
     ):
         self.store = store
+        self.fleet = fleet
+        self.services = services
         self.operator = operator
         self.instances = instances
         self.timeline = timeline_
@@ -52,6 +56,7 @@
             "kill_coordinator": self._kill_coordinator,
             "kill": self._kill,
             "pause": self._pause,
+            "lose_primary": self._lose_primary,
         }
 
     async def run(self, steps: list[plans.Step]) -> None:
@@ -197,3 +202,14 @@
         instance = self.rng.choice(self.instances)
         self._record("pause", instance.name)
         await instance.pause(for_s)
+
+    async def _lose_primary(self, for_s: float) -> None:
+        """Crashes the primary of a service; it comes back later."""
+        primary = self.fleet.find_primary(self.rng.choice(self.services))
+        if primary is None:
+            return
+        self._record("lose_primary", primary.name)
+        primary.crash()
+        await asyncio.sleep(for_s)
+        await primary.restart()
+        self._record("lose_primary ended", primary.name)
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -43,6 +43,7 @@
     "cut_coordinator": 10.0,
     "kill": 0.0,
     "pause": 2.0,
+    "lose_primary": 4.0,
 }
 # Scenarios of several faults, each with the time since the first one.
 COMPOUNDS = {
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -42,12 +42,14 @@
       AFTER: It ends after it ran, without an answer.
       CUT: It ends in the middle of the answer.
       SILENCE: It stays, without an answer.
+      FAILURE: It runs without effect and is answered with an error.
     """
 
     BEFORE = "before"
     AFTER = "after"
     CUT = "cut"
     SILENCE = "silence"
+    FAILURE = "failure"
 
 
 # How likely each fault is.
@@ -56,6 +58,7 @@
     Fault.AFTER: 0.01,
     Fault.CUT: 0.004,
     Fault.SILENCE: 0.0005,
+    Fault.FAILURE: 0.004,
 }
 
 OnRun = Callable[[str, requests.Origin], None]
@@ -83,6 +86,7 @@
       shed: Statements refused since too many wait.
       records: What all servers ran and committed.
       silent: The connections that never get an answer again.
+      is_down: Whether it has crashed.
     """
 
     def __init__(
@@ -115,6 +119,7 @@
         self.ran = 0
         self.shed = 0
         self.port = 0
+        self.is_down = False
         self.listener: asyncio.Server | None = None
         self.free_slots = SLOTS
         self.queue: collections.deque[tuple[float, Callable[[], None]]] = (
@@ -123,10 +128,33 @@
 
     async def start(self) -> None:
         """Listens, and registers in the store."""
+        await self._listen()
+        self.register()
+
+    async def _listen(self) -> None:
+        """Listens on its port, or on a new one."""
         loop = asyncio.get_running_loop()
-        listener = await loop.create_server(lambda: Session(self), HOST, 0)
+        listener = await loop.create_server(
+            lambda: Session(self), HOST, self.port
+        )
         self.listener = listener
         self.port = listener.sockets[0].getsockname()[1]
+
+    def crash(self) -> None:
+        """Ends all connections; statements at work don't run."""
+        self.is_down = True
+        if self.listener is not None:
+            self.listener.close()
+        for session in list(self.sessions):
+            session.break_off()
+
+    async def restart(self) -> None:
+        """Comes back with its log, as a replica if another one leads."""
+        self.is_down = False
+        for peer in self.peers:
+            if peer.role == PRIMARY and peer is not self:
+                self.position = peer.position
+        await self._listen()
         self.register()
 
     def stop(self) -> None:
@@ -140,7 +168,9 @@
                 transport.close()
 
     def register(self) -> None:
-        """Writes its entry."""
+        """Writes its entry, unless it is down."""
+        if self.is_down:
+            return
         entry = {
             "Service": self.service,
             "Address": f"{HOST}:{self.port}",
@@ -196,6 +226,8 @@
 
     def apply(self, position: Position) -> None:
         """Applies a commit of the primary."""
+        if self.is_down:
+            return
         self.position = max(self.position, position)
 
     def _release(self, done: Callable[[], None]) -> None:
@@ -432,33 +464,44 @@
         It runs even if the connection has ended meanwhile.
         """
         server = self.server
+        if server.is_down:
+            return
         if self._is_read_only(verb, run.writes):
             self._fail("READONLY")
             return
         fault = server.choose_fault()
         if fault is Fault.BEFORE:
-            self._break_off()
+            self.break_off()
             return
         rows = self._make_rows() if self._gives_rows(verb, run) else []
         run = run._replace(
             proof=self._make_proof(), rows=records.digest_all(rows)
         )
         server.records.runs.append(run)
-        self._take_effect(run, verb)
         if verb != b"COMMIT":
             server.ran += 1
             server.on_run(server.service, requests.decode(item))
+        if fault is Fault.FAILURE:
+            self._end_failed(verb)
+            return
+        self._take_effect(run, verb)
         if fault is Fault.AFTER:
-            self._break_off()
+            self.break_off()
         elif fault is Fault.SILENCE:
             self.transport, silent = None, self.transport
             server.silent.append(silent)
         elif fault is Fault.CUT:
             self._send(b"COMPLETE " + run.proof.encode())
-            self._break_off()
+            self.break_off()
         else:
             self._complete(rows, run.proof)
 
+    def _end_failed(self, verb: bytes) -> None:
+        """Ends a statement that ran without effect."""
+        if verb == b"COMMIT":
+            self.state.end()
+        self._fail("FAILED")
+
     def _gives_rows(self, verb: bytes, run: records.Run) -> bool:
         return verb != b"COMMIT" and not run.writes
 
@@ -483,7 +526,7 @@
             rows.append(self.server.drawing.draw_text())
         return rows
 
-    def _break_off(self) -> None:
+    def break_off(self) -> None:
         """Ends the connection without an answer; rolls back."""
         if self.transport is not None:
             self.transport.close()
@@ -550,10 +593,17 @@
                 group.append(each)
         return group
 
+    def find_primary(self, service: str) -> Server | None:
+        """Returns the running primary of a service, or None."""
+        for each in self.find_group(service):
+            if each.role == PRIMARY and not each.is_down:
+                return each
+        return None
+
     def promote(self, service: str, name: str) -> bool:
         """Promotes a server after a while; returns whether it runs."""
         chosen = self.by_name.get(name)
-        if chosen is None or chosen.service != service:
+        if chosen is None or chosen.service != service or chosen.is_down:
             return False
         if chosen.role == PRIMARY:
             return True
@@ -563,7 +613,9 @@
         return True
 
     def _lead(self, chosen: Server) -> None:
-        """Makes a server the primary of the next term."""
+        """Makes a server the primary of the next term, unless it is down."""
+        if chosen.is_down:
+            return
         term = 1 + max(each.position.term for each in chosen.peers)
         for each in chosen.peers:
             if each.role == PRIMARY:
--- a/soak/site.py
+++ b/soak/site.py
@@ -171,6 +171,8 @@
             self.instances,
             self.timeline,
             random.Random(options.seed + 2),
+            self.fleet,
+            self.services,
         )
         steps = plans.make_plan(options.scenario, options.seed, options.seconds)
         await faults_.run(steps)
