Soak: tests of the backend servers and of a caller's session

A server that was back before a statement at work was due would still have run it: the connection now remembers the crash.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -146,6 +146,7 @@
         if self.listener is not None:
             self.listener.close()
         for session in list(self.sessions):
+            session.has_crashed = True
             session.break_off()
 
     async def restart(self) -> None:
@@ -244,6 +245,8 @@
 
     Attributes:
       state: Its values, prepared statements and transaction.
+      inbox: The lines that wait for the one at work.
+      has_crashed: Whether its server crashed, so that nothing runs any more.
     """
 
     def __init__(self, server: Server):
@@ -253,6 +256,7 @@
         self.transport: asyncio.Transport | None = None
         self.inbox: collections.deque[bytes] = collections.deque()
         self.is_at_work = False
+        self.has_crashed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
@@ -464,7 +468,7 @@
         It runs even if the connection has ended meanwhile.
         """
         server = self.server
-        if server.is_down:
+        if server.is_down or self.has_crashed:
             return
         if self._is_read_only(verb, run.writes):
             self._fail("READONLY")
