--- a/soak/servers.py
+++ b/soak/servers.py
@@ -30,6 +30,7 @@
 DEFAULT_WORK_S = 0.006
 
 MAX_ROWS = 2
+MAX_LINE_BYTES = 1024 * 1024  # Without the line end.
 CONTROL_VERBS = (b"STATUS", b"STEPDOWN", b"PAUSE", b"RESUME")
 STATEMENT_VERBS = (b"READ", b"WRITE", b"EXECUTE", b"COMMIT")
 
@@ -277,9 +278,8 @@
         *lines, rest = bytes(self.received).split(LINE_END)
         self.received = bytearray(rest)
         for line in lines:
-            size = len(line) + len(LINE_END)
-            if size > drawing.MAX_MESSAGE_BYTES:
-                self.server.records.oversized.append(size)
+            if len(line) > MAX_LINE_BYTES:
+                self.server.records.oversized.append(len(line))
             self.inbox.append(line)
         self._continue()
 
