Soak: split the backend servers by job

Servers, their connections, what goes wrong with statements, and the groups that promote are modules of their own. The test of a crash waited a millisecond for a statement to be at work, and failed once on a busy machine: it now waits until the statement is queued. It fails without the mark that it guards (tried).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
-from soak import changes, daemons, plans, servers, timeline
+from soak import changes, daemons, plans, server_groups, timeline
 from soak.store import Store
 
 POLL_S = 0.005
@@ -27,7 +27,7 @@
         instances: list[daemons.Daemon],
         timeline_: timeline.Timeline,
         rng: random.Random,
-        fleet: servers.Fleet,
+        fleet: server_groups.Fleet,
         services: list[str],
     ):
         self.store = store
--- a/soak/records.py
+++ b/soak/records.py
@@ -10,6 +10,8 @@
 DIGEST_BYTES = 8
 SHOWN_BYTES = 24  # Of each end of a text, in reports.
 NO_TRANSACTION = 0
+PRIMARY = "primary"
+REPLICA = "replica"
 
 
 class Asked(NamedTuple):
@@ -78,19 +80,26 @@
     rows: str
 
 
+class Position(NamedTuple):
+    """A position in the log of a service."""
+
+    term: int
+    number: int
+
+
 class Commit(NamedTuple):
     """A commit that writes, in the log of a service.
 
     Attributes:
       number: The request id of the COMMIT, or of the single write.
       service: The service.
-      position: Its term and number.
+      position: Its position in the log.
       writes: The writes that took effect with it.
     """
 
     number: str
     service: str
-    position: tuple[int, int]
+    position: Position
     writes: tuple[Run, ...]
 
 
@@ -120,7 +129,7 @@
         self.last_transaction += 1
         return self.last_transaction
 
-    def drop_after(self, service: str, position: tuple[int, int]) -> None:
+    def drop_after(self, service: str, position: Position) -> None:
         """Drops the commits that a promoted server had not received."""
         kept = []
         for commit in self.commits:
--- a/soak/site.py
+++ b/soak/site.py
@@ -21,6 +21,7 @@
     plans,
     records,
     requests,
+    server_groups,
     servers,
     statement_checks,
     timeline,
@@ -95,7 +96,7 @@
     ended_at: float
     checks: checks.Checks
     store: Store
-    fleet: servers.Fleet
+    fleet: server_groups.Fleet
     logs: dict[str, logs.Log]
     callers: list[dict[str, Any]]
     steps: list[tuple[float, str, str]]
@@ -130,7 +131,7 @@
         self.store.link_bytes_per_s = options.link_mbps * 1e6 / 8
         self.checks = checks.Checks(self.timeline)
         self.records = records.ServerRecords()
-        self.fleet = servers.Fleet()
+        self.fleet = server_groups.Fleet()
         self.operator = changes.Operator(
             self.store,
             self.timeline,
@@ -228,7 +229,7 @@
                     service,
                     f"i-{service}-{number}",
                     zone,
-                    servers.PRIMARY if number == 0 else servers.REPLICA,
+                    records.PRIMARY if number == 0 else records.REPLICA,
                     deployment.MAX_CONNECTIONS,
                     self.checks.check_run,
                     random.Random(self.rng.random()),
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -19,7 +19,7 @@
 ITEM = requests.encode(requests.Origin("edge-a-1", "p1", "k1", 1.0), 0)
 
 
-def make_server(role=servers.PRIMARY):
+def make_server(role=records.PRIMARY):
     """Returns a server without faults, and what it records."""
     seen = records.ServerRecords()
     server = servers.Server(
@@ -40,7 +40,7 @@
 class ServerTestCase(unittest.IsolatedAsyncioTestCase):
     """A server that is spoken to as an instance does."""
 
-    role = servers.PRIMARY
+    role = records.PRIMARY
 
     async def asyncSetUp(self):
         self.server, self.seen = make_server(self.role)
@@ -123,19 +123,25 @@
         self.assertEqual(self.seen.commits, [])
 
     async def test_a_crash_drops_what_is_at_work(self):
+        slots = self.server.free_slots
+        self.server.free_slots = 0
         self.writer.write(b"QUERY 1 WRITE " + ITEM.encode() + b"\r\n")
-        await asyncio.sleep(0.001)
+        while not self.server.queue:
+            await asyncio.sleep(0.001)
         self.server.crash()
         await self.server.restart()
+        self.server.free_slots = slots
         self.reader, self.writer = await self.connect()
         await self.ask(b"READ " + ITEM.encode(), b"2")
-        self.assertEqual([run.number for run in self.seen.runs], ["2"])
+        await self.ask(b"READ " + ITEM.encode(), b"3")
+        self.assertEqual([run.number for run in self.seen.runs], ["2", "3"])
+        self.assertFalse(self.server.queue)
 
 
 class TestReplica(ServerTestCase):
     """What a replica refuses."""
 
-    role = servers.REPLICA
+    role = records.REPLICA
 
     async def test_writes_and_plain_transactions_are_refused(self):
         item = ITEM.encode()
--- a/tests/test_soak_statements.py
+++ b/tests/test_soak_statements.py
@@ -59,7 +59,7 @@
         seen = records.ServerRecords()
         seen.runs.extend(runs)
         for number, writes in commits:
-            position = (1, len(seen.commits))
+            position = records.Position(1, len(seen.commits))
             seen.commits.append(
                 records.Commit(number, "svc", position, tuple(writes))
             )
@@ -229,12 +229,12 @@
 
     def test_a_commit_that_a_promotion_dropped_does_not_count(self):
         seen = records.ServerRecords()
-        commit = records.Commit("1", "svc", (1, 5), ())
+        commit = records.Commit("1", "svc", records.Position(1, 5), ())
         seen.commits.append(commit)
-        seen.drop_after("other", (1, 4))
-        seen.drop_after("svc", (1, 5))
+        seen.drop_after("other", records.Position(1, 4))
+        seen.drop_after("svc", records.Position(1, 5))
         self.assertEqual(seen.commits, [commit])
-        seen.drop_after("svc", (1, 4))
+        seen.drop_after("svc", records.Position(1, 4))
         self.assertEqual(seen.commits, [])
 
 
