Report an empty search path as empty

What callers saw: after set_config('search_path', '', false), which pg_dump sends, the server used no schema, but the caller was told "$user", public.

Cause: the report took the default for a value that is empty, not only for one that is not set.

--- a/src/cuminwall/session_settings.py
+++ b/src/cuminwall/session_settings.py
@@ -80,8 +80,11 @@
         reported = {}
         for name, reported_name in REPORTED_NAMES.items():
             value = self.in_force.get(name)
-            if value != previous.get(name):
-                reported[reported_name] = value or DEFAULT_VALUES[name]
+            if value == previous.get(name):
+                continue
+            if value is None:
+                value = DEFAULT_VALUES[name]
+            reported[reported_name] = value
         return reported
 
     def roll_back(self) -> None:
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -9,6 +9,7 @@
     logins,
     session_effects,
     session_rounds,
+    session_settings,
     statements,
     wire,
 )
@@ -105,5 +106,19 @@
                 )
 
 
+class ReportedSettingTest(unittest.TestCase):
+    """The values that are reported to the caller."""
+
+    def test_empty_search_path_is_reported_as_the_default(self):
+        settings = session_settings.SessionSettings({"search_path": "a"})
+        settings.change("search_path", "")
+        self.assertEqual(settings.commit(), {"search_path": ""})
+        settings = session_settings.SessionSettings({})
+        settings.change("search_path", "")
+        self.assertEqual(settings.commit(), {"search_path": ""})
+        settings.change("search_path", None)
+        self.assertEqual(settings.commit(), {"search_path": '"$user", public'})
+
+
 if __name__ == "__main__":
     unittest.main()
