Set names with $ or letters beyond ASCII again on a connection

What callers saw: SET app.a$b = 'x' succeeded, as PostgreSQL allows that name; every later statement of the session was refused, "not run: cannot set app.a$b", until it was reset.

Cause: the check of names before they are set again on a connection was narrower than the server's: no $, no letter beyond ASCII. It is now PostgreSQL's rule, and a name that needs quotes gets them.

Evidence: the three names of the test were refused before, the nine malformed ones still are. The property test over two connections, which now draws such names, had ended with an error.

--- a/src/cuminwall/backend_settings.py
+++ b/src/cuminwall/backend_settings.py
@@ -27,7 +27,9 @@
 # SET would read the quoted value of these as one name instead of a list.
 _LIST_NAMES = frozenset({"search_path", "temp_tablespaces"})
 
-_NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_]*(\.[A-Za-z_][A-Za-z0-9_]*)*")
+# As in PostgreSQL, which takes every byte beyond ASCII for a letter.
+_PART = r"[A-Za-z_\u0080-\U0010ffff][A-Za-z0-9_$\u0080-\U0010ffff]*"
+_NAME = re.compile(rf"{_PART}(\.{_PART})*")
 
 RESET_ALL = "RESET ALL"
 
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -46,6 +46,21 @@
                 change = backend_settings.plan_change({name: "x"}, {}, False)
                 self.assertEqual(parse_assignment(change.sql).name, name)
 
+    def test_name_that_the_server_accepts_ends_the_use_of_the_session(self):
+        for name in ("app.a$b", "é.ș_1", "a1._b.c$"):
+            with self.subTest(name):
+                setting = (name, "x")
+                self.assertEqual(
+                    backend_settings.find_disallowed([setting]), ()
+                )
+                change = backend_settings.plan_change({}, {name: "x"}, False)
+                self.assertEqual(parse_assignment(change.sql).name, name)
+        for name in ("", "1a", "$a", "a..b", "a b", "a.b c", 'a"', "a;", "a'"):
+            with self.subTest(name):
+                setting = (name, "x")
+                refused = backend_settings.find_disallowed([setting])
+                self.assertEqual(refused, (name,))
+
     def test_list_element_that_needs_quotes_loses_them(self):
         found = statements.classify('SET search_path = "user", b')
         effect = session_effects.SettingChanged("search_path", '"user", b')
--- a/tests/test_text_through_proxy.py
+++ b/tests/test_text_through_proxy.py
@@ -203,6 +203,16 @@
     async def exchange(self, requests, caller_cuts, server_cuts=()):
         """Sends each request of a new session and waits for ReadyForQuery."""
         service = await self.connect_service()
+        try:
+            return await self.run_session(
+                service, requests, caller_cuts, server_cuts
+            )
+        finally:
+            for opened in service.connections:
+                await opened.close()
+
+    async def run_session(self, service, requests, caller_cuts, server_cuts):
+        """Runs the session of `exchange` on a serving side."""
         server = front_end.FrontEnd(service)
         connection = caller_connection.CallerConnection(server)
         transport = CallerTransport()
@@ -227,8 +237,6 @@
                 await transport.ready.wait()
         self.assertFalse(transport.closed, transport.received)
         connection.connection_lost(None)
-        for opened in service.connections:
-            await opened.close()
         return transport.received
 
     def run_exchange(self, *args):
@@ -350,7 +358,7 @@
     @SETTINGS
     @hypothesis.given(
         TEXTS.filter(bool),
-        st.sampled_from(["a", "user", "order"]),
+        st.sampled_from(["a", "user", "order", "b$c", "é"]),
         SIZES,
         SIZES,
     )
