Make only letters of ASCII small in the names of settings

What callers saw: SET "É".a = 'x' reached the server as a SET of é.a, which PostgreSQL takes for another setting. A Kelvin sign became a k.

Cause: str.lower() on the name. PostgreSQL compares names without regard to case for A to Z only. SET, set_config(), startup parameters and options now do the same.

Evidence: the three names of the test were changed before.

--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -129,7 +129,8 @@
         name, equals, value = assignment.partition("=")
         if not equals or not name:
             return None
-        settings[name.replace("-", "_").lower()] = value
+        name = settings_syntax.fold_name(name.replace("-", "_"))
+        settings[name] = value
     return settings
 
 
@@ -145,7 +146,7 @@
         if name.startswith(_EXTENSION_PREFIX):
             extensions.append(name)
         elif name not in _CONNECTION_PARAMETERS:
-            options[name.lower()] = value
+            options[settings_syntax.fold_name(name)] = value
     if options.pop("replication", "").lower() not in _FALSE_WORDS:
         return outcomes.Refusal(outcomes.NOT_CARRIED, "replication")
     user = parameters.get("user", "")
--- a/src/cuminwall/settings_syntax.py
+++ b/src/cuminwall/settings_syntax.py
@@ -5,6 +5,7 @@
 """
 
 import re
+import string
 from typing import Any, NamedTuple
 
 from pglast import ast, enums, keywords
@@ -16,6 +17,7 @@
 MAX_REQUEST_ID_CHARACTERS = 200
 
 _Kind = enums.VariableSetKind
+_SMALL_LETTERS = str.maketrans(string.ascii_uppercase, string.ascii_lowercase)
 _SIMPLE_NAME = re.compile(r"[a-z_][a-z0-9_]*\Z")
 # PostgreSQL's quote_ident() quotes every keyword but the unreserved ones.
 _QUOTED_KEYWORDS = (
@@ -81,6 +83,14 @@
     return normalized in _UTF8_NAMES
 
 
+def fold_name(name: str) -> str:
+    """Returns a setting's name with the letters A to Z made small.
+
+    PostgreSQL compares other letters as they are.
+    """
+    return name.translate(_SMALL_LETTERS)
+
+
 def find_refused_setting(name: str, value: str | None) -> str:
     """Returns why a session may not change this setting, or ""."""
     name = name.lower()
@@ -165,7 +175,7 @@
     node: Any, values: list[str]
 ) -> SessionChange | PassedThrough | RefusedChange:
     """Parses a SET of one setting."""
-    name = node.name.lower()
+    name = fold_name(node.name)
     value = _join_values(name, values) if values else None
     if name.startswith(PROXY_PREFIX):
         if node.is_local:
--- a/src/cuminwall/statement_parts.py
+++ b/src/cuminwall/statement_parts.py
@@ -157,7 +157,8 @@
         detail = settings_syntax.find_refused_setting(name, value)
         if detail:
             return _refuse(detail)
-        effects.append(session_effects.SettingChanged(name.lower(), value))
+        name = settings_syntax.fold_name(name)
+        effects.append(session_effects.SettingChanged(name, value))
     return Part(effects=tuple(effects), edits=tuple(edits))
 
 
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -61,6 +61,17 @@
                 refused = backend_settings.find_disallowed([setting])
                 self.assertEqual(refused, (name,))
 
+    def test_letter_beyond_ascii_is_replaced_by_its_small_one(self):
+        for name in ("É.A", "app.Ș", "app.\u212a"):
+            small = "".join(x.lower() if x.isascii() else x for x in name)
+            parts = name.split(".")
+            sql = f'SET "{parts[0]}"."{parts[1]}" = 1'
+            with self.subTest(sql):
+                found = statements.classify(sql)
+                effect = session_effects.SettingChanged(small, "1")
+                self.assertEqual(found.effects, ((effect,),))
+                self.assertEqual(parse_assignment(found.sql).name, small)
+
     def test_list_element_that_needs_quotes_loses_them(self):
         found = statements.classify('SET search_path = "user", b')
         effect = session_effects.SettingChanged("search_path", '"user", b')
