Don't trim a value that the operator left as it is

What operators saw: a host with blanks at an end, which the file and cuminctl allow, was changed by any edit of the console's page of servers, also by submitting the page unmodified.

Cause: the text of a field was trimmed before it was compared with the value shown.

Evidence: the test's unmodified form changed the document before.

--- a/src/cuminwall/consoleforms.py
+++ b/src/cuminwall/consoleforms.py
@@ -148,9 +148,10 @@
         text = form.get(f"{row.key}|{column.name}")
         if text is None or (column.is_key and row.key != NEW_ROW_KEY):
             continue
-        text = text.strip()
-        if text == format_value(column, row.values.get(column.name)):
+        shown = format_value(column, row.values.get(column.name))
+        if shown in (text, text.strip()):
             continue
+        text = text.strip()
         if column.is_optional and not text:
             values.pop(column.name, None)
             continue
