Refuse numbers that are not finite in the console's forms

What operators saw: "nan" as the rate of a workspace passed the check of the document (each comparison with NaN is false) and would have been stored as NaN, which is no JSON; "1e999" and "inf" were shown again as a number other than the one written.

Cause: the form took whatever float() accepts. The text is now kept as written, with its fault beside the field.

A whole number of 400 digits is kept as before.

--- a/src/cuminwall/consoleforms.py
+++ b/src/cuminwall/consoleforms.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -167,7 +168,10 @@
         return text
     for convert in (int, float):
         with contextlib.suppress(ValueError):
-            return convert(text)
+            number = convert(text)
+            # Infinity and NaN can't be written as JSON.
+            is_kept = isinstance(number, int) or math.isfinite(number)
+            return number if is_kept else text
     return text
 
 
