Join escaped surrogate pairs in JSON with comments

What operators saw: a character written as a surrogate pair ("\ud83d\ude00") in a file with a comment became two halves, which can't be written as UTF-8; the same file without the comment was right.

Cause: the json5 parser doesn't join the halves. Its value is now written and read as plain JSON, which joins them.

--- a/src/cuminwall/jsontext.py
+++ b/src/cuminwall/jsontext.py
@@ -38,7 +38,9 @@
     try:
         return json.loads(text, object_pairs_hook=_object_of_pairs)
     except json.JSONDecodeError:
-        return json5.loads(text, allow_duplicate_keys=False)
+        value = json5.loads(text, allow_duplicate_keys=False)
+    # The json5 parser leaves the halves of an escaped surrogate pair apart.
+    return json.loads(json.dumps(value), object_pairs_hook=_object_of_pairs)
 
 
 def _object_of_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/tests/test_operator_text.py
+++ b/tests/test_operator_text.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cuminwall import consoleforms, consolesections, document
+from cuminwall import consoleforms, consolesections, document, jsontext
 from tests.documents import sample
 
 SECTIONS = {section.name: section for section in consolesections.SECTIONS}
@@ -46,5 +46,19 @@
         self.assertEqual(str(rate), "9" * 400)
 
 
+class FileTest(unittest.TestCase):
+    """The text of a file for cuminctl."""
+
+    def test_comment_makes_an_escaped_character_two_halves(self):
+        text = (
+            '{"a\\ud83d\\ude00": ["\\ud83d\\ude00 x", {"b": "\\ud83d\\ude00"}]}'
+        )
+        expected = {"a\U0001f600": ["\U0001f600 x", {"b": "\U0001f600"}]}
+        for comment in ("", " // c"):
+            with self.subTest(comment):
+                found = jsontext.read(text + comment)
+                self.assertEqual(found, jsontext.ParsedText(expected))
+
+
 if __name__ == "__main__":
     unittest.main()
