Refuse half of a surrogate pair in an operator's file

Cause: JSON allows it as an escape, and no check looked at it. It is now a fault with its path; the text itself, which may be a password, is not shown.

Evidence: the six texts of the test were accepted before.

--- a/src/cuminwall/jsontext.py
+++ b/src/cuminwall/jsontext.py
@@ -18,14 +18,15 @@
 def read(text: str) -> ParsedText | list[Fault]:
     """Returns the parsed value of a text, or its syntax faults.
 
-    A duplicate name in an object and a number that is not finite are faults.
+    A duplicate name in an object, a number that is not finite and a text that
+    is not valid Unicode are faults.
     """
     try:
         value = _decode(text)
     except (ValueError, RecursionError) as error:
         return [Fault((), str(error), "JSON with comments")]
     faults: list[Fault] = []
-    _find_non_finite_numbers(value, (), faults)
+    _find_faults(value, (), faults)
     return faults or ParsedText(value)
 
 
@@ -53,15 +54,26 @@
     return value
 
 
-def _find_non_finite_numbers(
-    value: Any, path: Path, faults: list[Fault]
-) -> None:
-    """Adds a fault for each number that is infinite or not a number."""
+def _find_faults(value: Any, path: Path, faults: list[Fault]) -> None:
+    """Adds a fault for each number or text that can't be stored."""
     if isinstance(value, float) and not math.isfinite(value):
         faults.append(Fault(path, describe(value), "a finite number"))
+    if isinstance(value, str):
+        _check_text(value, path, faults)
     if isinstance(value, dict):
         for name, item in value.items():
-            _find_non_finite_numbers(item, (*path, name), faults)
+            _check_text(name, path, faults)
+            _find_faults(item, (*path, name), faults)
     if isinstance(value, list):
         for index, item in enumerate(value):
-            _find_non_finite_numbers(item, (*path, index), faults)
+            _find_faults(item, (*path, index), faults)
+
+
+def _check_text(text: str, path: Path, faults: list[Fault]) -> None:
+    """Adds a fault for a text that can't be written as UTF-8."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        # The text is not shown: it may be a password.
+        found = "half of a surrogate pair"
+        faults.append(Fault(path, found, "text of whole characters"))
--- a/tests/test_operator_text.py
+++ b/tests/test_operator_text.py
@@ -59,6 +59,18 @@
                 found = jsontext.read(text + comment)
                 self.assertEqual(found, jsontext.ParsedText(expected))
 
+    def test_half_a_character_is_accepted_and_cannot_be_stored(self):
+        for comment in ("", " // c"):
+            for half in ("\\ud83d", "x\\ude00", "\\ude00\\ud83d"):
+                text = f'{{"a": ["{half}"], "{half}": 1}}'
+                with self.subTest(text + comment):
+                    faults = jsontext.read(text + comment)
+                    self.assertIsInstance(faults, list)
+                    self.assertEqual(len(faults), 2)
+                    self.assertEqual(faults[0].path, ("a", 0))
+                    for fault in faults:
+                        str(fault).encode()
+
 
 if __name__ == "__main__":
     unittest.main()
