Count declared parameter types in the size of kept statements

What could be seen: a session may keep 1,000 statements, and a round carries those it uses to another instance in one frame of the data link. Text and names are bounded, the declared types were not: 65,535 of them for each statement are 65 million in one frame, where the link takes 80 MiB; a longer frame ends the link for all sessions.

Cause: the limit on kept statements left the types out. Each now counts as four characters.

Evidence: a session kept a fifth Parse with 65,535 types, as any other, before; now it is refused as too_many_statements. The second test, which held before too, compares the limits of a round with that of a frame. The end of a link was not played.

--- a/src/cuminwall/round_building.py
+++ b/src/cuminwall/round_building.py
@@ -178,9 +178,9 @@
         if name and self._find_statement(name) is not None:
             return outcomes.Refusal(outcomes.DUPLICATE_STATEMENT, name)
         prepared = rounds.make_prepared(statement.sql, type_oids)
-        known = rounds.CallerStatement(
-            prepared, statement, len(name) + len(sql)
-        )
+        characters = len(name) + len(sql)
+        characters += rounds.CHARACTERS_PER_TYPE * len(type_oids)
+        known = rounds.CallerStatement(prepared, statement, characters)
         if name and not self._has_room(known):
             return outcomes.Refusal(outcomes.TOO_MANY_STATEMENTS, "")
         self.changed_statements[name] = known
--- a/src/cuminwall/rounds.py
+++ b/src/cuminwall/rounds.py
@@ -12,6 +12,8 @@
 MAX_ROUND_BYTES = 16 * 1024 * 1024
 MAX_STATEMENTS = 1000
 MAX_STATEMENT_CHARACTERS = 1024 * 1024
+# A declared parameter type counts as a part of the text.
+CHARACTERS_PER_TYPE = 4
 MAX_PORTALS = 1000
 MAX_SETTINGS = 100
 MAX_SETTING_CHARACTERS = 1024
@@ -28,7 +30,8 @@
     Attributes:
       round_bytes: Bytes of the messages of one round.
       statements: Prepared statements.
-      statement_characters: Characters of their texts and names together.
+      statement_characters: Characters of their texts, names and declared
+        parameter types together.
       portals: Open portals.
     """
 
@@ -47,7 +50,8 @@
     Attributes:
       prepared: The statement as sent to servers.
       statement: Its classification.
-      characters: The size of its text and of the caller's name for it.
+      characters: The size of its text, of the caller's name for it and of its
+        declared parameter types.
     """
 
     prepared: work.Prepared
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -6,7 +6,10 @@
 
 from cuminwall import (
     backend_settings,
+    links,
     logins,
+    outcomes,
+    rounds,
     session_effects,
     session_rounds,
     session_settings,
@@ -131,6 +134,27 @@
                     {"app.a": "x", "app.b": blank},
                 )
 
+    def test_types_are_kept_without_limit(self):
+        # A round carries what it uses to another instance, in one frame.
+        count = 65_535
+        session = session_rounds.SessionRounds(statements.StatementCache())
+        kept = rounds.MAX_STATEMENT_CHARACTERS // (4 * count)
+        for index in range(kept + 1):
+            payload = wire.cstring(f"s{index}") + wire.cstring("")
+            payload += count.to_bytes(2, "big") + bytes(4 * count)
+            action = session.add(wire.Message(b"P", payload))
+            if index < kept:
+                self.assertIsNone(action)
+        self.assertEqual(action.failure, outcomes.TOO_MANY_STATEMENTS)
+
+    def test_round_within_its_limits_is_longer_than_a_frame(self):
+        # Text and names may have four bytes for each character, and a round
+        # may hold the unnamed statement of an earlier round.
+        characters = rounds.MAX_STATEMENT_CHARACTERS
+        characters += rounds.MAX_SETTINGS * rounds.MAX_SETTING_CHARACTERS * 2
+        total = 2 * rounds.MAX_ROUND_BYTES + 4 * characters
+        self.assertLess(total, links.DATA_MAX_BYTES)
+
 
 class ReportedSettingTest(unittest.TestCase):
     """The values that are reported to the caller."""
