Set local_preload_libraries again as a list

What callers saw: SET local_preload_libraries = a, "B c" was sent to the next connection of the session as one quoted value, which the server takes for one name.

Cause: the settings whose value is a list of names stood in two places, and the second lacked this one. There is one list now.

Evidence: its case of the test failed before, those of the two other settings held.

--- a/src/cuminwall/backend_settings.py
+++ b/src/cuminwall/backend_settings.py
@@ -24,9 +24,6 @@
     }
 )
 
-# SET would read the quoted value of these as one name instead of a list.
-_LIST_NAMES = frozenset({"search_path", "temp_tablespaces"})
-
 # As in PostgreSQL, which takes every byte beyond ASCII for a letter.
 _PART = r"[A-Za-z_\u0080-\U0010ffff][A-Za-z0-9_$\u0080-\U0010ffff]*"
 _NAME = re.compile(rf"{_PART}(\.{_PART})*")
@@ -109,7 +106,8 @@
 
 def _assignment(name: str, value: str) -> str:
     literal = _quote(value)
-    if name.lower() in _LIST_NAMES:
+    if name.lower() in settings_syntax.QUOTED_LISTS:
+        # SET would take the quoted list for one name.
         return f"SELECT pg_catalog.set_config('{name}', {literal}, false)"
     return f"SET {settings_syntax.quote_name(name)} TO {literal}"
 
--- a/src/cuminwall/settings_syntax.py
+++ b/src/cuminwall/settings_syntax.py
@@ -31,7 +31,7 @@
 _ON_VALUES = frozenset({"on", "true", "yes", "1", "t", "y"})
 
 # Lists whose elements PostgreSQL quotes as identifiers.
-_QUOTED_LISTS = frozenset(
+QUOTED_LISTS = frozenset(
     {"search_path", "temp_tablespaces", "local_preload_libraries"}
 )
 _ROLE_SETTINGS = frozenset({"role", "session_authorization"})
@@ -239,7 +239,7 @@
 
 def _join_values(name: str, values: list[str]) -> str:
     """Returns `values` as one string in the form that set_config() accepts."""
-    if name in _QUOTED_LISTS:
+    if name in QUOTED_LISTS:
         values = [quote_identifier(value) for value in values]
     return ", ".join(values)
 
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -80,6 +80,22 @@
         effect = session_effects.SettingChanged("search_path", '"user", b')
         self.assertEqual(found.effects, ((effect,),))
 
+    def test_list_of_names_is_set_again_as_one_name(self):
+        for name in (
+            "search_path",
+            "temp_tablespaces",
+            "local_preload_libraries",
+        ):
+            with self.subTest(name):
+                found = statements.classify(f'SET {name} = a, "B c"')
+                ((effect,),) = found.effects
+                change = backend_settings.plan_change(
+                    {}, {name: effect.value}, False
+                )
+                (raw,) = parser.parse_sql(change.sql)
+                # A SET would take the quoted list for one name.
+                self.assertIsInstance(raw.stmt, ast.SelectStmt)
+
 
 class ParameterTypeTest(unittest.TestCase):
     """The parameter types of a Parse."""
