Set the values that a caller's startup message asks for

What callers saw: a session that asked for TimeZone=UTC, DateStyle=ISO or ISO, MDY (common in drivers) or standard_conforming_strings=on got the default of its database instead, which an operator may have set to something else, such as Europe/Bucharest: other times in the rows, and a TimeZone reported as UTC.

Cause: these values were taken for those that every server connection has, and not set. They are now set as any other value; sessions that ask for the same ones share a connection without another SET.

Evidence: the test over the stand-in database with such defaults got Europe/Bucharest and SQL, DMY before.

StartupTest.test_parameters expected DateStyle to be left out, which was the fault; it now expects the value that was sent, and is otherwise the same.

--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -43,12 +43,6 @@
 _CONNECTION_PARAMETERS = frozenset({"user", "database", "options"})
 _OPTION_BLANKS = frozenset(" \t\n\v\f\r")
 _FALSE_WORDS = frozenset({"", "off", "false", "no", "0", "f", "n"})
-# Values that every server connection has by default, so they are not set.
-_DEFAULT_VALUES = {
-    "datestyle": frozenset({"iso", "iso, mdy"}),
-    "timezone": frozenset({"utc"}),
-    "standard_conforming_strings": frozenset({"on"}),
-}
 
 
 class Caller(NamedTuple):
@@ -182,8 +176,7 @@
         refused = settings_syntax.find_refused_setting(name, value)
         if refused:
             return outcomes.Refusal(outcomes.NOT_CARRIED, refused)
-        if value.lower() not in _DEFAULT_VALUES.get(name, ()):
-            caller.settings[name] = value
+        caller.settings[name] = value
     return caller
 
 
--- a/tests/test_logins.py
+++ b/tests/test_logins.py
@@ -166,7 +166,11 @@
                 token="t",
                 max_age_s=2.0,
                 application_name="n",
-                settings={"search_path": "a b", "timezone": "Europe/Bucharest"},
+                settings={
+                    "search_path": "a b",
+                    "datestyle": "ISO, MDY",
+                    "timezone": "Europe/Bucharest",
+                },
                 extensions=("_pq_.new",),
             ),
         )
--- a/tests/test_text_through_proxy.py
+++ b/tests/test_text_through_proxy.py
@@ -24,6 +24,7 @@
     work,
 )
 from cuminwall_standins import database, messages, session
+from cuminwall_standins import settings as server_settings
 from tests import fake_service
 
 GUARD_S = 5.0
@@ -200,18 +201,22 @@
             service.connections.append(connection)
         return service
 
-    async def exchange(self, requests, caller_cuts, server_cuts=()):
+    async def exchange(
+        self, requests, caller_cuts, server_cuts=(), parameters=None
+    ):
         """Sends each request of a new session and waits for ReadyForQuery."""
         service = await self.connect_service()
         try:
             return await self.run_session(
-                service, requests, caller_cuts, server_cuts
+                service, requests, caller_cuts, server_cuts, parameters or {}
             )
         finally:
             for opened in service.connections:
                 await opened.close()
 
-    async def run_session(self, service, requests, caller_cuts, server_cuts):
+    async def run_session(
+        self, service, requests, caller_cuts, server_cuts, parameters
+    ):
         """Runs the session of `exchange` on a serving side."""
         server = front_end.FrontEnd(service)
         connection = caller_connection.CallerConnection(server)
@@ -222,7 +227,7 @@
             "user": logins.OPEN_USER,
             "database": fake_service.OPEN_SERVICE,
         }
-        connection.data_received(wire.startup_packet(names))
+        connection.data_received(wire.startup_packet(names | parameters))
         self.assertTrue(transport.ready.is_set())
         transport.received.clear()
         self.at_server.clear()
@@ -374,6 +379,17 @@
         shown = [wire.read_data_row(row)[0] for row in rows]
         self.assertEqual(shown, [value.encode()] * CONNECTIONS * 2)
 
+    def test_requested_value_is_taken_for_the_default_of_the_server(self):
+        # An operator may have set other defaults for the database.
+        defaults = {"timezone": "Europe/Bucharest", "datestyle": "SQL, DMY"}
+        wanted = {"TimeZone": "UTC", "DateStyle": "ISO, MDY"}
+        requests = [wire.query("SHOW timezone"), wire.query("SHOW datestyle")]
+        with mock.patch.dict(server_settings.DEFAULTS, defaults):
+            received = self.run_exchange(requests, (), (), wanted)
+        rows = [item.payload for item in received if item.tag == b"D"]
+        shown = [wire.read_data_row(row) for row in rows]
+        self.assertEqual(shown, [[b"UTC"], [b"ISO, MDY"]])
+
 
 if __name__ == "__main__":
     unittest.main()
