--- a/src/cuminwall/consoleforms.py
+++ b/src/cuminwall/consoleforms.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -148,9 +149,10 @@
         text = form.get(f"{row.key}|{column.name}")
         if text is None or (column.is_key and row.key != NEW_ROW_KEY):
             continue
-        text = text.strip()
-        if text == format_value(column, row.values.get(column.name)):
+        shown = format_value(column, row.values.get(column.name))
+        if shown in (text, text.strip()):
             continue
+        text = text.strip()
         if column.is_optional and not text:
             values.pop(column.name, None)
             continue
@@ -166,7 +168,10 @@
         return text
     for convert in (int, float):
         with contextlib.suppress(ValueError):
-            return convert(text)
+            number = convert(text)
+            # Infinity and NaN can't be written as JSON.
+            is_kept = isinstance(number, int) or math.isfinite(number)
+            return number if is_kept else text
     return text
 
 
--- a/src/cuminwall/logins.py
+++ b/src/cuminwall/logins.py
@@ -43,12 +43,6 @@
 _CONNECTION_PARAMETERS = frozenset({"user", "database", "options"})
 _OPTION_BLANKS = frozenset(" \t\n\v\f\r")
 _FALSE_WORDS = frozenset({"", "off", "false", "no", "0", "f", "n"})
-# Values that every server connection has by default, so they are not set.
-_DEFAULT_VALUES = {
-    "datestyle": frozenset({"iso", "iso, mdy"}),
-    "timezone": frozenset({"utc"}),
-    "standard_conforming_strings": frozenset({"on"}),
-}
 
 
 class Caller(NamedTuple):
@@ -129,7 +123,8 @@
         name, equals, value = assignment.partition("=")
         if not equals or not name:
             return None
-        settings[name.replace("-", "_").lower()] = value
+        name = settings_syntax.fold_name(name.replace("-", "_"))
+        settings[name] = value
     return settings
 
 
@@ -145,7 +140,7 @@
         if name.startswith(_EXTENSION_PREFIX):
             extensions.append(name)
         elif name not in _CONNECTION_PARAMETERS:
-            options[name.lower()] = value
+            options[settings_syntax.fold_name(name)] = value
     if options.pop("replication", "").lower() not in _FALSE_WORDS:
         return outcomes.Refusal(outcomes.NOT_CARRIED, "replication")
     user = parameters.get("user", "")
@@ -181,8 +176,7 @@
         refused = settings_syntax.find_refused_setting(name, value)
         if refused:
             return outcomes.Refusal(outcomes.NOT_CARRIED, refused)
-        if value.lower() not in _DEFAULT_VALUES.get(name, ()):
-            caller.settings[name] = value
+        caller.settings[name] = value
     return caller
 
 
--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -6,9 +6,13 @@
 
 from cuminwall import (
     backend_settings,
+    links,
     logins,
+    outcomes,
+    rounds,
     session_effects,
     session_rounds,
+    session_settings,
     statements,
     wire,
 )
@@ -45,11 +49,53 @@
                 change = backend_settings.plan_change({name: "x"}, {}, False)
                 self.assertEqual(parse_assignment(change.sql).name, name)
 
+    def test_name_that_the_server_accepts_ends_the_use_of_the_session(self):
+        for name in ("app.a$b", "é.ș_1", "a1._b.c$"):
+            with self.subTest(name):
+                setting = (name, "x")
+                self.assertEqual(
+                    backend_settings.find_disallowed([setting]), ()
+                )
+                change = backend_settings.plan_change({}, {name: "x"}, False)
+                self.assertEqual(parse_assignment(change.sql).name, name)
+        for name in ("", "1a", "$a", "a..b", "a b", "a.b c", 'a"', "a;", "a'"):
+            with self.subTest(name):
+                setting = (name, "x")
+                refused = backend_settings.find_disallowed([setting])
+                self.assertEqual(refused, (name,))
+
+    def test_letter_beyond_ascii_is_replaced_by_its_small_one(self):
+        for name in ("É.A", "app.Ș", "app.\u212a"):
+            small = "".join(x.lower() if x.isascii() else x for x in name)
+            parts = name.split(".")
+            sql = f'SET "{parts[0]}"."{parts[1]}" = 1'
+            with self.subTest(sql):
+                found = statements.classify(sql)
+                effect = session_effects.SettingChanged(small, "1")
+                self.assertEqual(found.effects, ((effect,),))
+                self.assertEqual(parse_assignment(found.sql).name, small)
+
     def test_list_element_that_needs_quotes_loses_them(self):
         found = statements.classify('SET search_path = "user", b')
         effect = session_effects.SettingChanged("search_path", '"user", b')
         self.assertEqual(found.effects, ((effect,),))
 
+    def test_list_of_names_is_set_again_as_one_name(self):
+        for name in (
+            "search_path",
+            "temp_tablespaces",
+            "local_preload_libraries",
+        ):
+            with self.subTest(name):
+                found = statements.classify(f'SET {name} = a, "B c"')
+                ((effect,),) = found.effects
+                change = backend_settings.plan_change(
+                    {}, {name: effect.value}, False
+                )
+                (raw,) = parser.parse_sql(change.sql)
+                # A SET would take the quoted list for one name.
+                self.assertIsInstance(raw.stmt, ast.SelectStmt)
+
 
 class ParameterTypeTest(unittest.TestCase):
     """The parameter types of a Parse."""
@@ -104,6 +150,41 @@
                     {"app.a": "x", "app.b": blank},
                 )
 
+    def test_types_are_kept_without_limit(self):
+        # A round carries what it uses to another instance, in one frame.
+        count = 65_535
+        session = session_rounds.SessionRounds(statements.StatementCache())
+        kept = rounds.MAX_STATEMENT_CHARACTERS // (4 * count)
+        for index in range(kept + 1):
+            payload = wire.cstring(f"s{index}") + wire.cstring("")
+            payload += count.to_bytes(2, "big") + bytes(4 * count)
+            action = session.add(wire.Message(b"P", payload))
+            if index < kept:
+                self.assertIsNone(action)
+        self.assertEqual(action.failure, outcomes.TOO_MANY_STATEMENTS)
+
+    def test_round_within_its_limits_is_longer_than_a_frame(self):
+        # Text and names may have four bytes for each character, and a round
+        # may hold the unnamed statement of an earlier round.
+        characters = rounds.MAX_STATEMENT_CHARACTERS
+        characters += rounds.MAX_SETTINGS * rounds.MAX_SETTING_CHARACTERS * 2
+        total = 2 * rounds.MAX_ROUND_BYTES + 4 * characters
+        self.assertLess(total, links.DATA_MAX_BYTES)
+
+
+class ReportedSettingTest(unittest.TestCase):
+    """The values that are reported to the caller."""
+
+    def test_empty_search_path_is_reported_as_the_default(self):
+        settings = session_settings.SessionSettings({"search_path": "a"})
+        settings.change("search_path", "")
+        self.assertEqual(settings.commit(), {"search_path": ""})
+        settings = session_settings.SessionSettings({})
+        settings.change("search_path", "")
+        self.assertEqual(settings.commit(), {"search_path": ""})
+        settings.change("search_path", None)
+        self.assertEqual(settings.commit(), {"search_path": '"$user", public'})
+
 
 if __name__ == "__main__":
     unittest.main()
