--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -175,11 +175,30 @@
     if operation is not None and operation.stage is not Stage.FINISHED:
         handle_operation_timer(state, operation, out)
         return
+    out.append(_note_silence(state, connection))
     connections.close(state, connection, out)
     if connection.status is ConnectionStatus.OPENING:
         _handle_refusal(state, connection, None, out)
 
 
+def _note_silence(state: State, connection: Connection) -> Note:
+    """Returns the log line of a connection that did not answer in time."""
+    request = ""
+    if connection.operation is not None:
+        request = connection.operation.statement.request
+    return Note(
+        PART,
+        "connection_silent",
+        {
+            "server": connection.server.entry.server,
+            "workspace": connection.workspace,
+            "status": connection.status.name.lower(),
+            "request": request,
+            "sent_s_ago": round(state.now - connection.last_sent_at, 3),
+        },
+    )
+
+
 def _retry(
     state: State,
     operation: Operation,
--- a/tests/test_direct_abandoned.py
+++ b/tests/test_direct_abandoned.py
@@ -111,6 +111,8 @@
         self.assertEqual(self.busy(), [])
         self.assertFalse(self.links.silent & set(self.instance.links))
         self.assertEqual(self.runs("2"), 1)
+        (line,) = self.instance.log_fields("connection_silent")
+        self.assertEqual((line["server"], line["request"]), ("p", "2"))
 
     def test_commit_keeps_its_connection(self) -> None:
         self.leave(
