--- a/tests/naive_lines.py
+++ b/tests/naive_lines.py
@@ -130,6 +130,11 @@
             return self._run_own(text)
         return self._run_statement(request, text)
 
+    def fail(self) -> None:
+        """Fails the open transaction, if there is one."""
+        if self.state == OPEN:
+            self.state = FAILED
+
     def _break(self, line: bytes) -> list[bytes]:
         """Records a message that the protocol doesn't allow."""
         self.record.errors.append(repr(line[:80]))
@@ -188,8 +193,7 @@
         self._record(run, text)
         lines = answer_lines(run)
         if lines[-1].startswith(b"ERROR"):
-            if self.state == OPEN:
-                self.state = FAILED
+            self.fail()
             return lines
         if kind == b"WRITE":
             self.writes.append(request)
@@ -331,6 +335,8 @@
 
     def _forward(self, request: bytes, text: bytes, kind: bytes) -> list[bytes]:
         """Runs a statement on a connection of its own or its transaction's."""
+        if self.state == IDLE:
+            self.connection = None
         is_first = self.connection is None
         connection = self.connection or ServerConnection(self.record)
         if is_first:
--- a/tests/test_wire_sessions.py
+++ b/tests/test_wire_sessions.py
@@ -137,10 +137,63 @@
     *(b"QUERY r " + text for text in REFUSED_TEXTS),
 )
 refused = st.sampled_from(REFUSED_LINES)
-identified = st.tuples(st.just(True), allowed)
-messages = st.one_of(
-    identified, identified, identified, st.tuples(st.just(False), refused)
+names = st.sampled_from((b"s", b"t", b"\xff"))
+statements = st.one_of(
+    spaced(st.just(b"READ"), words, texts),
+    spaced(st.just(b"WRITE"), words, texts),
+    spaced(st.just(b"EXECUTE"), names, words, texts),
+    spaced(st.just(b"EXECUTE"), names, texts),
+    spaced(st.just(b"SET"), names, texts),
+    spaced(st.just(b"PREPARE"), names, kinds, shapes),
 )
+preparations = st.tuples(
+    spaced(st.just(b"PREPARE s"), kinds, shapes),
+    spaced(st.just(b"PREPARE t WRITE"), shapes),
+    spaced(st.just(b"PREPARE \xff READ"), shapes),
+).map(list)
+
+
+def make_transaction(
+    begin: bytes, inner: list[bytes], end: bytes
+) -> list[bytes]:
+    """Returns the statements of a transaction."""
+    return [begin, *inner, end]
+
+
+transactions = st.builds(
+    make_transaction,
+    st.sampled_from((b"BEGIN", b"BEGIN", b"BEGIN READ")),
+    st.lists(statements, min_size=1, max_size=4),
+    st.sampled_from((b"COMMIT", b"COMMIT", b"ROLLBACK")),
+)
+Message = tuple[bool, bytes]
+
+
+def identify(block: list[bytes]) -> list[Message]:
+    """Returns the messages of statements that each need an id."""
+    return [(True, text) for text in block]
+
+
+singles = st.lists(statements, min_size=1, max_size=1)
+blocks = st.one_of(
+    preparations.map(identify),
+    transactions.map(identify),
+    transactions.map(identify),
+    singles.map(identify),
+    singles.map(identify),
+    st.lists(allowed, min_size=1, max_size=1).map(identify),
+    refused.map(lambda line: [(False, line)]),
+)
+
+
+def make_messages(
+    first: list[bytes], drawn: list[list[Message]]
+) -> list[Message]:
+    """Returns the messages of a session."""
+    messages = identify(first)
+    for block in drawn:
+        messages += block
+    return messages
 
 
 class Script(NamedTuple):
@@ -153,7 +206,7 @@
     """
 
     database: bytes
-    messages: list[tuple[bool, bytes]]
+    messages: list[Message]
 
     def lines(self, session: int) -> list[bytes]:
         """Returns the lines that the caller sends after its login."""
@@ -168,7 +221,7 @@
 scripts = st.builds(
     Script,
     st.sampled_from((b"db", b"aged", b"own")),
-    st.lists(messages, max_size=24),
+    st.builds(make_messages, preparations, st.lists(blocks, max_size=8)),
 )
 
 
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -162,11 +162,15 @@
     Attributes:
       record: What the servers have seen from sessions.
       links: The connections to servers that were ever opened.
+      busy_probability: How likely a server answers a message with BUSY.
+      loss_probability: How likely a connection ends in an answer.
     """
 
     def __init__(self, seed: int = 1):
         self.record = naive_lines.Record()
         self.links: list[ServerLink] = []
+        self.busy_probability = 0.0
+        self.loss_probability = 0.0
         primary = direct_world.FakeServer("p")
         primary.is_primary = True
         replica = direct_world.FakeServer("q")
@@ -282,10 +286,14 @@
             term, number = position
             row = f"ROW {role} {term} {term}.{number} 0 0 0 0"
             answer = [row.encode(), b"COMPLETE -"]
+        elif world.random.random() < world.busy_probability:
+            self.connection.fail()
+            answer = [b"ERROR BUSY"]
         elif self._lacks(line, position):
             answer = [b"ERROR LAGGING behind"]
         else:
             commits = len(world.record.commits)
+            self.connection.is_primary = self.server.is_primary
             answer = self.connection.handle(line)
             for request in world.record.commits[commits:]:
                 world.record_commit(self.server, [request.decode("latin-1")])
@@ -293,7 +301,13 @@
         state = self.connection.state
         ready = b"READY %s %d.%d" % (state, position.term, position.number)
         data = b"".join(part + b"\r\n" for part in (*answer, ready))
-        for piece in cut(data, world.random, 2):
+        pieces = cut(data, world.random, 2)
+        if world.random.random() < world.loss_probability:
+            self.socket.data_received(pieces[0])
+            self.transport.close()
+            self.socket.connection_lost(None)
+            return
+        for piece in pieces:
             self.socket.data_received(piece)
 
     def _lacks(self, line: bytes, position: direct_world.Position) -> bool:
