Test that names at login and texts of the document are kept

Tests of what holds: the key and the database of a login keep blanks, letters that Unicode could normalize, and invisible characters; any text of the document is the same after the operator's file was written and read, with comments too, after it was split into the store's parts and joined, and after a form of another page.

--- a/tests/test_caller_text.py
+++ b/tests/test_caller_text.py
@@ -172,6 +172,22 @@
         self.assertLess(total, links.DATA_MAX_BYTES)
 
 
+class StartupNameTest(unittest.TestCase):
+    """The names with which a caller logs in."""
+
+    def test_key_or_database_is_trimmed_or_normalized(self):
+        names = (" a", "a ", "a\t", "A", "\u00e9", "e\u0301", "\uff41")
+        names += ("a\u00a0", "\ufb01", "\u00ad", "a\x7f", "\u2028")
+        for name in names:
+            with self.subTest(name=ascii(name)):
+                packet = wire.startup_packet({"user": name, "database": name})
+                startup = wire.parse_startup(packet[4:])
+                caller = logins.parse_startup_request(
+                    wire.parse_startup_parameters(startup.payload)
+                )
+                self.assertEqual((caller.user, caller.service), (name, name))
+
+
 class ReportedSettingTest(unittest.TestCase):
     """The values that are reported to the caller."""
 
--- a/tests/test_operator_text.py
+++ b/tests/test_operator_text.py
@@ -2,9 +2,26 @@
 
 import unittest
 
-from cuminwall import consoleforms, consolesections, document, jsontext
+import hypothesis
+from hypothesis import strategies as st
+
+from cuminwall import (
+    configparts,
+    consoleforms,
+    consolesections,
+    document,
+    jsontext,
+    operatorfile,
+)
+from cuminwall.redaction import HIDDEN
 from tests.documents import sample
 
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, database=None, max_examples=50
+)
+TEXTS = st.text(
+    st.characters(exclude_categories=("Cs",)), min_size=1, max_size=12
+).filter(lambda text: text != HIDDEN)
 SECTIONS = {section.name: section for section in consolesections.SECTIONS}
 
 
@@ -72,5 +89,47 @@
                         str(fault).encode()
 
 
+def any_document(host, user, database, password):
+    """Returns a valid document with these texts."""
+    value = sample()
+    service = value["services"]["billing"]
+    service["servers"]["a"]["host"] = host
+    service |= {"user": user, "database": database, "password": password}
+    checked = document.check(value)
+    assert isinstance(checked, dict), checked
+    return checked
+
+
+class TextTest(unittest.TestCase):
+    """Texts of any characters in the document."""
+
+    @SETTINGS
+    @hypothesis.given(st.tuples(TEXTS, TEXTS, TEXTS, TEXTS))
+    def test_text_changes_in_the_file(self, texts):
+        value = any_document(*texts)
+        written = operatorfile.write(value, 3, with_secrets=True)
+        read = operatorfile.read(written)
+        self.assertEqual(read, operatorfile.OperatorFile(value, 3))
+        read = operatorfile.read(written + " // edited by hand")
+        self.assertEqual(read, operatorfile.OperatorFile(value, 3))
+
+    @SETTINGS
+    @hypothesis.given(st.tuples(TEXTS, TEXTS, TEXTS, TEXTS))
+    def test_text_changes_in_the_store(self, texts):
+        value = any_document(*texts)
+        parts = []
+        for name, text in configparts.split(value).items():
+            parts.append((name, configparts.decode(text)))
+        self.assertEqual(configparts.join(parts), value)
+
+    @SETTINGS
+    @hypothesis.given(TEXTS)
+    def test_another_form_than_that_of_servers_changes_a_text(self, text):
+        value = any_document(text, text, text, text)
+        for section in consolesections.SECTIONS:
+            filled = consoleforms.apply_form(section, value, {})
+            self.assertEqual(filled.document, value)
+
+
 if __name__ == "__main__":
     unittest.main()
