--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -423,6 +423,8 @@
     session: Session,
     out: list[Effect],
 ) -> None:
+    if _refuse_if_failed(state, session, statement, out):
+        return
     shape = session.prepared_statements.get(statement.name)
     if shape is None:
         reason = Reason.UNKNOWN_STATEMENT
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -17,6 +17,14 @@
 LOGIN = b"STARTUP %s key\r\n"
 STEP_S = 0.005  # Of simulated time between two turns of the event loop.
 
+# Messages of cuminwall's own that a server answers with its status.
+STATUS_COMMANDS = (
+    b"QUERY - STATUS",
+    b"QUERY - STEPDOWN ",
+    b"QUERY - PAUSE ",
+    b"QUERY - RESUME",
+)
+
 
 class FakeTransport:
     """A transport that hands what is written to a function.
@@ -281,7 +289,8 @@
             return
         world = self.world
         position = self.server.position(world.now)
-        if line.startswith(b"QUERY - STATUS"):
+        if line.startswith(STATUS_COMMANDS):
+            self._step_down(line, position.term)
             role = "primary" if self.server.is_primary else "replica"
             term, number = position
             row = f"ROW {role} {term} {term}.{number} 0 0 0 0"
@@ -310,6 +319,12 @@
         for piece in pieces:
             self.socket.data_received(piece)
 
+    def _step_down(self, line: bytes, term: int) -> None:
+        """Makes the server a replica, if the message orders that."""
+        word, _, newer = line.removeprefix(b"QUERY - ").partition(b" ")
+        if word == b"STEPDOWN" and int(newer) > term:
+            self.server.is_primary = False
+
     def _lacks(self, line: bytes, position: direct_world.Position) -> bool:
         """Returns whether the server lacks a minimum position."""
         fields = line.split(b" ", 4)
