--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -90,20 +90,8 @@
         batch.append((make_command(operation), AnswerKind.STATEMENT))
         mark_sent(state, operation)
     elif transaction is not None or _needs_own_transaction(operation):
-        is_read = transaction is None or transaction.read_only
-        open_command = OpenTransaction(
-            is_read and operation.min_position is not None,
-            operation.min_position,
-        )
-        batch.append((open_command, AnswerKind.BEGIN))
-        operation.stage = Stage.OPENING_TRANSACTION
-        operation.sent_at = state.now
-        operations.set_timer(
-            state, operation, state.now + state.limits.silence_timeout_s
-        )
-        operations.set_timer(
-            state, operation, state.now + begin_timeout_s(state, operation)
-        )
+        batch.append((_make_open_command(operation), AnswerKind.BEGIN))
+        _mark_opening(state, operation)
     else:
         batch.append((make_command(operation), AnswerKind.STATEMENT))
         mark_sent(state, operation)
@@ -179,6 +167,29 @@
     )
 
 
+def _make_open_command(operation: Operation) -> OpenTransaction:
+    """Returns the command that opens the transaction of a statement.
+
+    One that requires a position is for reading only, and may be at a replica.
+    """
+    transaction = operation.session.transaction
+    only_reads = transaction is None or transaction.read_only
+    is_positioned = operation.min_position is not None
+    return OpenTransaction(only_reads and is_positioned, operation.min_position)
+
+
+def _mark_opening(state: State, operation: Operation) -> None:
+    """Records that the transaction of a statement is being opened."""
+    operation.stage = Stage.OPENING_TRANSACTION
+    operation.sent_at = state.now
+    operations.set_timer(
+        state, operation, state.now + state.limits.silence_timeout_s
+    )
+    operations.set_timer(
+        state, operation, state.now + begin_timeout_s(state, operation)
+    )
+
+
 def mark_sent(state: State, operation: Operation) -> None:
     """Records that a statement is being sent to its server."""
     operation.stage = Stage.SENT
--- a/src/cuminwall/direct/operations.py
+++ b/src/cuminwall/direct/operations.py
@@ -161,6 +161,7 @@
 
 def text_fields(text: str) -> dict[str, Any]:
     """Returns what the log tells of a statement's text as it was received."""
+    # Bytes that were not valid UTF-8 become what they were.
     data = text.encode("utf-8", "surrogateescape")
     return {"text_bytes": len(data), "text_crc": f"{zlib.crc32(data):08x}"}
 
