Don't promote a log that an earlier promotion has abandoned

Cause: candidates were ranked by the end of their logs alone, so a former primary that came back with commits beyond the point where the next term had started was preferred to a replica that held the beginning of that term. Ruled out: leaving such a server out for good, since it may be the only one. The order in the store now tells where its term starts; it counts only once it is known to have been carried out. Both tests of AbandonedLogTest fail without the change ('p' promoted); 42 tests of failover, durability and leases pass.

--- a/src/cuminwall/direct/candidates.py
+++ b/src/cuminwall/direct/candidates.py
@@ -1,6 +1,6 @@
 """Chooses the server that becomes the primary of a service."""
 
-from cuminwall.direct import durability, groups
+from cuminwall.direct import durability, groups, log_branches
 from cuminwall.direct.answers import Position
 from cuminwall.direct.fleet_state import UNLED, PrimaryChange
 from cuminwall.direct.servers_state import Group, Server
@@ -47,14 +47,16 @@
 ) -> Server | None:
     """Returns the best candidate whose log reaches a position, or None.
 
-    Servers that are to stay go first, then warm ones, then by log and by zone.
+    Logs that an earlier promotion has abandoned go last, however long they are.
+    Then servers that are to stay go first, then warm ones, then by log and by
+    zone.
 
     An order that was not answered may be carried out late. Where the platform
     does not check the fencing token, that would undo a newer order for another
     server, so the same server is ordered again.
     """
     best = None
-    best_rank: tuple[bool, bool, Position, bool] | None = None
+    best_rank: tuple[bool, bool, bool, Position, bool] | None = None
     pending = pending_target(state, group)
     for server in group.servers.values():
         if not is_candidate(state, group, server) or server.status is None:
@@ -68,10 +70,12 @@
             continue
         if server.status.position < required:
             continue
+        position = server.status.position
+        is_valid = not log_branches.is_abandoned(group.fork, position)
         is_usable = groups.is_usable(state, server)
         is_warm = server.entry.cold_s <= 0
         is_near = server.entry.zone == state.zone
-        rank = (is_usable, is_warm, server.status.position, is_near)
+        rank = (is_valid, is_usable, is_warm, position, is_near)
         if best_rank is None or rank > best_rank:
             best = server
             best_rank = rank
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -21,6 +21,7 @@
     groups,
     inquiries,
     lease_grants,
+    log_branches,
     primary_checks,
 )
 from cuminwall.direct.answers import Position
@@ -74,6 +75,8 @@
         fields: Any = json.loads(value)
         server = str(fields["server"])
         above_term = int(fields["above_term"])
+        ordered_fork = log_branches.decode(fields.get("ordered_fork"))
+        fork = log_branches.decode(fields.get("fork"))
     except (ValueError, KeyError, TypeError):
         out.append(Note(PART, "malformed_order", {"service": service}))
         return
@@ -81,6 +84,8 @@
     groups.record_order(state, group, server, revision, out)
     if revision == group.order:
         group.order_above_term = above_term
+        group.ordered_fork = ordered_fork
+        group.fork = fork or group.fork
 
 
 def tick(state: State, out: list[Effect]) -> None:
@@ -119,6 +124,7 @@
     group = groups.find(state, service)
     groups.record_order(state, group, change.target, revision, out)
     group.order_above_term = change.above_term
+    group.ordered_fork = change.fork
     epoch = state.own_lease.epoch
     out.append(Promote(service, change.target, revision, epoch))
     _log(state, change, "ordered", {}, out)
@@ -134,6 +140,8 @@
 ) -> None:
     """Handles the answer to an order."""
     group = state.groups.get(service)
+    if outcome.is_done and group is not None and fencing_token == group.order:
+        group.fork = group.ordered_fork or group.fork
     if outcome.is_done and group is not None and server in group.servers:
         groups.set_primary(state, group, server, "promoted", out)
     if outcome.is_done or outcome.is_refused:
@@ -535,6 +543,7 @@
 ) -> None:
     """Chooses the server with the longest log and writes the order."""
     best = None
+    groups.update_fork(group)
     required = durability.find_required_position(state, group, change)
     if required is not None:
         best = candidates.find_best(state, group, change, required)
@@ -554,11 +563,12 @@
         if is_behind or not groups.is_usable(state, best):
             _query_candidates(state, group, change, out)
             return
+    change.above_term = _highest_term(group)
+    change.fork = log_branches.Fork(change.above_term, best.status.position)
     if best.entry.server == group.ordered_primary:
         # An earlier order may have made it primary already.
         change.above_term = group.order_above_term
-    else:
-        change.above_term = _highest_term(group)
+        change.fork = group.ordered_fork
     change.target = best.entry.server
     change.step = ChangeStep.WRITING_ORDER
     change.step_deadline = state.now + state.limits.promotion_retry_s
@@ -569,6 +579,8 @@
         "above_term": change.above_term,
         "epoch": state.own_lease.epoch,
         "cause": change.cause,
+        "ordered_fork": log_branches.encode(change.fork),
+        "fork": log_branches.encode(group.fork),
     }
     state.compare_and_swap(
         SwapPurpose.ORDER,
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -5,6 +5,7 @@
 
 from cuminwall import leases, lending, shares
 from cuminwall.direct.answers import Position
+from cuminwall.direct.log_branches import Fork
 
 COORDINATOR_NAME = "coordinator"  # Of the value that names the coordinator.
 
@@ -473,6 +474,7 @@
       catch_up_goal_at: When it reported that.
       target: The server to promote.
       above_term: It leads by this change if its term is higher than this one.
+      fork: Where its term starts, or None.
       refused_servers: The servers whose promotion was refused.
       fencing_token: The fencing token of the order.
     """
@@ -494,6 +496,7 @@
         "catch_up_goal_at",
         "target",
         "above_term",
+        "fork",
         "refused_servers",
         "fencing_token",
     )
@@ -515,5 +518,6 @@
         self.catch_up_goal_at = leases.NEVER
         self.target = ""
         self.above_term = 0
+        self.fork: Fork | None = None
         self.refused_servers: set[str] = set()
         self.fencing_token = 0
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -183,6 +183,27 @@
     return not is_order_pending(state, group)
 
 
+def update_fork(group: Group) -> None:
+    """Notes that the newest order was carried out, once a log shows its term.
+
+    An order that never was has abandoned nothing.
+    """
+    fork = group.ordered_fork
+    if fork is None:
+        return
+    positions = []
+    if group.watermarks:
+        positions.append(group.watermarks[-1].position)
+    for server in group.servers.values():
+        if server.status is None:
+            continue
+        positions.append(server.status.position)
+        if server.status.is_primary and server.status.term > fork.above_term:
+            group.fork = fork
+    if any(position.term > fork.above_term for position in positions):
+        group.fork = fork
+
+
 def is_order_pending(state: State, group: Group) -> bool:
     """Returns whether an order may still be carried out."""
     return state.now < max(
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -11,6 +11,7 @@
 from cuminwall.direct.answers import Position, Status
 from cuminwall.direct.callers_state import Operation, Session
 from cuminwall.direct.commands import Command
+from cuminwall.direct.log_branches import Fork
 from cuminwall.direct.statements import Shape
 
 
@@ -285,6 +286,9 @@
       ordered_primary: The server that it named, or "".
       order_above_term: A server that acts as primary in a higher term than
         this does so by that order; a replaced one may do so in a lower term.
+      ordered_fork: Where it starts a new term, if it is carried out; or None.
+      fork: Where the latest promotion known to have been carried out has
+        started its term, or None.
       order_pending_until: Until when that order may still be carried out, if
         it is not answered.
       earlier_pending_until: The same of the orders before it.
@@ -304,6 +308,8 @@
         "order",
         "ordered_primary",
         "order_above_term",
+        "ordered_fork",
+        "fork",
         "order_pending_until",
         "earlier_pending_until",
         "lease",
@@ -322,6 +328,8 @@
         self.order = 0
         self.ordered_primary = ""
         self.order_above_term = 0
+        self.ordered_fork: Fork | None = None
+        self.fork: Fork | None = None
         self.order_pending_until = leases.NEVER
         self.earlier_pending_until = leases.NEVER
         self.lease = PrimaryLease()
--- a/tests/test_direct_failover.py
+++ b/tests/test_direct_failover.py
@@ -175,6 +175,55 @@
         self.assertEqual(len(world.promoted), 1)
 
 
+class DeafReplicasWorld(direct_world.World):
+    """Replicas receive nothing; a promotion changes no other server's log."""
+
+    def lead(self, chosen: direct_world.FakeServer) -> None:
+        del chosen.log[chosen.position(self.now).number :]
+        chosen.term = 1 + max(each.term for each in self.servers.values())
+
+
+class AbandonedLogTest(unittest.TestCase):
+    """A log that a promotion has abandoned does not lead again."""
+
+    def replace_twice(self, ends_coordinator: bool) -> list[str]:
+        """Lets the first primary come back as its successor is lost.
+
+        Returns:
+          The servers that were promoted.
+        """
+        servers = []
+        for name in ("p", "q", "r"):
+            servers.append(direct_world.FakeServer(name))
+            servers[-1].lag_s = 1000.0
+        servers[0].is_primary = True
+        servers[0].lag_s = 0.0
+        world = DeafReplicasWorld(NAMES, tuple(servers), 1)
+        world.run(4.0)
+        Writers(world)
+        world.run(1.0)
+        world.servers["p"].is_unreachable = True
+        world.run(REPLACED_S)
+        new = world.servers[world.promoted[0][1]]
+        new.is_unreachable = True
+        world.servers["p"].is_unreachable = False
+        if ends_coordinator:
+            world.kill(world.coordinator().name)
+        world.run(2 * REPLACED_S)
+        return [server for _, server, _ in world.promoted]
+
+    # A failover must not promote a log that the one before had abandoned.
+    def test_abandoned_log_returns(self) -> None:
+        promoted = self.replace_twice(False)
+        self.assertEqual(len(promoted), 2, promoted)
+        self.assertNotIn("p", promoted)
+
+    def test_abandoned_log_returns_at_a_new_coordinator(self) -> None:
+        promoted = self.replace_twice(True)
+        self.assertEqual(len(promoted), 2, promoted)
+        self.assertNotIn("p", promoted)
+
+
 class SwitchoverTest(unittest.TestCase):
     """A planned switchover loses no acknowledged write."""
 
