Share watermarks between instances with their share requests

Cause: an instance knew a primary's position only from its own answers, and 60 instances have less than one a second and service each. Now the newest positions travel with the share requests and their replies, as ages that never become younger on the way. Ruled out: a message or a store value of their own; asking the primary.

--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -196,6 +196,8 @@
       reported_epoch: The epoch whose coordinator has confirmed such a report.
       reply_timeout_s: How long to wait for a reply before asking again.
       slow_reply_at: When a late reply was last logged.
+      watermarks_number: The latest request that told or asked for watermarks.
+      watermarks_sent_at: When that was sent.
     """
 
     __slots__ = (
@@ -209,6 +211,8 @@
         "reported_epoch",
         "reply_timeout_s",
         "slow_reply_at",
+        "watermarks_number",
+        "watermarks_sent_at",
     )
 
     def __init__(self) -> None:
@@ -222,6 +226,8 @@
         self.reported_epoch = 0
         self.reply_timeout_s = shares.REQUEST_TIMEOUT_S
         self.slow_reply_at = leases.NEVER
+        self.watermarks_number = 0
+        self.watermarks_sent_at = leases.NEVER
 
 
 class TokenRate:
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -12,7 +12,7 @@
 """
 
 from cuminwall import lending
-from cuminwall.direct import membership, messages
+from cuminwall.direct import membership, messages, shared_watermarks
 from cuminwall.direct.effects import Effect, Note
 from cuminwall.direct.fleet_state import Coordinator, Lender
 from cuminwall.direct.state import State
@@ -102,6 +102,7 @@
         sent_at=state.now,
         newest_change=state.store_view.newest_change,
         view_age_s=state.now - state.store_view.answered_at,
+        watermarks=shared_watermarks.handle_request(state, request),
     )
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -22,6 +22,35 @@
     age_s: float
 
 
+class SharedWatermark(NamedTuple):
+    """A log position that every earlier commit of a service is at or below.
+
+    Attributes:
+      service: The database service.
+      age_s: How long ago its statement was sent to the primary, when this was
+        sent.
+      term: The term of the position.
+      number: Its number.
+    """
+
+    service: str
+    age_s: float
+    term: int
+    number: int
+
+
+class WatermarkRequest(NamedTuple):
+    """An instance tells its newest watermarks and asks for others.
+
+    Attributes:
+      told: Those that it has not told before.
+      wanted: The services whose newest one it asks for.
+    """
+
+    told: tuple[SharedWatermark, ...]
+    wanted: tuple[str, ...]
+
+
 class ShareRequest(NamedTuple):
     """An instance asks the coordinator for shares and reports what it sees.
 
@@ -38,6 +67,7 @@
         earlier coordinator.
       sent_no_earlier_than: A time on the coordinator's clock before which this
         was certainly not sent, however long it was held up on its way.
+      watermarks: The watermarks that it tells and asks for, or None.
     """
 
     number: int
@@ -50,6 +80,7 @@
     is_shutting_down: bool
     since_earlier_request_s: float
     sent_no_earlier_than: float
+    watermarks: WatermarkRequest | None = None
 
 
 class ShareReply(NamedTuple):
@@ -67,6 +98,7 @@
       newest_change: The store's revision of the newest change that it knows.
       view_age_s: How long ago the store confirmed that there was no newer one;
         infinite if the coordinator does not tell.
+      watermarks: The newest of the services that were asked for.
     """
 
     number: int
@@ -78,6 +110,7 @@
     sent_at: float
     newest_change: int = 0
     view_age_s: float = math.inf
+    watermarks: tuple[SharedWatermark, ...] = ()
 
 
 class FindCoordinator(NamedTuple):
@@ -224,5 +257,7 @@
     PrimaryLeaseRecall,
     PrimaryLeaseRelease,
     PrimaryLeaseOffer,
+    SharedWatermark,
+    WatermarkRequest,
 )
 CODEC = codec.Codec(TYPES)
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -129,6 +129,7 @@
     state: State, group: Group, operation: Operation
 ) -> Position | None:
     """Returns the position a replica must have reached; None if unknown."""
+    group.read_at = state.now
     watermark = watermarks.oldest_valid(state, group, operation.route.max_age_s)
     if watermark is None:
         return None
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -11,6 +11,7 @@
     lender,
     messages,
     operations,
+    shared_watermarks,
     store_view,
     workload,
 )
@@ -314,6 +315,7 @@
         is_shutting_down=state.is_shutting_down,
         since_earlier_request_s=_record_request(state, coordinator.epoch),
         sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
+        watermarks=shared_watermarks.make_request(state, number),
     )
     if coordinator.instance != state.instance:
         out.append(SendToPeer(coordinator.instance, message))
@@ -395,6 +397,7 @@
     discovery.last_reply_at = state.now
     discovery.last_reply_epoch = reply.epoch
     discovery.last_reply_sent_at = reply.sent_at
+    shared_watermarks.handle_reply(state, reply)
     pacing = state.request_pacing
     pacing.interval_s = reply.interval_s
     if reply.is_reported:
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -294,7 +294,10 @@
       earlier_pending_until: The same of the orders before it.
       lease: This instance's lease on the primary, where it needs one.
       primary_expected_at: By when a new primary is expected, or None.
-      watermarks: Watermarks, oldest first.
+      watermarks: Watermarks of this instance's own answers, oldest first.
+      shared_watermarks: Those that other instances have told, oldest first.
+      told_watermark_at: The time of its own newest one that it has told.
+      read_at: When a read that a replica may run last arrived.
       waiting: The operations that wait for a primary.
     """
 
@@ -315,6 +318,9 @@
         "lease",
         "primary_expected_at",
         "watermarks",
+        "shared_watermarks",
+        "told_watermark_at",
+        "read_at",
         "waiting",
     )
 
@@ -335,4 +341,7 @@
         self.lease = PrimaryLease()
         self.primary_expected_at: float | None = None
         self.watermarks: deque[Watermark] = deque()
+        self.shared_watermarks: deque[Watermark] = deque()
+        self.told_watermark_at = leases.NEVER
+        self.read_at = leases.NEVER
         self.waiting: wait_queue.WaitQueue[Operation] = wait_queue.WaitQueue()
