Usage of each workspace by window, reported by the coordinator

Each instance counts the requests that begin to run (a single statement, or the first one of a transaction) by window and workspace, tells whole counts with its share requests until they are acknowledged, and the coordinator writes one report a window to the store before it sends it. The next coordinator writes and sends the newest one again, unchanged. Wall clocks: the median of all.

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -9,6 +9,7 @@
 from cuminwall.direct import catalog
 from cuminwall.direct.answers import Phase, Position
 from cuminwall.direct.statements import Shape, Statement
+from cuminwall.direct.usage_state import NO_WINDOW
 
 if TYPE_CHECKING:
     from cuminwall.direct.servers_state import Connection
@@ -171,6 +172,8 @@
       connection: The backend connection that runs it, or None.
       primary_order: The order that had made its server primary when it was
         sent there.
+      usage_window: The window in which it counts as usage; `NO_WINDOW` if it
+        doesn't.
     """
 
     __slots__ = (
@@ -196,6 +199,7 @@
         "attempts",
         "connection",
         "primary_order",
+        "usage_window",
     )
 
     def __init__(
@@ -228,3 +232,4 @@
         self.attempts = 0
         self.connection: Connection | None = None
         self.primary_order = 0
+        self.usage_window = NO_WINDOW
--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -16,6 +16,7 @@
     membership,
     messages,
     revisions,
+    usage_collection,
     workload,
 )
 from cuminwall.direct.effects import (
@@ -374,6 +375,7 @@
     state.coordinator_load = CoordinatorLoad(state.now)
     lender.start(state, coordinator)
     lease_grants.start(state, coordinator)
+    usage_collection.start(state)
     failover.start(state)
     first_tick_at = state.now + failover.TICK_S
     state.set_timer(first_tick_at, TimerKind.FAILOVER, own_lease.epoch)
@@ -394,6 +396,7 @@
     own_lease.may_have_expired = False
     lender.stop(state)
     lease_grants.stop(state)
+    usage_collection.stop(state)
     failover.stop(state, out)
     _schedule_attempt(state, MIN_DELAY_S)
 
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -16,6 +16,7 @@
     placing,
     primary_leases,
     statements,
+    usage_counts,
     warmups,
 )
 from cuminwall.direct.callers_state import Operation, Stage
@@ -95,6 +96,7 @@
     else:
         batch.append((make_command(operation), AnswerKind.STATEMENT))
         mark_sent(state, operation)
+        usage_counts.count_start(state, operation)
     connections.send(state, connection, batch, out)
 
 
--- a/src/cuminwall/direct/effects.py
+++ b/src/cuminwall/direct/effects.py
@@ -111,6 +111,28 @@
     epoch: int
 
 
+class ReportUsage(NamedTuple):
+    """Reports the usage of a window to the platform.
+
+    Attributes:
+      window: The number of the window.
+      counts: The requests that began to run in it, by workspace.
+      fencing_token: The fencing token, higher than that of every earlier
+        holder's reports.
+      epoch: The epoch of the coordinator that gives it. It must not be sent
+        after that one's lease has expired.
+    """
+
+    window: int
+    counts: dict[str, int]
+    fencing_token: int
+    epoch: int
+
+
+class ReadClock(NamedTuple):
+    """Reads the machine's wall clock."""
+
+
 class StartPeerLinks(NamedTuple):
     """Starts the links with the other instances.
 
@@ -181,6 +203,8 @@
     | KeepLease
     | EndLease
     | Promote
+    | ReportUsage
+    | ReadClock
     | StartPeerLinks
     | RereadStore
     | RestartWatch
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -41,7 +41,7 @@
     Attributes:
       state: The state of the reducer.
       store: The platform's store.
-      provider: The platform's interface that promotes servers.
+      provider: The platform's interface for what one instance does for all.
       journal: The writer of log lines.
       meters: The metrics, or None.
       callers: The callers' connections.
@@ -56,7 +56,7 @@
         self,
         state_: state.State,
         store: ports.StorePort,
-        provider: ports.PromotionPort,
+        provider: ports.ProviderPort,
         caller_codec: Callable[[], ports.CallerCodec],
         server_codec: Callable[[], ports.ServerCodec],
         journal_: journal.Journal,
@@ -197,12 +197,7 @@
 
     async def promote(self, effect: effects.Promote) -> None:
         """Orders the promotion of a server, unless another may by now."""
-
-        def may_send() -> bool:
-            own_lease = self.state.own_lease
-            is_same = own_lease.epoch == effect.epoch
-            return is_same and own_lease.is_valid(boot_clock())
-
+        may_send = functools.partial(self._may_coordinate, effect.epoch)
         try:
             outcome = await self.provider.promote(
                 self.state.instance,
@@ -224,6 +219,31 @@
             )
         )
 
+    async def report_usage(self, effect: effects.ReportUsage) -> None:
+        """Reports the usage of a window, unless another may by now."""
+        may_send = functools.partial(self._may_coordinate, effect.epoch)
+        try:
+            outcome = await self.provider.report_usage(
+                self.state.instance,
+                effect.window,
+                effect.counts,
+                effect.fencing_token,
+                may_send,
+            )
+        except exceptions.StoreUnavailableError as error:
+            self._log_failed_call("report_usage", error)
+            outcome = events.UsageOutcome.UNKNOWN
+        self.handle_event(
+            events.UsageReportFinished(
+                boot_clock(), effect.window, effect.fencing_token, outcome
+            )
+        )
+
+    def _may_coordinate(self, epoch: int) -> bool:
+        """Returns whether this instance coordinates and its lease is valid."""
+        own_lease = self.state.own_lease
+        return own_lease.epoch == epoch and own_lease.is_valid(boot_clock())
+
     def _log_failed_call(self, call: str, error: Exception) -> None:
         """Logs a call of the platform that got no usable answer."""
         fields = {"call": call, "cause": str(error)}
@@ -296,6 +316,16 @@
     engine.start_task(engine.promote(effect))
 
 
+@perform.register
+def _(effect: effects.ReportUsage, engine: Engine) -> None:
+    engine.start_task(engine.report_usage(effect))
+
+
+@perform.register
+def _(effect: effects.ReadClock, engine: Engine) -> None:
+    engine.handle_event(events.ClockRead(boot_clock(), time.time()))
+
+
 @perform.register
 def _(effect: effects.StartPeerLinks, engine: Engine) -> None:
     engine.start_task(engine.fleet.start(effect.secret))
--- a/src/cuminwall/direct/events.py
+++ b/src/cuminwall/direct/events.py
@@ -4,6 +4,7 @@
 which it was suspended.
 """
 
+import enum
 from typing import Any, NamedTuple
 
 from cuminwall.direct.answers import Answer, Failure
@@ -255,6 +256,48 @@
     is_refused: bool
 
 
+class UsageReportFinished(NamedTuple):
+    """A report of usage was answered, or the call for it failed.
+
+    Attributes:
+      now: The time.
+      window: The number of the window.
+      fencing_token: The fencing token of the report.
+      outcome: The outcome.
+    """
+
+    now: float
+    window: int
+    fencing_token: int
+    outcome: "UsageOutcome"
+
+
+class UsageOutcome(enum.Enum):
+    """The outcome of a report of usage.
+
+    Attributes:
+      ACCEPTED: The platform has it.
+      REFUSED: A higher fencing token was seen.
+      UNKNOWN: No usable answer came; it may yet be accepted.
+    """
+
+    ACCEPTED = enum.auto()
+    REFUSED = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+class ClockRead(NamedTuple):
+    """The machine's wall clock was read.
+
+    Attributes:
+      now: The time.
+      wall_s: The seconds since 1970 by the wall clock.
+    """
+
+    now: float
+    wall_s: float
+
+
 class PeerMessageReceived(NamedTuple):
     """Another instance sent a message.
 
@@ -303,6 +346,8 @@
     | SwapFinished
     | LeaseCallFinished
     | PromotionFinished
+    | UsageReportFinished
+    | ClockRead
     | PeerMessageReceived
     | ShutdownRequested
     | TimersDue
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -12,7 +12,12 @@
 """
 
 from cuminwall import lending
-from cuminwall.direct import membership, messages
+from cuminwall.direct import (
+    membership,
+    messages,
+    usage_clock,
+    usage_collection,
+)
 from cuminwall.direct.effects import Effect, Note
 from cuminwall.direct.fleet_state import Coordinator, Lender
 from cuminwall.direct.state import State
@@ -76,6 +81,7 @@
         state.now - request.since_earlier_request_s
     )
     lender.supported_at[sender] = request.sent_no_earlier_than
+    is_usage_taken = usage_collection.take(state, sender, request)
     if not _may_lend(state, lender):
         return None
     holder = membership.process_name(sender, request.boot)
@@ -102,6 +108,8 @@
         sent_at=state.now,
         newest_change=state.store_view.newest_change,
         view_age_s=state.now - state.store_view.answered_at,
+        clock_s=usage_clock.agreed_time(state),
+        is_usage_taken=is_usage_taken,
     )
 
 
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -62,6 +62,13 @@
         carried out.
       unled_order_s: How long a server that was ordered to be primary may not
         act as one before another order is given.
+      usage_window_s: Length of the windows of wall-clock time whose usage is
+        reported; 0 if it isn't.
+      usage_delay_s: How long after the end of a window it must be reported.
+      usage_retry_s: How long a report may be unanswered before it is sent
+        again.
+      duty_lease_s: How long after a change of coordinator the new one reports
+        nothing, so that two can't take turns.
       cores: How many processor cores this process may use, in full cores.
       config_apply_s: By when a new configuration must be in force.
       stale_config_s: How long a peer may report a newer configuration before
@@ -107,6 +114,10 @@
     unled_order_s: float = 2.0
     config_apply_s: float = 3.0
     stale_config_s: float = 0.3
+    usage_window_s: float = 0.0
+    usage_delay_s: float = 0.0
+    usage_retry_s: float = 2.0
+    duty_lease_s: float = 3.0
     cores: float = 1.0
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -38,6 +38,13 @@
         earlier coordinator.
       sent_no_earlier_than: A time on the coordinator's clock before which this
         was certainly not sent, however long it was held up on its way.
+      clock_s: The time by the sender's own wall clock; 0 if not told.
+      usage_until: Up to which wall-clock time the sender has told all its
+        counts of usage, with this and earlier requests; 0 if this has none.
+      usage: For each window the requests that began to run, by workspace,
+        as far as they were not acknowledged. Plain tuples, which a process of
+        an earlier version can decode.
+      usage_recorded: The newest window whose report the sender has seen.
     """
 
     number: int
@@ -50,6 +57,10 @@
     is_shutting_down: bool
     since_earlier_request_s: float
     sent_no_earlier_than: float
+    clock_s: float = 0.0
+    usage_until: float = 0.0
+    usage: tuple[tuple[int, tuple[tuple[str, int], ...]], ...] = ()
+    usage_recorded: int = -1
 
 
 class ShareReply(NamedTuple):
@@ -67,6 +78,8 @@
       newest_change: The store's revision of the newest change that it knows.
       view_age_s: How long ago the store confirmed that there was no newer one;
         infinite if the coordinator does not tell.
+      clock_s: The time by the clock that the instances agreed on; 0 if none.
+      is_usage_taken: Whether the coordinator has the usage of the request.
     """
 
     number: int
@@ -78,6 +91,8 @@
     sent_at: float
     newest_change: int = 0
     view_age_s: float = math.inf
+    clock_s: float = 0.0
+    is_usage_taken: bool = False
 
 
 class FindCoordinator(NamedTuple):
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -75,7 +75,7 @@
     Attributes:
       read_settings: Reads the settings.
       make_store: Creates the client of the store.
-      make_provider: Creates the client that orders promotions.
+      make_provider: Creates the client for what one instance does for all.
       caller_codec: Creates the codec of a caller's connection.
       server_codec: Creates the codec of a backend server's connection.
       ready_path: The path of the readiness probe.
@@ -84,7 +84,7 @@
 
     read_settings: Callable[[], Settings]
     make_store: Callable[[str, int], ports.StorePort]
-    make_provider: Callable[[str, int], ports.PromotionPort]
+    make_provider: Callable[[str, int], ports.ProviderPort]
     caller_codec: Callable[[], ports.CallerCodec]
     server_codec: Callable[[], ports.ServerCodec]
     ready_path: str
--- a/src/cuminwall/direct/ports.py
+++ b/src/cuminwall/direct/ports.py
@@ -4,14 +4,14 @@
 """
 
 import enum
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from cuminwall import exceptions
 from cuminwall.direct.answers import Answer, Failure
 from cuminwall.direct.commands import Command
 from cuminwall.direct.effects import CompareAndSwap
-from cuminwall.direct.events import PromotionOutcome
+from cuminwall.direct.events import PromotionOutcome, UsageOutcome
 from cuminwall.direct.statements import Statement
 
 
@@ -154,8 +154,11 @@
         """Ends a lease, which removes the values bound to it."""
 
 
-class PromotionPort(Protocol):
-    """The platform's interface for promoting a server to primary."""
+class ProviderPort(Protocol):
+    """The platform's interface for what one instance does for all.
+
+    The fencing tokens of each kind of call rise with each new holder.
+    """
 
     async def promote(
         self,
@@ -173,3 +176,20 @@
           exceptions.StoreUnavailableError: No usable answer came; the order
             may still be carried out.
         """
+
+    async def report_usage(
+        self,
+        holder: str,
+        window: int,
+        counts: Mapping[str, int],
+        fencing_token: int,
+        may_send: Callable[[], bool],
+    ) -> UsageOutcome:
+        """Reports the requests that began to run in a window, by workspace.
+
+        The report is not sent if `may_send` is false at the last moment.
+
+        Raises:
+          exceptions.StoreUnavailableError: No usable answer came; the report
+            may still be accepted.
+        """
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -12,6 +12,8 @@
     messages,
     operations,
     store_view,
+    usage_clock,
+    usage_counts,
     workload,
 )
 from cuminwall.direct.callers_state import Operation, Stage
@@ -303,6 +305,8 @@
     pacing.wanted.clear()
     if is_complete:
         pacing.complete_epoch = coordinator.epoch
+    usage_clock.request_reading(state, out)
+    told = usage_counts.tell(state, number, coordinator.epoch)
     message = messages.ShareRequest(
         number=number,
         boot=state.boot,
@@ -314,6 +318,7 @@
         is_shutting_down=state.is_shutting_down,
         since_earlier_request_s=_record_request(state, coordinator.epoch),
         sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
+        **told._asdict(),
     )
     if coordinator.instance != state.instance:
         out.append(SendToPeer(coordinator.instance, message))
@@ -395,6 +400,7 @@
     discovery.last_reply_at = state.now
     discovery.last_reply_epoch = reply.epoch
     discovery.last_reply_sent_at = reply.sent_at
+    usage_counts.handle_reply(state, reply)
     pacing = state.request_pacing
     pacing.interval_s = reply.interval_s
     if reply.is_reported:
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -30,6 +30,8 @@
     shutdown,
     store_view,
     timers,
+    usage_clock,
+    usage_reports,
     workload,
 )
 from cuminwall.direct.answers import Answer
@@ -179,6 +181,7 @@
         removal = events.SharedValueSeen(event.now, name, None, _MAX_REVISION)
         handle(removal, state, out)
     membership.register(state, out)
+    usage_clock.request_reading(state, out)
     if state.coordinator is None:
         coordination.handle_coordinator_value(state, None, 0, out)
 
@@ -250,6 +253,8 @@
     elif event.name.startswith(failover.SETTLED_PREFIX):
         service = event.name.removeprefix(failover.SETTLED_PREFIX)
         failover.handle_settled(state, service, event.value)
+    elif event.name == usage_reports.RECORD_NAME:
+        usage_reports.handle_record(state, event.value, out)
 
 
 @handle.register
@@ -266,6 +271,8 @@
     if swap.purpose is SwapPurpose.ORDER and coordination.is_coordinator(state):
         service = swap.names[0].removeprefix(failover.ORDER_PREFIX)
         failover.handle_order_written(state, service, event.revision, out)
+    if swap.purpose is SwapPurpose.USAGE and coordination.is_coordinator(state):
+        usage_reports.handle_written(state, event.revision, out)
 
 
 @handle.register
@@ -287,6 +294,21 @@
     )
 
 
+@handle.register
+def _(
+    event: events.UsageReportFinished, state: State, out: list[Effect]
+) -> None:
+    usage_reports.handle_outcome(
+        state, event.window, event.fencing_token, event.outcome, out
+    )
+
+
+@handle.register
+def _(event: events.ClockRead, state: State, out: list[Effect]) -> None:
+    del out
+    usage_clock.handle_reading(state, event.wall_s)
+
+
 @handle.register
 def _(
     event: events.PeerMessageReceived, state: State, out: list[Effect]
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -12,6 +12,7 @@
     operations,
     primary_leases,
     statements,
+    usage_counts,
     watermarks,
 )
 from cuminwall.direct.answers import (
@@ -66,6 +67,7 @@
     else:
         batch.append((EndTransaction(), AnswerKind.END))
     dispatch.mark_sent(state, operation)
+    usage_counts.count_start(state, operation)
     connections.send(state, connection, batch, out)
 
 
@@ -77,10 +79,12 @@
     if operation is None:
         connections.close(state, connection, out)
         return
+    failure = answer.failure
+    if failure is not None and failure.reason in NOT_RUN_REASONS:
+        usage_counts.count_not_run(state, operation)
     if operation.stage is Stage.FINISHED:
         _handle_orphan(state, connection, answer, out)
         return
-    failure = answer.failure
     transaction = operation.session.transaction
     if transaction is not None and transaction.connection is connection:
         _handle_in_transaction(state, operation, connection, answer, out)
--- a/src/cuminwall/direct/state.py
+++ b/src/cuminwall/direct/state.py
@@ -27,6 +27,7 @@
     TokenRate,
 )
 from cuminwall.direct.servers_state import Connection, Group, Inquiry, Server
+from cuminwall.direct.usage_state import Usage
 
 
 class Timer(NamedTuple):
@@ -70,6 +71,7 @@
     COORDINATE = enum.auto()
     ORDER = enum.auto()
     SETTLE = enum.auto()
+    USAGE = enum.auto()
 
 
 class PendingSwap(NamedTuple):
@@ -128,6 +130,7 @@
       lease_request: Its own requests for leases on primaries.
       coordinator_load: How busy it is as coordinator.
       primary_watch: What it knows about the primaries as coordinator.
+      usage: What it keeps to count and report the usage of workspaces.
       inquiries: Commands of the coordinator to servers, by number.
       next_request_at: When the next regular request to the coordinator is due.
       request_pacing: When further requests to it may be sent.
@@ -186,6 +189,7 @@
         self.lease_request = PrimaryLeaseRequests()
         self.coordinator_load = CoordinatorLoad(0.0)
         self.primary_watch = PrimaryWatch()
+        self.usage = Usage()
         self.inquiries: dict[int, Inquiry] = {}
         self.next_request_at = leases.NEVER
         self.request_pacing = RequestPacing()
@@ -198,8 +202,7 @@
         self.store_view = StoreView()
         self.snapshot_count = 0
         self.last_number = 0
-        self.is_shutting_down = False
-        self.is_exiting = False
+        self.is_shutting_down = self.is_exiting = False
 
     def next_number(self) -> int:
         """Returns a number that is unique within this process."""
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -17,6 +17,7 @@
     sessions,
     shutdown,
     store_view,
+    usage_reports,
     workload,
 )
 from cuminwall.direct.effects import Effect
@@ -79,6 +80,7 @@
         failover.tick(state, out)
         lender.update_recovery(state, out)
         lender.remove_silent_instances(state, out)
+        usage_reports.tick(state, out)
 
 
 def _hold(state: State, key: Any, out: list[Effect]) -> None:
