--- a/tests/test_direct_usage.py
+++ b/tests/test_direct_usage.py
@@ -2,17 +2,18 @@
 
 import unittest
 
-from cuminwall.direct import limits, messages
+from cuminwall.direct import events, limits, messages
 from tests import direct_world, usage_world
 from tests.usage_world import DELAY_S, WINDOW_S
 
 NAMES = ("a", "b", "c")
+FIVE = ("a", "b", "c", "d", "e")  # Of which two are a minority.
 CALM_S = 12.0
 
 
-def make_world(seed: int = 1) -> usage_world.UsageWorld:
+def make_world(names: tuple[str, ...] = NAMES) -> usage_world.UsageWorld:
     """Returns a world in which the callers have just begun to send."""
-    world = usage_world.UsageWorld(NAMES, seed)
+    world = usage_world.UsageWorld(names)
     world.run(4.0)
     world.start_callers()
     return world
@@ -91,7 +92,7 @@
 
     def test_a_jump_of_a_clock_changes_nothing(self) -> None:
         for step_s in (-2.0, 2.0):
-            world = make_world()
+            world = make_world(FIVE)
             first = world.window() + 1
             world.run(CALM_S / 2)
             world.wall_steps[world.coordinator().name] = step_s
@@ -100,7 +101,7 @@
             self.assert_reported(world, first, world.window() - 2)
 
     def test_a_clock_that_is_off_from_the_start(self) -> None:
-        world = usage_world.UsageWorld(NAMES)
+        world = usage_world.UsageWorld(FIVE)
         world.wall_steps["a"] = 1.3
         world.wall_steps["b"] = -1.3
         world.run(4.0)
@@ -178,6 +179,39 @@
         assert counts is not None
         self.assertEqual(counts.counts, world.reported()[window])
 
+    def test_one_that_missed_a_report_makes_no_other(self) -> None:
+        world = make_world()
+        world.run(7.0)
+        coordinator = world.coordinator()
+        usage = coordinator.state.usage
+        newest = usage.record
+        assert newest is not None and usage.collection is not None
+        # As if a watch had left the change out.
+        usage.record = newest._replace(window=newest.window - 1)
+        coordinator.state.shared_revisions["usage"] -= 1
+        usage.collection.next_window = newest.window
+        usage.collection.totals[newest.window] = {"w1": 1}
+        world.run(3.0)
+        self.assertEqual([], world.faults)
+        self.assertEqual(newest.counts, world.reported()[newest.window])
+        self.assertGreater(max(world.reported()), newest.window)
+
+    def test_coordinators_do_not_take_turns(self) -> None:
+        world = make_world()
+        world.run(7.0)
+        for _ in range(6):
+            name = world.coordinator().name
+            world.instances[name].handle_event(
+                events.ShutdownRequested(world.now)
+            )
+            world.run(0.6)
+            world.kill(name)
+            world.start(name)
+            world.run(0.4)
+        self.assertEqual([], world.faults)
+        world.run(CALM_S)
+        self.assertEqual([], world.faults)
+
     def test_a_missed_window_is_told_with_its_cause(self) -> None:
         world = make_world()
         world.run(5.0)
--- a/tests/test_direct_usage_model.py
+++ b/tests/test_direct_usage_model.py
@@ -10,6 +10,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
+from cuminwall.direct import events
 from tests import usage_world
 
 NAMES = ("a", "b", "c")
@@ -17,7 +18,8 @@
 # Of a clock; more would move a count by over a window.
 STEPS_S = strategies.sampled_from((-1.5, 0.0, 1.5))
 FAULTS = strategies.sampled_from(("lost", "late", "silent"))
-SECONDS = strategies.sampled_from((0.05, 0.4, 1.0, 2.0))
+SECONDS = strategies.sampled_from((0.05, 0.4, 1.0, 2.0, 4.0))
+TAKEOVER_S = 1.5  # By which another coordinates.
 
 
 class UsageMachine(stateful.RuleBasedStateMachine):
@@ -47,6 +49,18 @@
     def kill(self, name: str, is_coordinator: bool) -> None:
         """A process is killed."""
         self.world.kill(self.name_of(name, is_coordinator))
+        self.world.run(TAKEOVER_S)
+
+    @stateful.rule(name=ANY_NAME)
+    def hand_over(self, name: str) -> None:
+        """The coordinator is told to shut down, and starts again."""
+        name = self.name_of(name, True)
+        event = events.ShutdownRequested(self.world.now)
+        self.world.instances[name].handle_event(event)
+        self.world.run(0.3)
+        self.world.kill(name)
+        self.world.start(name)
+        self.world.run(0.3)
 
     @stateful.rule(name=ANY_NAME)
     def restart(self, name: str) -> None:
@@ -60,6 +74,7 @@
         name = self.name_of(name, is_coordinator)
         if self.world.instances[name].is_alive:
             self.world.frozen.setdefault(name, [])
+            self.world.run(TAKEOVER_S)
 
     @stateful.rule(name=ANY_NAME)
     def thaw(self, name: str) -> None:
@@ -71,12 +86,14 @@
         """A machine is cut off from the others, or the cut heals."""
         instance = self.world.instances[self.name_of(name, is_coordinator)]
         instance.is_isolated = not instance.is_isolated
+        self.world.run(TAKEOVER_S)
 
     @stateful.rule(name=ANY_NAME, is_coordinator=strategies.booleans())
     def cut_store(self, name: str, is_coordinator: bool) -> None:
         """A machine is cut off from the store."""
         name = self.name_of(name, is_coordinator)
         self.world.instances[name].has_store = False
+        self.world.run(TAKEOVER_S)
 
     @stateful.rule(name=ANY_NAME)
     def heal_store(self, name: str) -> None:
@@ -131,7 +148,7 @@
 UsageModelTest = UsageMachine.TestCase
 UsageModelTest.settings = hypothesis.settings(
     max_examples=25,
-    stateful_step_count=25,
+    stateful_step_count=30,
     derandomize=True,
     deadline=None,
     database=None,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -810,6 +810,19 @@
         self.assertEqual(own.limits.grace_s, 9.0)
         self.assertEqual(own.limits.cores, 1.5)
 
+    def test_usage_is_reported_where_window_and_duty_are_named(self) -> None:
+        windows = (
+            "[Bounds]\nReportWindowS = 5\nUsageDelayS = 10\nLeaseMs = 2000"
+        )
+        named = SETTINGS.replace("[Bounds]", windows)
+        reported = settings.read(named).limits
+        self.assertEqual(reported.usage_window_s, 5.0)
+        self.assertEqual(reported.usage_delay_s, 10.0)
+        self.assertEqual(reported.duty_lease_s, 2.0)
+        other = settings.read(named + 'Duties = ["failover"]\n').limits
+        self.assertEqual(other.usage_window_s, 0.0)
+        self.assertEqual(settings.read(SETTINGS).limits.usage_window_s, 0.0)
+
     def test_faults(self) -> None:
         for text in ("", "x = ", SETTINGS.replace("Zone", "Zine")):
             with self.assertRaises(exceptions.SettingsError):
@@ -901,6 +914,19 @@
         with self.assertRaises(exceptions.StoreUnavailableError):
             await self.provider.promote("a", "s", "i-7", 4, lambda: True)
 
+    async def test_report_usage(self) -> None:
+        async def report() -> events.UsageOutcome:
+            return await self.provider.report_usage(
+                "a", 7, {"w": 3}, 4, lambda: True
+            )
+
+        self.answers = [(200, {}), (409, {}), (429, {})]
+        self.assertIs(await report(), events.UsageOutcome.ACCEPTED)
+        self.assertIs(await report(), events.UsageOutcome.REFUSED)
+        with self.assertRaises(exceptions.StoreUnavailableError):
+            await report()
+        self.assertEqual(["/usage"] * 3, self.paths)
+
 
 class RestoredStoreTest(StoreTest):
     """The store comes back from a copy: it has lost its latest changes.
