--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -12,7 +12,13 @@
 """
 
 from cuminwall import lending
-from cuminwall.direct import membership, messages, shared_watermarks
+from cuminwall.direct import (
+    membership,
+    messages,
+    shared_watermarks,
+    usage_clock,
+    usage_collection,
+)
 from cuminwall.direct.effects import Effect, Note
 from cuminwall.direct.fleet_state import Coordinator, Lender
 from cuminwall.direct.state import State
@@ -76,6 +82,7 @@
         state.now - request.since_earlier_request_s
     )
     lender.supported_at[sender] = request.sent_no_earlier_than
+    is_usage_taken = usage_collection.take(state, sender, request)
     if not _may_lend(state, lender):
         return None
     holder = membership.process_name(sender, request.boot)
@@ -103,6 +110,8 @@
         newest_change=state.store_view.newest_change,
         view_age_s=state.now - state.store_view.answered_at,
         watermarks=shared_watermarks.handle_request(state, request),
+        clock_s=usage_clock.agreed_time(state),
+        is_usage_taken=is_usage_taken,
     )
 
 
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -68,6 +68,13 @@
       sent_no_earlier_than: A time on the coordinator's clock before which this
         was certainly not sent, however long it was held up on its way.
       watermarks: The watermarks that it tells and asks for, or None.
+      clock_s: The time by the sender's own wall clock; 0 if not told.
+      usage_until: Up to which wall-clock time the sender has told all its
+        counts of usage, with this and earlier requests; 0 if this has none.
+      usage: For each window the requests that began to run, by workspace,
+        as far as they were not acknowledged. Plain tuples, which a process of
+        an earlier version can decode.
+      usage_recorded: The newest window whose report the sender has seen.
     """
 
     number: int
@@ -81,6 +88,10 @@
     since_earlier_request_s: float
     sent_no_earlier_than: float
     watermarks: WatermarkRequest | None = None
+    clock_s: float = 0.0
+    usage_until: float = 0.0
+    usage: tuple[tuple[int, tuple[tuple[str, int], ...]], ...] = ()
+    usage_recorded: int = -1
 
 
 class ShareReply(NamedTuple):
@@ -99,6 +110,8 @@
       view_age_s: How long ago the store confirmed that there was no newer one;
         infinite if the coordinator does not tell.
       watermarks: The newest of the services that were asked for.
+      clock_s: The time by the clock that the instances agreed on; 0 if none.
+      is_usage_taken: Whether the coordinator has the usage of the request.
     """
 
     number: int
@@ -111,6 +124,8 @@
     newest_change: int = 0
     view_age_s: float = math.inf
     watermarks: tuple[SharedWatermark, ...] = ()
+    clock_s: float = 0.0
+    is_usage_taken: bool = False
 
 
 class FindCoordinator(NamedTuple):
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -13,6 +13,8 @@
     operations,
     shared_watermarks,
     store_view,
+    usage_clock,
+    usage_counts,
     workload,
 )
 from cuminwall.direct.callers_state import Operation, Stage
@@ -304,6 +306,8 @@
     pacing.wanted.clear()
     if is_complete:
         pacing.complete_epoch = coordinator.epoch
+    usage_clock.request_reading(state, out)
+    told = usage_counts.tell(state, number, coordinator.epoch)
     message = messages.ShareRequest(
         number=number,
         boot=state.boot,
@@ -316,6 +320,7 @@
         since_earlier_request_s=_record_request(state, coordinator.epoch),
         sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
         watermarks=shared_watermarks.make_request(state, number),
+        **told._asdict(),
     )
     if coordinator.instance != state.instance:
         out.append(SendToPeer(coordinator.instance, message))
@@ -398,6 +403,7 @@
     discovery.last_reply_epoch = reply.epoch
     discovery.last_reply_sent_at = reply.sent_at
     shared_watermarks.handle_reply(state, reply)
+    usage_counts.handle_reply(state, reply)
     pacing = state.request_pacing
     pacing.interval_s = reply.interval_s
     if reply.is_reported:
