Direct service: learned speeds of backend servers, spread choices

Cause: a server's load as an instance counts it is its own alone, less than one operation with 60 instances, so weights were constants, equal ones went to the first server, and a slow server got as much as a fast one.

Estimates compare answers by kind of statement between the servers of a service; failures and missing answers count as slow. A hash by instance and operation spreads the choice among servers that are alike. A primary is spared reads while what only it can run waits.

Ruled out: limits of concurrency (too few answers at one instance), shares set by the coordinator (bytes between availability zones). Not begun: telling estimates among instances.

--- a/src/cuminwall/direct/meters.py
+++ b/src/cuminwall/direct/meters.py
@@ -81,6 +81,19 @@
             name, [observe], description=description
         )
 
+    def gauge_by_server(
+        self, name: str, description: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        """Registers a gauge with a value for each backend server."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for server, value in read().items():
+                yield Observation(value, {"server": server})
+
+        self.meter.create_observable_gauge(
+            name, [observe], description=description
+        )
+
     def count_statement(self, kind: str, outcome: str, seconds: float) -> None:
         """Counts an answered statement."""
         self.statements.add(1, {"kind": kind, "outcome": outcome})
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -19,6 +19,7 @@
     limits,
     meters,
     ports,
+    speeds,
     state,
     store_view,
 )
@@ -208,6 +209,21 @@
             "Connections to backend servers.",
             lambda: len(state_.connections),
         )
+        meters_.gauge_by_server(
+            "cuminwall_server_slowdown",
+            "How many times longer than usual a server's statements take.",
+            lambda: speeds.read_slowdowns(state_, engine.boot_clock()),
+        )
+        meters_.gauge_by_server(
+            "cuminwall_server_expected_seconds",
+            "The mean time of a server's recent statements.",
+            lambda: speeds.read_expected_s(state_, engine.boot_clock()),
+        )
+        meters_.gauge_by_server(
+            "cuminwall_server_observations",
+            "How many recent answers the estimate of a server rests on.",
+            lambda: speeds.read_observations(state_, engine.boot_clock()),
+        )
         meters_.gauge(
             "cuminwall_log_lines_dropped",
             "Log lines that were not written.",
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -1,16 +1,17 @@
 """Chooses the backend server for an operation.
 
 No operation is refused while a server that may run it has capacity. Reads go
-to the server with the least load from this instance. A server with an idle
-connection of their workspace is preferred, since opening one costs the server
-as much as a statement, and then one in this availability zone. Operations
-that must see every commit go to the primary.
+to the server where `cuminwall.load.placement` finds the lowest cost: by this
+instance's load there, its learned speed, whether a connection must be opened,
+and its availability zone. Operations that must see every commit go to the
+primary, which reads leave to them while they need it.
 """
 
 from cuminwall.direct import (
     connections,
     groups,
     primary_leases,
+    speeds,
     warmups,
     watermarks,
 )
@@ -19,12 +20,7 @@
 from cuminwall.direct.catalog import Freshness
 from cuminwall.direct.servers_state import ConnectionStatus, Group, Server
 from cuminwall.direct.state import State
-
-# Penalties added to the load of a server, in operations.
-OTHER_ZONE_WEIGHT = 0.6  # For a server in another availability zone.
-PRIMARY_WEIGHT = 0.5  # For the primary, which alone can run some operations.
-OPENING_WEIGHT = 1.5  # For having to open a connection.
-COLD_WEIGHT = 0.6  # For a cold server, which is slower.
+from cuminwall.load import placement, server_speeds
 
 
 def choose(state: State, group: Group, operation: Operation) -> Server | None:
@@ -108,17 +104,14 @@
     min_position = _find_min_position(state, group, operation)
     if min_position is None:
         return None
-    best = None
-    best_weight = 0.0
+    candidates = []
     for server in group.servers.values():
-        if not _may_read(state, server, operation):
-            continue
-        weight = _weight(state, group, server, operation.session.workspace)
-        if best is None or weight < best_weight:
-            best = server
-            best_weight = weight
-    if best is None:
+        if _may_read(state, server, operation):
+            candidates.append(_make_candidate(state, group, server, operation))
+    if not candidates:
         return None
+    chosen = placement.choose(candidates, state.instance, operation.number)
+    best = group.servers[chosen]
     is_primary = best.entry.server == group.primary
     if not is_primary or not primary_leases.is_held(state, group, best):
         operation.min_position = min_position
@@ -150,17 +143,36 @@
     return state.now >= max(until, warmups.next_attempt_at(state, server))
 
 
-def _weight(
-    state: State, group: Group, server: Server, workspace: str
-) -> float:
-    """Returns a server's load per slot, with penalties; the lowest wins."""
-    weight = float(load(server))
-    if not connections.has_idle(server, workspace):
-        weight += OPENING_WEIGHT
-    if server.entry.zone != state.zone:
-        weight += OTHER_ZONE_WEIGHT
+def _make_candidate(
+    state: State, group: Group, server: Server, operation: Operation
+) -> placement.Candidate:
+    """Returns what the choice of a server takes into account."""
+    slowdown = speeds.slowdown(state, group, server)
+    reserve = 0.0
     if server.entry.server == group.primary:
-        weight += PRIMARY_WEIGHT
-    if state.now < server.cold_until:
-        weight += COLD_WEIGHT
-    return weight / max(1, server.entry.slots)
+        reserve = placement.primary_reserve(
+            server_speeds.primary_fraction(group.primary_demand),
+            len(group.servers),
+            _count_primary_only(server),
+            slowdown,
+        )
+    return placement.Candidate(
+        server.entry.server,
+        load(server),
+        server.entry.slots,
+        server.entry.zone == state.zone,
+        connections.has_idle(server, operation.session.workspace),
+        state.now < server.cold_until,
+        slowdown,
+        reserve,
+    )
+
+
+def _count_primary_only(server: Server) -> int:
+    """Returns how many operations here wait for a primary or need it."""
+    count = len(server.waiting)
+    for connection in server.connections:
+        operation = connection.operation
+        if operation is not None and operation.needs_primary:
+            count += 1
+    return count
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -11,6 +11,7 @@
     groups,
     operations,
     primary_leases,
+    speeds,
     statements,
     watermarks,
 )
@@ -77,6 +78,7 @@
     if operation is None:
         connections.close(state, connection, out)
         return
+    speeds.record_answer(state, connection, answer, out)
     if operation.stage is Stage.FINISHED:
         _handle_orphan(state, connection, answer, out)
         return
@@ -326,6 +328,7 @@
         groups.handle_not_primary(state, server, out)
     elif failure.reason is Reason.OVERLOADED:
         server.overloaded_until = state.now + state.limits.overload_pause_s
+        speeds.record_failure(state, server, out)
     elif failure.reason is Reason.BEHIND:
         written = operation.session.last_write_position
         if written is None or operation.min_position != written:
--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -10,6 +10,7 @@
     dispatch,
     groups,
     operations,
+    speeds,
     statements,
 )
 from cuminwall.direct.answers import (
@@ -46,6 +47,7 @@
         return
     operation = connection.operation
     if operation is not None and operation.stage is not Stage.FINISHED:
+        speeds.record_failure(state, server, out)
         handle_lost_answer(
             state, operation, connection, "the connection was lost", out
         )
@@ -133,6 +135,7 @@
             _check_silence(state, operation, connection.server, out)
         return
     groups.record_unreachable(state, connection.server, "no answer", out)
+    speeds.record_failure(state, connection.server, out)
     connections.close(state, connection, out)
     if operation.stage is Stage.OPENING_TRANSACTION:
         handle_lost_answer(
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -12,6 +12,7 @@
 from cuminwall.direct.callers_state import Operation, Session
 from cuminwall.direct.commands import Command
 from cuminwall.direct.statements import Shape
+from cuminwall.load import server_speeds
 
 
 class ConnectionStatus(enum.Enum):
@@ -145,6 +146,20 @@
     position: Position
 
 
+class StatementKind(NamedTuple):
+    """Statements whose times at different servers are compared.
+
+    Attributes:
+      database: The database that they name.
+      writes: Whether they write.
+      is_commit: Whether they end a transaction.
+    """
+
+    database: str
+    writes: bool
+    is_commit: bool
+
+
 class Server:
     """A backend server.
 
@@ -175,6 +190,8 @@
       status_asked_at: When that query was sent.
       status_alive: Whether it answered that query at all.
       refuses_hold: Whether it does not know how to receive no more commits.
+      speed: How fast it is, by what this instance has seen.
+      is_slow: Whether it was reported as slower than its peers.
     """
 
     __slots__ = (
@@ -200,6 +217,8 @@
         "status_asked_at",
         "status_alive",
         "refuses_hold",
+        "speed",
+        "is_slow",
     )
 
     def __init__(self, entry: catalog.ServerEntry):
@@ -225,6 +244,8 @@
         self.status_asked_at = leases.NEVER
         self.status_alive = True
         self.refuses_hold = False
+        self.speed = server_speeds.NEUTRAL
+        self.is_slow = False
 
 
 class PrimaryLease:
@@ -292,6 +313,8 @@
       primary_expected_at: By when a new primary is expected, or None.
       watermarks: Watermarks, oldest first.
       waiting: The operations that wait for a primary.
+      usual_times: What each kind of statement takes at all its servers.
+      primary_demand: How much of its work only the primary can do.
     """
 
     __slots__ = (
@@ -310,6 +333,8 @@
         "primary_expected_at",
         "watermarks",
         "waiting",
+        "usual_times",
+        "primary_demand",
     )
 
     def __init__(self, service: str):
@@ -328,3 +353,5 @@
         self.primary_expected_at: float | None = None
         self.watermarks: deque[Watermark] = deque()
         self.waiting: wait_queue.WaitQueue[Operation] = wait_queue.WaitQueue()
+        self.usual_times: dict[StatementKind, server_speeds.Usual] = {}
+        self.primary_demand = server_speeds.NO_DEMAND
