Direct service: a server that answers nothing counts as slow at once

Cause: at an instance with many recent answers, a few unanswered statements moved the estimate of a hanging server to 1.1 only. If a server has answered nothing since a statement was sent, a third of the ratio that this one has reached is a lower bound of the slowdown.

--- a/src/cuminwall/direct/speeds.py
+++ b/src/cuminwall/direct/speeds.py
@@ -11,7 +11,6 @@
 from cuminwall.direct.effects import Effect, Note
 from cuminwall.direct.servers_state import (
     Connection,
-    ConnectionStatus,
     Group,
     Server,
     StatementKind,
@@ -65,8 +64,20 @@
 
 def slowdown(state: State, group: Group, server: Server) -> float:
     """Returns how many times longer than usual a server takes."""
+    overdue = []
+    silent_ratio = 0.0
+    for connection in server.connections:
+        operation = connection.operation
+        if operation is None or operation.stage is not Stage.SENT:
+            continue
+        ratio = _ratio_so_far(state, group, operation)
+        if ratio < server_speeds.OVERDUE_RATIO:
+            continue
+        overdue.append(ratio)
+        if server.last_answer_at <= operation.sent_at:
+            silent_ratio = max(silent_ratio, ratio)
     return server_speeds.slowdown(
-        server.speed, state.now, _overdue_ratios(state, group, server)
+        server.speed, state.now, overdue, silent_ratio
     )
 
 
@@ -104,23 +115,11 @@
     return values
 
 
-def _overdue_ratios(state: State, group: Group, server: Server) -> list[float]:
-    """Returns how much longer than usual unanswered statements have taken."""
-    ratios = []
-    for connection in server.connections:
-        if connection.status is not ConnectionStatus.RUNNING:
-            continue
-        operation = connection.operation
-        if operation is None or operation.stage is not Stage.SENT:
-            continue
-        usual = group.usual_times.get(kind_of(operation))
-        if usual is None:
-            continue
-        elapsed_s = state.now - operation.sent_at
-        ratio = server_speeds.ratio_to_usual(usual, elapsed_s)
-        if ratio is not None and ratio >= server_speeds.OVERDUE_RATIO:
-            ratios.append(ratio)
-    return ratios
+def _ratio_so_far(state: State, group: Group, operation: Operation) -> float:
+    """Returns how much longer than usual a statement has taken, or 0."""
+    usual = group.usual_times.get(kind_of(operation), server_speeds.UNKNOWN)
+    elapsed_s = state.now - operation.sent_at
+    return server_speeds.ratio_to_usual(usual, elapsed_s) or 0.0
 
 
 def _remember_usual(
--- a/src/cuminwall/load/server_speeds.py
+++ b/src/cuminwall/load/server_speeds.py
@@ -109,7 +109,10 @@
 
 
 def slowdown(
-    estimate: Estimate, now: float, overdue: Iterable[float] = ()
+    estimate: Estimate,
+    now: float,
+    overdue: Iterable[float] = (),
+    silent_ratio: float = 0.0,
 ) -> float:
     """Returns how many times longer than usual statements take at a server.
 
@@ -118,6 +121,8 @@
       now: The time.
       overdue: For each statement that has long been unanswered, how many times
         longer than usual it has already taken.
+      silent_ratio: The same of the oldest statement since which the server has
+        answered nothing at all; 0 if there is none.
     """
     factor = _factor(estimate.at, now, HALF_LIFE_S)
     observations = estimate.observations * factor
@@ -125,7 +130,8 @@
     for ratio in overdue:
         observations += 1.0
         log_ratios += _bounded_log(ratio)
-    return math.exp(log_ratios / (observations + NEUTRAL_OBSERVATIONS))
+    mean = math.exp(log_ratios / (observations + NEUTRAL_OBSERVATIONS))
+    return max(mean, min(MAX_RATIO, silent_ratio / OVERDUE_RATIO))
 
 
 def count_observations(estimate: Estimate, now: float) -> float:
