--- a/tests/test_load_speeds.py
+++ b/tests/test_load_speeds.py
@@ -169,6 +169,14 @@
         for name in SERVERS:
             self.assertGreater(load.share(name, 10.0, 20.0), 0.8 * EVEN)
 
+    def test_a_server_with_the_longer_statements_is_not_slow(self) -> None:
+        view = View("a")
+        for number in range(20):
+            view.learn("a", "long", LONG_S, 0.1 * number)
+            view.learn("b", "short", SHORT_S, 0.1 * number)
+        for speed in view.speeds.values():
+            self.assertLess(server_speeds.slowdown(speed, 2.0), 1.1)
+
 
 class EstimateTest(unittest.TestCase):
     """Load: few answers, errors that come fast, answers that do not come."""
