--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -13,6 +13,7 @@
 from cuminwall.direct.commands import Command
 from cuminwall.direct.log_branches import Fork
 from cuminwall.direct.statements import Shape
+from cuminwall.load import server_speeds
 
 
 class ConnectionStatus(enum.Enum):
@@ -146,6 +147,20 @@
     position: Position
 
 
+class StatementKind(NamedTuple):
+    """Statements whose times at different servers are compared.
+
+    Attributes:
+      database: The database that they name.
+      writes: Whether they write.
+      is_commit: Whether they end a transaction.
+    """
+
+    database: str
+    writes: bool
+    is_commit: bool
+
+
 class Server:
     """A backend server.
 
@@ -176,6 +191,8 @@
       status_asked_at: When that query was sent.
       status_alive: Whether it answered that query at all.
       refuses_hold: Whether it does not know how to receive no more commits.
+      speed: How fast it is, by what this instance has seen.
+      is_slow: Whether it was reported as slower than its peers.
     """
 
     __slots__ = (
@@ -201,6 +218,8 @@
         "status_asked_at",
         "status_alive",
         "refuses_hold",
+        "speed",
+        "is_slow",
     )
 
     def __init__(self, entry: catalog.ServerEntry):
@@ -226,6 +245,8 @@
         self.status_asked_at = leases.NEVER
         self.status_alive = True
         self.refuses_hold = False
+        self.speed = server_speeds.NEUTRAL
+        self.is_slow = False
 
 
 class PrimaryLease:
@@ -299,6 +320,8 @@
       told_watermark_at: The time of its own newest one that it has told.
       read_at: When a read that a replica may run last arrived.
       waiting: The operations that wait for a primary.
+      usual_times: What each kind of statement takes at all its servers.
+      primary_demand: How much of its work only the primary can do.
     """
 
     __slots__ = (
@@ -322,6 +345,8 @@
         "told_watermark_at",
         "read_at",
         "waiting",
+        "usual_times",
+        "primary_demand",
     )
 
     def __init__(self, service: str):
@@ -345,3 +370,5 @@
         self.told_watermark_at = leases.NEVER
         self.read_at = leases.NEVER
         self.waiting: wait_queue.WaitQueue[Operation] = wait_queue.WaitQueue()
+        self.usual_times: dict[StatementKind, server_speeds.Usual] = {}
+        self.primary_demand = server_speeds.NO_DEMAND
