--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -11,7 +11,7 @@
 
 import string
 
-from cuminwall.direct import groups, membership
+from cuminwall.direct import groups, membership, waiting
 from cuminwall.direct.callers_state import Operation, Session
 from cuminwall.direct.commands import (
     AssignValue,
@@ -115,19 +115,12 @@
     found = _find_idle(server, workspace, operation.session)
     if found is not None:
         return found
-    enqueue(server, operation)
+    waiting.enqueue(state, server, operation)
     if _exceeds_opening(server, workspace):
         open_for_workspace(state, server, workspace, False, out)
     return None
 
 
-def enqueue(server: Server, operation: Operation) -> None:
-    """Queues an operation for a connection to a server."""
-    workspace = operation.session.workspace
-    priority = operation.route.priority
-    server.waiting.push(priority, operation.target_at, operation, workspace)
-
-
 def open_for_workspace(
     state: State,
     server: Server,
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -16,6 +16,7 @@
     placing,
     primary_leases,
     statements,
+    waiting,
     warmups,
 )
 from cuminwall.direct.callers_state import Operation, Stage
@@ -61,6 +62,9 @@
     if connection is not None:
         send_statement(state, operation, connection, out)
         return
+    if waiting.is_hopeless(state, server, operation):
+        operations.refuse(state, operation, "no room expected in time", out)
+        return
     operations.set_timer(state, operation, operation.wait_until)
 
 
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -12,6 +12,7 @@
     operations,
     primary_leases,
     statements,
+    waiting,
     watermarks,
 )
 from cuminwall.direct.answers import (
@@ -81,6 +82,8 @@
         _handle_orphan(state, connection, answer, out)
         return
     failure = answer.failure
+    if failure is None:
+        waiting.record_time(state, connection, operation)
     transaction = operation.session.transaction
     if transaction is not None and transaction.connection is connection:
         _handle_in_transaction(state, operation, connection, answer, out)
--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -11,6 +11,7 @@
     groups,
     operations,
     statements,
+    waiting,
 )
 from cuminwall.direct.answers import (
     Failure,
@@ -284,7 +285,7 @@
         if not is_unreachable and (
             operation.needs_primary or operation.min_position is None
         ):
-            connections.enqueue(server, operation)
+            waiting.enqueue(state, server, operation)
             continue
         operation.tried.add(server.entry.server)
         if is_unreachable:
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -12,6 +12,7 @@
 from cuminwall.direct.callers_state import Operation, Session
 from cuminwall.direct.commands import Command
 from cuminwall.direct.statements import Shape
+from cuminwall.load import waits
 
 
 class ConnectionStatus(enum.Enum):
@@ -292,6 +293,8 @@
       primary_expected_at: By when a new primary is expected, or None.
       watermarks: Watermarks, oldest first.
       waiting: The operations that wait for a primary.
+      server_times: How long statements take at each server, by its id.
+      route_times: How long those of each route take, by database.
     """
 
     __slots__ = (
@@ -310,6 +313,8 @@
         "primary_expected_at",
         "watermarks",
         "waiting",
+        "server_times",
+        "route_times",
     )
 
     def __init__(self, service: str):
@@ -328,3 +333,5 @@
         self.primary_expected_at: float | None = None
         self.watermarks: deque[Watermark] = deque()
         self.waiting: wait_queue.WaitQueue[Operation] = wait_queue.WaitQueue()
+        self.server_times: dict[str, waits.ServiceTime] = {}
+        self.route_times: dict[str, waits.ServiceTime] = {}
--- /dev/null
+++ b/src/cuminwall/direct/waiting.py
@@ -0,0 +1,90 @@
+"""Operations that wait for a connection: their order, and how long it takes.
+
+Keeps what `load.waits` needs to know of each group of servers.
+"""
+
+from cuminwall.direct import groups
+from cuminwall.direct.callers_state import Operation
+from cuminwall.direct.servers_state import (
+    Connection,
+    ConnectionStatus,
+    Group,
+    Server,
+)
+from cuminwall.direct.state import State
+from cuminwall.load import turns, waits
+
+WORK_S = 0.01  # Of a statement whose route was not used lately.
+# Connections with these will soon serve another operation.
+SERVING_STATUSES = (
+    ConnectionStatus.OPENING,
+    ConnectionStatus.RUNNING,
+    ConnectionStatus.ROLLING_BACK,
+)
+
+
+def enqueue(state: State, server: Server, operation: Operation) -> None:
+    """Queues an operation for a connection to a server."""
+    group = groups.find(state, operation.route.service)
+    workspace = operation.session.workspace
+    server.waiting.push(
+        operation.route.priority,
+        operation.target_at,
+        operation,
+        workspace,
+        _work_s(group, operation),
+        _weight(state, workspace),
+    )
+
+
+def record_time(
+    state: State, connection: Connection, operation: Operation
+) -> None:
+    """Records how long a server took for a statement."""
+    group = groups.find(state, operation.route.service)
+    seconds = state.now - operation.sent_at
+    for times, name in (
+        (group.server_times, connection.server.entry.server),
+        (group.route_times, operation.route.database),
+    ):
+        known = times.get(name, waits.UNKNOWN)
+        times[name] = waits.observe(known, seconds, state.now)
+
+
+def is_hopeless(state: State, server: Server, operation: Operation) -> bool:
+    """Returns whether an operation queued at a server waits there in vain."""
+    group = groups.find(state, operation.route.service)
+    times = group.server_times.get(server.entry.server, waits.UNKNOWN)
+    queue = _describe_queue(state, server, operation.session.workspace)
+    left_s = operation.wait_until - state.now
+    return waits.is_hopeless(queue, waits.mean_s(times), left_s)
+
+
+def _describe_queue(
+    state: State, server: Server, workspace: str
+) -> waits.Queue:
+    """Returns what the last operation of a workspace finds at a server."""
+    queue = server.waiting
+    # Every workspace gets its turns.
+    in_turns = queue.count_kind(workspace) * len(queue.queues)
+    serving = 0
+    for connection in server.connections:
+        serving += connection.status in SERVING_STATUSES
+    closed_s = 0.0
+    if not serving and server.refusals:
+        closed_s = max(0.0, server.overloaded_until - state.now)
+    ahead = min(len(queue), in_turns) - 1
+    return waits.Queue(max(0, ahead), serving, closed_s)
+
+
+def _work_s(group: Group, operation: Operation) -> float:
+    """Returns how long an operation takes a server, as far as is known."""
+    known = group.route_times.get(operation.route.database, waits.UNKNOWN)
+    mean_s = waits.mean_s(known)
+    return WORK_S if mean_s is None else mean_s
+
+
+def _weight(state: State, workspace: str) -> float:
+    """Returns the weight of a workspace among those of a class."""
+    limits = state.catalog.workspaces.get(workspace)
+    return 1.0 if limits is None else turns.weight_of(limits.priority)
