--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -63,7 +63,7 @@
         send_statement(state, operation, connection, out)
         return
     if waiting.is_hopeless(state, server, operation):
-        operations.refuse(state, operation, "no room expected in time", out)
+        operations.refuse(state, operation, waiting.HOPELESS, out)
         return
     operations.set_timer(state, operation, operation.wait_until)
 
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -19,6 +19,7 @@
 from cuminwall.direct.catalog import Freshness
 from cuminwall.direct.servers_state import ConnectionStatus, Group, Server
 from cuminwall.direct.state import State
+from cuminwall.load import waits
 
 # Penalties added to the load of a server, in operations.
 OTHER_ZONE_WEIGHT = 0.6  # For a server in another availability zone.
@@ -113,6 +114,8 @@
     for server in group.servers.values():
         if not _may_read(state, server, operation):
             continue
+        if _is_reserved(state, group, server):
+            continue
         weight = _weight(state, group, server, operation.session.workspace)
         if best is None or weight < best_weight:
             best = server
@@ -150,6 +153,16 @@
     return state.now >= max(until, warmups.next_attempt_at(state, server))
 
 
+def _is_reserved(state: State, group: Group, server: Server) -> bool:
+    """Returns whether a primary is left to what only it can run.
+
+    A read that no replica may serve goes to it all the same.
+    """
+    if server.entry.server != group.primary or len(group.servers) < 2:
+        return False
+    return waits.is_room_short(server.overloaded_until, state.now)
+
+
 def _weight(
     state: State, group: Group, server: Server, workspace: str
 ) -> float:
--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -246,11 +246,11 @@
         if failure.reason is Reason.WRONG_SERVER:
             server.avoid_until = state.now + state.limits.unreachable_pause_s
     if failure is None or failure.reason is Reason.WRONG_SERVER:
-        _reassign_waiting(state, server, True)
+        _reassign_waiting(state, server, True, out)
         return
     # The server is out of connections; those of processes that have ended
     # may still count.
-    _reassign_waiting(state, server, False)
+    _reassign_waiting(state, server, False, out)
     if len(server.waiting):
         due_at = server.overloaded_until
         state.set_timer(due_at, TimerKind.SERVER, server.entry.server)
@@ -269,7 +269,7 @@
 
 
 def _reassign_waiting(
-    state: State, server: Server, is_unreachable: bool
+    state: State, server: Server, is_unreachable: bool, out: list[Effect]
 ) -> None:
     """Reassigns the operations that wait for a server to other servers.
 
@@ -277,7 +277,9 @@
       state: The state.
       server: The server.
       is_unreachable: Whether the server is unreachable. If not, operations
-        that only the primary can run go on waiting for it.
+        that only the primary can run go on waiting for it, as long as they
+        may be served in time.
+      out: The effects.
     """
     for operation in server.waiting.drain():
         if operation.stage is Stage.FINISHED:
@@ -286,6 +288,8 @@
             operation.needs_primary or operation.min_position is None
         ):
             waiting.enqueue(state, server, operation)
+            if waiting.is_hopeless(state, server, operation):
+                operations.refuse(state, operation, waiting.HOPELESS, out)
             continue
         operation.tried.add(server.entry.server)
         if is_unreachable:
--- a/src/cuminwall/direct/waiting.py
+++ b/src/cuminwall/direct/waiting.py
@@ -14,6 +14,7 @@
 from cuminwall.direct.state import State
 from cuminwall.load import turns, waits
 
+HOPELESS = "no room expected in time"  # Why an operation is refused.
 WORK_S = 0.01  # Of a statement whose route was not used lately.
 # Connections with these will soon serve another operation.
 SERVING_STATUSES = (
--- a/src/cuminwall/load/waits.py
+++ b/src/cuminwall/load/waits.py
@@ -12,6 +12,9 @@
 # A mean of fewer observations, by weight, says too little.
 MIN_OBSERVATIONS = 3.0
 
+# How long room at a server counts as short after it was refused.
+SHORT_S = 2.0
+
 
 class ServiceTime(NamedTuple):
     """How long statements take at a server, or those of a route.
@@ -78,3 +81,15 @@
     if service_s is None:
         return queue.closed_s > left_s
     return expected_s(queue, service_s) > left_s
+
+
+def is_room_short(refused_until: float, now: float) -> bool:
+    """Returns whether a server lately had no room for more.
+
+    What could run elsewhere then leaves it to what only that server can run.
+
+    Args:
+      refused_until: Until when it was last avoided for that reason.
+      now: The time.
+    """
+    return now < refused_until + SHORT_S
