--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -18,10 +18,13 @@
 from cuminwall.direct.effects import Effect, Note, SendToPeer
 from cuminwall.direct.fleet_state import RequestPacing, TokenRate
 from cuminwall.direct.state import State, TimerKind
+from cuminwall.load import waits
 from cuminwall.messages import ShareReport
 
 PART = "quotas"
 
+HOPELESS = "no token expected in time"  # Why an operation is refused.
+
 # Requests more than the demand, so that the share suffices while this instance
 # is cut off. Unused tokens are returned with each request.
 DEMAND_POLICY = buckets.DemandPolicy(
@@ -83,6 +86,10 @@
     elif _is_coordinator_silent(state, bucket):
         # The tokens of the share held here are all that will come.
         wait_s = max(wait_s, operation.route.target_s)
+        if _is_token_hopeless(state, bucket, wait_s):
+            request_tokens_now(state, bucket, out)
+            operations.refuse(state, operation, HOPELESS, out)
+            return
     operation.wait_until = state.now + wait_s
     state.set_timer(operation.wait_until, TimerKind.OPERATION, operation.number)
     bucket.waiting.append((operation.number, state.now))
@@ -466,12 +473,28 @@
 
 def _is_coordinator_silent(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether the coordinator has not replied in time."""
+    discovery = state.discovery
+    if discovery.last_request_at > discovery.last_reply_at:
+        # Some request is unanswered, and regular ones were sent since.
+        silent_s = state.now - discovery.last_reply_at
+        interval_s = state.limits.share_request_interval_s
+        if silent_s > interval_s + state.request_pacing.reply_timeout_s:
+            return True
     share = bucket.share
     if share.is_answered:
         return False
     return state.now - share.requested_at > shares.REQUEST_TIMEOUT_S
 
 
+def _is_token_hopeless(
+    state: State, bucket: buckets.Bucket, wait_s: float
+) -> bool:
+    """Returns whether the share held here yields no token in time."""
+    rate, _ = shares.usable(bucket.share, state.now)
+    needed = len(bucket.waiting) + 1.0 - bucket.level
+    return waits.is_token_hopeless(needed, rate, wait_s)
+
+
 def _is_token_unlikely(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether no token can come while an operation may wait.
 
--- a/src/cuminwall/load/waits.py
+++ b/src/cuminwall/load/waits.py
@@ -93,3 +93,14 @@
       now: The time.
     """
     return now < refused_until + SHORT_S
+
+
+def is_token_hopeless(needed: float, rate: float, left_s: float) -> bool:
+    """Returns whether the tokens of a share alone come too late.
+
+    Args:
+      needed: Tokens missing for an operation and those before it.
+      rate: Tokens a second that the share gains.
+      left_s: How long the operation may wait.
+    """
+    return needed > rate * left_s
