--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -473,19 +473,30 @@
 
 def _is_coordinator_silent(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether the coordinator has not replied in time."""
-    discovery = state.discovery
-    if discovery.last_request_at > discovery.last_reply_at:
-        # Some request is unanswered, and regular ones were sent since.
-        silent_s = state.now - discovery.last_reply_at
-        interval_s = state.limits.share_request_interval_s
-        if silent_s > interval_s + state.request_pacing.reply_timeout_s:
-            return True
+    if _has_fallen_silent(state):
+        return True
     share = bucket.share
     if share.is_answered:
         return False
     return state.now - share.requested_at > shares.REQUEST_TIMEOUT_S
 
 
+def _has_fallen_silent(state: State) -> bool:
+    """Returns whether the coordinator has replied, but not of late.
+
+    Requests are sent regularly, whether or not operations wait for tokens.
+    """
+    discovery = state.discovery
+    coordinator = state.coordinator
+    if coordinator is None or discovery.last_reply_epoch != coordinator.epoch:
+        return False
+    if discovery.last_request_at <= discovery.last_reply_at:
+        return False
+    silent_s = state.now - discovery.last_reply_at
+    interval_s = state.limits.share_request_interval_s
+    return silent_s > interval_s + state.request_pacing.reply_timeout_s
+
+
 def _is_token_hopeless(
     state: State, bucket: buckets.Bucket, wait_s: float
 ) -> bool:
--- a/tests/test_direct_waiting.py
+++ b/tests/test_direct_waiting.py
@@ -108,5 +108,36 @@
         self.assertEqual(caller.reasons(), [None])
 
 
+class SilentCoordinatorTest(unittest.TestCase):
+    """An instance in a zone that is cut off from the coordinator."""
+
+    def test_operations_without_a_token_are_refused_at_once(self) -> None:
+        """The load: a workspace's operations beyond the share held there.
+
+        Fails where each waits for a reply that does not come.
+        """
+        primary = direct_world.FakeServer("p")
+        primary.is_primary = True
+        config = direct_world.make_catalog(rate=1.0, burst=1.0)
+        world = direct_world.World(("a", "b"), (primary,), config=config)
+        world.run(4.0)
+        name = "a" if world.coordinator().name == "b" else "b"
+        instance = world.instances[name]
+        world.cut_pairs.add(("a", "b"))
+        world.run(2.0)
+        callers = []
+        for number in range(10):
+            caller = instance.caller("db")
+            caller.send(statements.Write(f"w{number}", "WRITE 1 x"))
+            callers.append((world.now, caller))
+            world.run(0.02)
+        world.run(1.0)
+        late = 0
+        for sent_at, caller in callers[3:]:
+            self.assertEqual(caller.reasons(), [Reason.OVERLOADED])
+            late += caller.times[0] - sent_at > 0.02
+        self.assertEqual(late, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
