--- a/src/cuminwall/direct/connections.py
+++ b/src/cuminwall/direct/connections.py
@@ -11,7 +11,7 @@
 
 import string
 
-from cuminwall.direct import groups, membership, waiting
+from cuminwall.direct import groups, membership, queueing
 from cuminwall.direct.callers_state import Operation, Session
 from cuminwall.direct.commands import (
     AssignValue,
@@ -115,7 +115,7 @@
     found = _find_idle(server, workspace, operation.session)
     if found is not None:
         return found
-    waiting.enqueue(state, server, operation)
+    queueing.enqueue(state, server, operation)
     if _exceeds_opening(server, workspace):
         open_for_workspace(state, server, workspace, False, out)
     return None
--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -15,8 +15,8 @@
     operations,
     placing,
     primary_leases,
+    queueing,
     statements,
-    waiting,
     warmups,
 )
 from cuminwall.direct.callers_state import Operation, Stage
@@ -62,8 +62,8 @@
     if connection is not None:
         send_statement(state, operation, connection, out)
         return
-    if waiting.is_hopeless(state, server, operation):
-        operations.refuse(state, operation, waiting.HOPELESS, out)
+    if queueing.is_hopeless(state, server, operation):
+        operations.refuse(state, operation, queueing.HOPELESS, out)
         return
     operations.set_timer(state, operation, operation.wait_until)
 
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -11,8 +11,8 @@
     groups,
     operations,
     primary_leases,
+    queueing,
     statements,
-    waiting,
     watermarks,
 )
 from cuminwall.direct.answers import (
@@ -83,7 +83,7 @@
         return
     failure = answer.failure
     if failure is None:
-        waiting.record_time(state, connection, operation)
+        queueing.record_time(state, connection, operation)
     transaction = operation.session.transaction
     if transaction is not None and transaction.connection is connection:
         _handle_in_transaction(state, operation, connection, answer, out)
--- a/src/cuminwall/direct/retries.py
+++ b/src/cuminwall/direct/retries.py
@@ -10,8 +10,8 @@
     dispatch,
     groups,
     operations,
+    queueing,
     statements,
-    waiting,
 )
 from cuminwall.direct.answers import (
     Failure,
@@ -287,9 +287,9 @@
         if not is_unreachable and (
             operation.needs_primary or operation.min_position is None
         ):
-            waiting.enqueue(state, server, operation)
-            if waiting.is_hopeless(state, server, operation):
-                operations.refuse(state, operation, waiting.HOPELESS, out)
+            queueing.enqueue(state, server, operation)
+            if queueing.is_hopeless(state, server, operation):
+                operations.refuse(state, operation, queueing.HOPELESS, out)
             continue
         operation.tried.add(server.entry.server)
         if is_unreachable:
