--- a/src/cuminwall/direct/meters.py
+++ b/src/cuminwall/direct/meters.py
@@ -81,6 +81,23 @@
             name, [observe], description=description
         )
 
+    def labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        read: Callable[[], dict[str, float]],
+    ) -> None:
+        """Registers a gauge with one value for each value of a label."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for value, amount in read().items():
+                yield Observation(amount, {label: value})
+
+        self.meter.create_observable_gauge(
+            name, [observe], description=description
+        )
+
     def count_statement(self, kind: str, outcome: str, seconds: float) -> None:
         """Counts an answered statement."""
         self.statements.add(1, {"kind": kind, "outcome": outcome})
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -19,6 +19,7 @@
     limits,
     meters,
     ports,
+    queueing,
     state,
     store_view,
 )
@@ -208,6 +209,12 @@
             "Connections to backend servers.",
             lambda: len(state_.connections),
         )
+        meters_.labelled_gauge(
+            "cuminwall_waiting_operations",
+            "Operations that wait for a server or a connection.",
+            "priority",
+            lambda: queueing.count_waiting(state_),
+        )
         meters_.gauge(
             "cuminwall_log_lines_dropped",
             "Log lines that were not written.",
--- a/src/cuminwall/direct/queueing.py
+++ b/src/cuminwall/direct/queueing.py
@@ -61,6 +61,18 @@
     return waits.is_hopeless(queue, waits.mean_s(times), left_s)
 
 
+def count_waiting(state: State) -> dict[str, float]:
+    """Returns how many operations of each priority wait for room."""
+    counts: dict[str, float] = {}
+    queues = [server.waiting for server in state.servers.values()]
+    queues.extend(group.waiting for group in state.groups.values())
+    for queue in queues:
+        for priority, count in queue.count_by_priority().items():
+            label = str(min(priority, turns.MAX_HALVINGS))
+            counts[label] = counts.get(label, 0.0) + count
+    return counts
+
+
 def _describe_queue(
     state: State, server: Server, workspace: str
 ) -> waits.Queue:
--- a/src/cuminwall/direct/wait_queue.py
+++ b/src/cuminwall/direct/wait_queue.py
@@ -132,6 +132,14 @@
             count += queue.count()
         return count
 
+    def count_by_priority(self) -> dict[int, int]:
+        """Returns the number of queued items of each priority."""
+        counts: dict[int, int] = {}
+        for queues in self.queues.values():
+            for priority, queue in queues.items():
+                counts[priority] = counts.get(priority, 0) + queue.count()
+        return counts
+
     def discard(self, item: T, kind: str = "") -> None:
         """Removes an item, if it is queued."""
         for queue in self.queues.get(kind, {}).values():
--- a/tests/test_load_turns.py
+++ b/tests/test_load_turns.py
@@ -138,3 +138,10 @@
             queue.push(number % 3, 1.0, number, str(number))
             self.assertEqual(queue.pop(0.0), number)
             self.assertFalse(queue.turns.members)
+
+    def test_counts_by_class(self):
+        """What an operator sees of a queue."""
+        queue = WaitQueue()
+        for priority, kind in ((0, "a"), (2, "a"), (2, "b")):
+            queue.push(priority, 1.0, kind, kind)
+        self.assertEqual(queue.count_by_priority(), {0: 1, 2: 2})
