--- a/src/cuminwall/direct/dispatch.py
+++ b/src/cuminwall/direct/dispatch.py
@@ -15,6 +15,7 @@
     operations,
     placing,
     primary_leases,
+    queueing,
     statements,
     usage_counts,
     warmups,
@@ -62,6 +63,9 @@
     if connection is not None:
         send_statement(state, operation, connection, out)
         return
+    if queueing.is_hopeless(state, server, operation):
+        operations.refuse(state, operation, queueing.HOPELESS, out)
+        return
     operations.set_timer(state, operation, operation.wait_until)
 
 
--- a/src/cuminwall/direct/meters.py
+++ b/src/cuminwall/direct/meters.py
@@ -81,14 +81,18 @@
             name, [observe], description=description
         )
 
-    def gauge_by_server(
-        self, name: str, description: str, read: Callable[[], dict[str, float]]
+    def labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        read: Callable[[], dict[str, float]],
     ) -> None:
-        """Registers a gauge with a value for each backend server."""
+        """Registers a gauge with one value for each value of a label."""
 
         def observe(options: CallbackOptions) -> Iterable[Observation]:
-            for server, value in read().items():
-                yield Observation(value, {"server": server})
+            for value, amount in read().items():
+                yield Observation(amount, {label: value})
 
         self.meter.create_observable_gauge(
             name, [observe], description=description
--- a/src/cuminwall/direct/placing.py
+++ b/src/cuminwall/direct/placing.py
@@ -20,7 +20,7 @@
 from cuminwall.direct.catalog import Freshness
 from cuminwall.direct.servers_state import ConnectionStatus, Group, Server
 from cuminwall.direct.state import State
-from cuminwall.load import placement, server_speeds
+from cuminwall.load import placement, server_speeds, waits
 
 
 def choose(state: State, group: Group, operation: Operation) -> Server | None:
@@ -106,8 +106,11 @@
         return None
     candidates = []
     for server in group.servers.values():
-        if _may_read(state, server, operation):
-            candidates.append(_make_candidate(state, group, server, operation))
+        if not _may_read(state, server, operation):
+            continue
+        if _is_reserved(state, group, server):
+            continue
+        candidates.append(_make_candidate(state, group, server, operation))
     if not candidates:
         return None
     chosen = placement.choose(candidates, state.instance, operation.number)
@@ -144,6 +147,16 @@
     return state.now >= max(until, warmups.next_attempt_at(state, server))
 
 
+def _is_reserved(state: State, group: Group, server: Server) -> bool:
+    """Returns whether a primary is left to what only it can run.
+
+    A read that no replica may serve goes to it all the same.
+    """
+    if server.entry.server != group.primary or len(group.servers) < 2:
+        return False
+    return waits.is_room_short(server.overloaded_until, state.now)
+
+
 def _make_candidate(
     state: State, group: Group, server: Server, operation: Operation
 ) -> placement.Candidate:
--- a/src/cuminwall/direct/results.py
+++ b/src/cuminwall/direct/results.py
@@ -11,6 +11,7 @@
     groups,
     operations,
     primary_leases,
+    queueing,
     speeds,
     statements,
     usage_counts,
@@ -87,6 +88,8 @@
     if operation.stage is Stage.FINISHED:
         _handle_orphan(state, connection, answer, out)
         return
+    if failure is None:
+        queueing.record_time(state, operation)
     transaction = operation.session.transaction
     if transaction is not None and transaction.connection is connection:
         _handle_in_transaction(state, operation, connection, answer, out)
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -13,7 +13,7 @@
 from cuminwall.direct.commands import Command
 from cuminwall.direct.log_branches import Fork
 from cuminwall.direct.statements import Shape
-from cuminwall.load import server_speeds
+from cuminwall.load import server_speeds, waits
 
 
 class ConnectionStatus(enum.Enum):
@@ -322,6 +322,7 @@
       waiting: The operations that wait for a primary.
       usual_times: What each kind of statement takes at all its servers.
       primary_demand: How much of its work only the primary can do.
+      route_times: How long those of each route take, by database.
     """
 
     __slots__ = (
@@ -347,6 +348,7 @@
         "waiting",
         "usual_times",
         "primary_demand",
+        "route_times",
     )
 
     def __init__(self, service: str):
@@ -372,3 +374,4 @@
         self.waiting: wait_queue.WaitQueue[Operation] = wait_queue.WaitQueue()
         self.usual_times: dict[StatementKind, server_speeds.Usual] = {}
         self.primary_demand = server_speeds.NO_DEMAND
+        self.route_times: dict[str, waits.ServiceTime] = {}
