Hard moments: announce the coordinator, step out of a cut zone, keep tokens

A new coordinator tells all members. Work without a share waits no longer than a token may take, and is refused at once while the coordinator is out of reach. An instance cut off with its zone is not ready and closes idle sessions once a balancer has noticed. A lender's tokens count from its recovery; after a restart of all, from the last start, as requests tell whether their process ever asked an earlier lender. A limit that a configuration drops is kept.

Ruled out: connections (no refusals by servers in these windows), primaries (failover took 0.3 s).

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -71,6 +71,12 @@
         self.last_active_at = 0.0
         self.idle_check_at = 0.0
 
+    def is_idle(self) -> bool:
+        """Returns whether it has no statement and no transaction."""
+        if self.operation is not None or self.inbox:
+            return False
+        return self.phase is Phase.IDLE
+
 
 class Holds:
     """What waits for a configuration, or for its confirmation.
--- a/src/cuminwall/direct/coordination.py
+++ b/src/cuminwall/direct/coordination.py
@@ -379,6 +379,21 @@
     state.set_timer(first_tick_at, TimerKind.FAILOVER, own_lease.epoch)
     state.set_timer(own_lease.renew_at, TimerKind.COORDINATOR)
     out.append(RestartWatch())
+    _announce(state, coordinator, out)
+
+
+def _announce(
+    state: State, coordinator: Coordinator, out: list[Effect]
+) -> None:
+    """Tells the other instances that this one coordinates.
+
+    Those that lack the store, or read it slowly, would go on asking the former
+    coordinator until a peer that they ask knows of the change.
+    """
+    info = messages.CoordinatorInfo(*coordinator)
+    for instance in state.members:
+        if instance != state.instance:
+            out.append(SendToPeer(instance, info))
 
 
 def _stop(state: State, cause: str, out: list[Effect]) -> None:
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -61,6 +61,10 @@
       last_request_at: When that was sent.
       earlier_request_at: When the latest request to an earlier coordinator
         was sent, or this process started.
+      has_asked_earlier: Whether such a request was ever sent.
+      seen_at: When this instance learned of the present coordinator.
+      cut_off_since: Since when this instance is cut off with its availability
+        zone, or None.
       last_reply_epoch: The epoch of the latest reply of a coordinator.
       last_reply_sent_at: When that was sent, on the coordinator's clock.
     """
@@ -74,6 +78,9 @@
         "last_request_epoch",
         "last_request_at",
         "earlier_request_at",
+        "has_asked_earlier",
+        "seen_at",
+        "cut_off_since",
         "last_reply_epoch",
         "last_reply_sent_at",
     )
@@ -87,6 +94,9 @@
         self.last_request_epoch = 0
         self.last_request_at = leases.NEVER
         self.earlier_request_at = float("inf")
+        self.has_asked_earlier = False
+        self.seen_at = leases.NEVER
+        self.cut_off_since: float | None = None
         self.last_reply_epoch = 0
         self.last_reply_sent_at = leases.NEVER
 
@@ -97,6 +107,7 @@
     Attributes:
       revision: The store's revision up to which all changes were read.
       newest_change: The revision of the newest change that was read.
+      member_gone_at: When an instance was last seen to have left.
       whole_revision: The revision at which the whole store was last read.
       whole_at: When that was.
       whole_took_s: How long it took.
@@ -114,6 +125,7 @@
     __slots__ = (
         "revision",
         "newest_change",
+        "member_gone_at",
         "whole_revision",
         "whole_at",
         "whole_took_s",
@@ -129,6 +141,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self.newest_change = 0
+        self.member_gone_at = leases.NEVER
         self.whole_revision = 0
         self.whole_at = leases.NEVER
         self.whole_took_s = 0.0
@@ -256,6 +269,11 @@
       supported_at: Before when each has certainly not sent its latest one.
       unreported_fraction: The fraction of each limit that `unreported` may
         hold at most.
+      unreported_since: Since when it is so small.
+      new_processes: The instances whose processes have asked no earlier
+        lender.
+      free_since: Since when no share from an earlier lender is in use, once
+        `is_recovered`.
       is_recovered: Whether no share from an earlier lender can be in use.
       next_check_at: When silent instances are next checked for.
       slowdown: By how much the requests are further apart than usual, since
@@ -272,6 +290,9 @@
         "earlier_request_at",
         "supported_at",
         "unreported_fraction",
+        "unreported_since",
+        "new_processes",
+        "free_since",
         "is_recovered",
         "next_check_at",
         "slowdown",
@@ -287,6 +308,9 @@
         self.earlier_request_at: dict[str, float] = {}
         self.supported_at: dict[str, float] = {}
         self.unreported_fraction = 1.0
+        self.unreported_since = now
+        self.new_processes: set[str] = set()
+        self.free_since = now
         self.is_recovered = False
         self.next_check_at = now
         self.slowdown = 1.0
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -76,6 +76,10 @@
         state.now - request.since_earlier_request_s
     )
     lender.supported_at[sender] = request.sent_no_earlier_than
+    if request.has_asked_earlier:
+        lender.new_processes.discard(sender)
+    else:
+        lender.new_processes.add(sender)
     if not _may_lend(state, lender):
         return None
     holder = membership.process_name(sender, request.boot)
@@ -136,12 +140,14 @@
         fraction = _unreported_fraction(state, lender)
         if fraction != lender.unreported_fraction:
             lender.unreported_fraction = fraction
+            lender.unreported_since = state.now
             for limit in lender.limits.values():
                 lending.cap_unclaimed(limit, fraction, state.now)
         return
     lender.is_recovered = True
+    lender.free_since = _free_since(state, lender)
     for limit in lender.limits.values():
-        lending.drop_unclaimed(limit, state.now)
+        lending.drop_unclaimed(limit, lender.free_since, state.now)
     out.append(
         Note(
             PART,
@@ -149,12 +155,27 @@
             {
                 "epoch": lender.epoch,
                 "after_s": round(state.now - lender.started_at, 3),
+                "free_s": round(state.now - lender.free_since, 3),
                 "silent": sorted(lender.unreported),
             },
         )
     )
 
 
+def _free_since(state: State, lender: Lender) -> float:
+    """Returns since when no share from an earlier lender is in use.
+
+    That is now, unless all processes were replaced: then nobody has used any
+    since the last of them started or left.
+    """
+    if lender.unreported or not lender.new_processes.issuperset(state.members):
+        return state.now
+    since = max(lender.started_at, state.store_view.member_gone_at)
+    for instance in state.members:
+        since = max(since, lender.earlier_request_at[instance])
+    return min(since, state.now)
+
+
 def remove_silent_instances(state: State, out: list[Effect]) -> None:
     """Removes the records of instances that have long been silent."""
     lender = state.lender
@@ -238,7 +259,7 @@
     """Returns a limit as configured now; None if it is not configured."""
     entry = state.catalog.workspaces.get(name.removeprefix(RATE_PREFIX))
     if entry is None:
-        lender.limits.pop(name, None)
+        # If it comes back, what was lent of it still counts.
         return None
     total = (entry.rate, entry.burst)
     limit = lender.limits.get(name)
@@ -262,13 +283,16 @@
         asks_per_token=_asks_per_token(state),
     )
     limit = lending.Limit(total, policy, lender.epoch == 1, lender.started_at)
+    # Nothing of it was lent or reported before, so its tokens have added up.
     if lender.is_recovered:
-        lending.drop_unclaimed(limit, state.now)
+        lending.drop_unclaimed(limit, lender.free_since, lender.free_since)
     else:
         lending.extend_earlier_leases(
             limit, lender.earlier_lender_until + MAJORITY_S
         )
-        lending.cap_unclaimed(limit, lender.unreported_fraction, state.now)
+        lending.cap_unclaimed(
+            limit, lender.unreported_fraction, lender.unreported_since
+        )
     lender.limits[name] = limit
     return limit
 
--- a/src/cuminwall/direct/membership.py
+++ b/src/cuminwall/direct/membership.py
@@ -62,6 +62,7 @@
     instance = name.removeprefix(RECORD_PREFIX)
     if value is None:
         if state.members.pop(instance, None) is not None:
+            state.store_view.member_gone_at = state.now
             out.append(Note(PART, "instance_gone", {"peer": instance}))
         return
     member = _decode(instance, value, revision)
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -38,6 +38,8 @@
         earlier coordinator.
       sent_no_earlier_than: A time on the coordinator's clock before which this
         was certainly not sent, however long it was held up on its way.
+      has_asked_earlier: Whether the sender's process has ever asked an earlier
+        coordinator. If not, `since_earlier_request_s` counts from its start.
     """
 
     number: int
@@ -50,6 +52,7 @@
     is_shutting_down: bool
     since_earlier_request_s: float
     sent_no_earlier_than: float
+    has_asked_earlier: bool = True
 
 
 class ShareReply(NamedTuple):
@@ -91,7 +94,9 @@
 
 
 class CoordinatorInfo(NamedTuple):
-    """A peer names a newer coordinator, in reply to `FindCoordinator`.
+    """A peer names a newer coordinator.
+
+    It does so in reply to `FindCoordinator`, or as it takes over.
 
     Attributes:
       instance: The coordinator.
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -203,6 +203,11 @@
             "Time since the configuration was confirmed to be the newest.",
             lambda: store_view.unconfirmed_s(state_, engine.boot_clock()),
         )
+        meters_.gauge(
+            "cuminwall_cut_off",
+            "Whether this instance is cut off with its availability zone.",
+            lambda: int(state_.discovery.cut_off_since is not None),
+        )
         meters_.gauge(
             "cuminwall_server_connections",
             "Connections to backend servers.",
@@ -221,7 +226,11 @@
         if request.path != self.platform.ready_path:
             return plainhttp.Response(NOT_FOUND, b"")
         state_ = self.engine.state
-        if state_.is_shutting_down or state_.catalog.version < 0:
+        is_out = (
+            state_.is_shutting_down
+            or state_.discovery.cut_off_since is not None
+        )
+        if is_out or state_.catalog.version < 0:
             return plainhttp.Response(UNAVAILABLE, b"not ready\n")
         return plainhttp.Response(OK, b"ready\n")
 
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -11,6 +11,7 @@
     lender,
     messages,
     operations,
+    reach,
     store_view,
     workload,
 )
@@ -80,7 +81,7 @@
         wait_s = min(
             operation.route.timeout_s, state.limits.no_coordinator_wait_s
         )
-    elif _is_coordinator_silent(state, bucket):
+    elif _is_coordinator_silent(state, bucket) and _has_rate(state, bucket):
         # The tokens of the share held here are all that will come.
         wait_s = max(wait_s, operation.route.target_s)
     operation.wait_until = state.now + wait_s
@@ -314,6 +315,7 @@
         is_shutting_down=state.is_shutting_down,
         since_earlier_request_s=_record_request(state, coordinator.epoch),
         sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
+        has_asked_earlier=state.discovery.has_asked_earlier,
     )
     if coordinator.instance != state.instance:
         out.append(SendToPeer(coordinator.instance, message))
@@ -366,6 +368,7 @@
     discovery = state.discovery
     if discovery.last_request_epoch not in (0, epoch):
         discovery.earlier_request_at = discovery.last_request_at
+        discovery.has_asked_earlier = True
     discovery.last_request_epoch = epoch
     discovery.last_request_at = state.now
     return max(0.0, state.now - discovery.earlier_request_at)
@@ -393,6 +396,8 @@
         return
     discovery = state.discovery
     discovery.last_reply_at = state.now
+    if state.discovery.cut_off_since is not None:
+        reach.check(state, out)
     discovery.last_reply_epoch = reply.epoch
     discovery.last_reply_sent_at = reply.sent_at
     pacing = state.request_pacing
@@ -472,6 +477,12 @@
     return state.now - share.requested_at > shares.REQUEST_TIMEOUT_S
 
 
+def _has_rate(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether tokens come from the share held here."""
+    rate, _ = shares.usable(bucket.share, state.now)
+    return rate > 0
+
+
 def _is_token_unlikely(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether no token can come while an operation may wait.
 
@@ -482,6 +493,8 @@
     if state.coordinator is None and rate <= 0:
         since = state.discovery.no_coordinator_since
         return since is not None and state.now - since > NEW_COORDINATOR_S
+    if rate <= 0 and reach.is_coordinator_lost(state):
+        return True
     if bucket.is_scarce and _is_queue_too_long(state, bucket):
         return True
     if not share.is_answered or share.backoff_s <= shares.MIN_BACKOFF_S:
@@ -548,6 +561,7 @@
     if not _has_reported_all(state):
         # How slow its predecessor was says nothing about this one.
         state.request_pacing.reply_timeout_s = shares.REQUEST_TIMEOUT_S
+    state.discovery.seen_at = state.now
     state.next_request_at = state.now
     state.request_pacing.complete_again_at = state.now
     out.append(
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -235,6 +235,16 @@
     return None
 
 
+def close_idle(state: State, count: int, out: list[Effect]) -> None:
+    """Closes some sessions that have no statement and no transaction."""
+    for session in list(state.sessions.values()):
+        if count <= 0:
+            return
+        if session.is_idle():
+            close(state, session, out)
+            count -= 1
+
+
 def _close_withdrawn(state: State, session: Session, out: list[Effect]) -> None:
     """Closes a session whose key was withdrawn, as soon as it is idle."""
     out.append(
--- a/src/cuminwall/direct/shutdown.py
+++ b/src/cuminwall/direct/shutdown.py
@@ -16,8 +16,7 @@
     retries,
     sessions,
 )
-from cuminwall.direct.answers import Phase
-from cuminwall.direct.callers_state import WAITING_STAGES, Session
+from cuminwall.direct.callers_state import WAITING_STAGES
 from cuminwall.direct.effects import Effect, ExitProcess, Note
 from cuminwall.direct.state import State, TimerKind
 
@@ -103,7 +102,7 @@
     for session in list(state.sessions.values()):
         if count <= 0:
             return
-        if _is_idle(session):
+        if session.is_idle():
             sessions.close(state, session, out)
             count -= 1
         elif passed_s >= IDLE_FRACTION * grace_s:
@@ -115,10 +114,3 @@
     for session in list(state.sessions.values()):
         if session.operation is None and session.transaction is not None:
             sessions.end_transaction(state, session, "shutdown", out)
-
-
-def _is_idle(session: Session) -> bool:
-    """Returns whether a session has no statement and no transaction."""
-    if session.operation is not None or session.inbox:
-        return False
-    return session.phase is Phase.IDLE
--- a/src/cuminwall/direct/timers.py
+++ b/src/cuminwall/direct/timers.py
@@ -13,6 +13,7 @@
     lender,
     membership,
     quotas,
+    reach,
     retries,
     sessions,
     shutdown,
@@ -52,6 +53,8 @@
     del key
     quotas.send_due_requests(state, out)
     store_view.check(state, out)
+    reach.check(state, out)
+    sessions.close_idle(state, reach.count_sessions_to_close(state), out)
 
 
 def _primary_leases(state: State, key: Any, out: list[Effect]) -> None:
--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -250,12 +250,19 @@
         limit.divided_at = leases.NEVER
 
 
-def drop_unclaimed(limit: Limit, now: float) -> None:
+def drop_unclaimed(limit: Limit, free_since: float, now: float) -> None:
     """Drops the unclaimed amounts once all holders have reported.
 
     Whatever is still unclaimed then belonged to processes that have ended.
+
+    Args:
+      limit: The limit.
+      free_since: Since when nobody has used the unclaimed amounts, in seconds.
+      now: The time, in seconds.
     """
     refill(limit, now)
+    if limit.policy.has_tokens:
+        limit.level += limit.unclaimed[0] * max(0.0, now - free_since)
     limit.unclaimed = (0.0,) * len(limit.total)
     limit.unclaimed_floors = limit.unclaimed
     limit.earlier_leases_until = leases.NEVER
