Hard moments: count the tokens from the last start also beside late requests

So a request tells whether an earlier coordinator has answered, and the tokens count from the last start rather than from the takeover.

--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -61,7 +61,8 @@
       last_request_at: When that was sent.
       earlier_request_at: When the latest request to an earlier coordinator
         was sent, or this process started.
-      has_asked_earlier: Whether such a request was ever sent.
+      has_earlier_reply: Whether a coordinator before the one that replied
+        latest has ever replied.
       seen_at: When this instance learned of the present coordinator.
       cut_off_since: Since when this instance is cut off with its availability
         zone, or None.
@@ -78,7 +79,7 @@
         "last_request_epoch",
         "last_request_at",
         "earlier_request_at",
-        "has_asked_earlier",
+        "has_earlier_reply",
         "seen_at",
         "cut_off_since",
         "last_reply_epoch",
@@ -94,7 +95,7 @@
         self.last_request_epoch = 0
         self.last_request_at = leases.NEVER
         self.earlier_request_at = float("inf")
-        self.has_asked_earlier = False
+        self.has_earlier_reply = False
         self.seen_at = leases.NEVER
         self.cut_off_since: float | None = None
         self.last_reply_epoch = 0
@@ -270,8 +271,9 @@
       unreported_fraction: The fraction of each limit that `unreported` may
         hold at most.
       unreported_since: Since when it is so small.
-      new_processes: The instances whose processes have asked no earlier
-        lender.
+      view_since: Since when it has seen which processes left.
+      new_processes: The instances whose processes no earlier lender has
+        answered.
       free_since: Since when no share from an earlier lender is in use, once
         `is_recovered`.
       is_recovered: Whether no share from an earlier lender can be in use.
@@ -291,6 +293,7 @@
         "supported_at",
         "unreported_fraction",
         "unreported_since",
+        "view_since",
         "new_processes",
         "free_since",
         "is_recovered",
@@ -309,6 +312,7 @@
         self.supported_at: dict[str, float] = {}
         self.unreported_fraction = 1.0
         self.unreported_since = now
+        self.view_since = now
         self.new_processes: set[str] = set()
         self.free_since = now
         self.is_recovered = False
--- a/src/cuminwall/direct/lender.py
+++ b/src/cuminwall/direct/lender.py
@@ -54,6 +54,8 @@
 def start(state: State, coordinator: Coordinator) -> None:
     """Starts to lend, as the new coordinator."""
     lender = state.lender = Lender(coordinator.epoch, state.now)
+    if state.store_view.whole_revision:
+        lender.view_since = state.store_view.whole_at
     lender.unreported = membership.other_processes(state)
 
 
@@ -76,7 +78,7 @@
         state.now - request.since_earlier_request_s
     )
     lender.supported_at[sender] = request.sent_no_earlier_than
-    if request.has_asked_earlier:
+    if request.was_answered_earlier:
         lender.new_processes.discard(sender)
     else:
         lender.new_processes.add(sender)
@@ -170,7 +172,7 @@
     """
     if lender.unreported or not lender.new_processes.issuperset(state.members):
         return state.now
-    since = max(lender.started_at, state.store_view.member_gone_at)
+    since = max(lender.view_since, state.store_view.member_gone_at)
     for instance in state.members:
         since = max(since, lender.earlier_request_at[instance])
     return min(since, state.now)
@@ -282,7 +284,8 @@
         min_burst=MIN_LEVEL,
         asks_per_token=_asks_per_token(state),
     )
-    limit = lending.Limit(total, policy, lender.epoch == 1, lender.started_at)
+    since = min(lender.started_at, lender.free_since)
+    limit = lending.Limit(total, policy, lender.epoch == 1, since)
     # Nothing of it was lent or reported before, so its tokens have added up.
     if lender.is_recovered:
         lending.drop_unclaimed(limit, lender.free_since, lender.free_since)
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -38,8 +38,8 @@
         earlier coordinator.
       sent_no_earlier_than: A time on the coordinator's clock before which this
         was certainly not sent, however long it was held up on its way.
-      has_asked_earlier: Whether the sender's process has ever asked an earlier
-        coordinator. If not, `since_earlier_request_s` counts from its start.
+      was_answered_earlier: Whether an earlier coordinator has ever replied to
+        the sender's process. If not, that holds nothing of it.
     """
 
     number: int
@@ -52,7 +52,7 @@
     is_shutting_down: bool
     since_earlier_request_s: float
     sent_no_earlier_than: float
-    has_asked_earlier: bool = True
+    was_answered_earlier: bool = True
 
 
 class ShareReply(NamedTuple):
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -315,7 +315,7 @@
         is_shutting_down=state.is_shutting_down,
         since_earlier_request_s=_record_request(state, coordinator.epoch),
         sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
-        has_asked_earlier=state.discovery.has_asked_earlier,
+        was_answered_earlier=_was_answered_earlier(state, coordinator.epoch),
     )
     if coordinator.instance != state.instance:
         out.append(SendToPeer(coordinator.instance, message))
@@ -368,12 +368,22 @@
     discovery = state.discovery
     if discovery.last_request_epoch not in (0, epoch):
         discovery.earlier_request_at = discovery.last_request_at
-        discovery.has_asked_earlier = True
     discovery.last_request_epoch = epoch
     discovery.last_request_at = state.now
     return max(0.0, state.now - discovery.earlier_request_at)
 
 
+def _was_answered_earlier(state: State, epoch: int) -> bool:
+    """Returns whether a coordinator of another epoch has ever replied.
+
+    A reply that is still to come from one is ignored, so it gives nothing.
+    """
+    discovery = state.discovery
+    if discovery.last_reply_epoch not in (0, epoch):
+        return True
+    return discovery.has_earlier_reply
+
+
 def _earliest_send_time(state: State, epoch: int) -> float:
     """Returns a time on a coordinator's clock that is certainly past now.
 
@@ -395,6 +405,7 @@
     if coordinator is None or coordinator.epoch != reply.epoch:
         return
     discovery = state.discovery
+    discovery.has_earlier_reply = _was_answered_earlier(state, reply.epoch)
     discovery.last_reply_at = state.now
     if state.discovery.cut_off_since is not None:
         reach.check(state, out)
--- a/tests/test_direct_hard_moments.py
+++ b/tests/test_direct_hard_moments.py
@@ -78,6 +78,18 @@
         settled = world.coordinator().log_fields("settled")
         self.assertGreater(settled[0]["free_s"], 0.0)
 
+    def test_request_that_was_never_answered_brings_nothing(self) -> None:
+        # Processes that start ask the former coordinator, until they know of
+        # its end.
+        world = test_direct_quotas.make_world(20.0, 20.0)
+        holder = world.coordinator().name
+        state = world.instances["b" if holder == "a" else "a"].state
+        self.assertFalse(quotas._was_answered_earlier(state, 1))
+        self.assertTrue(quotas._was_answered_earlier(state, 2))
+        started = world.start(state.instance).state
+        started.discovery.last_request_epoch = 1
+        self.assertFalse(quotas._was_answered_earlier(started, 2))
+
     def replace_coordinator(
         self, world: direct_world.World
     ) -> direct_world.Instance:
