--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -75,6 +75,8 @@
         as far as they were not acknowledged. Plain tuples, which a process of
         an earlier version can decode.
       usage_recorded: The newest window whose report the sender has seen.
+      was_answered_earlier: Whether an earlier coordinator has ever replied to
+        the sender's process. If not, that holds nothing of it.
     """
 
     number: int
@@ -92,6 +94,7 @@
     usage_until: float = 0.0
     usage: tuple[tuple[int, tuple[tuple[str, int], ...]], ...] = ()
     usage_recorded: int = -1
+    was_answered_earlier: bool = True
 
 
 class ShareReply(NamedTuple):
@@ -139,7 +142,9 @@
 
 
 class CoordinatorInfo(NamedTuple):
-    """A peer names a newer coordinator, in reply to `FindCoordinator`.
+    """A peer names a newer coordinator.
+
+    It does so in reply to `FindCoordinator`, or as it takes over.
 
     Attributes:
       instance: The coordinator.
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -11,6 +11,7 @@
     lender,
     messages,
     operations,
+    reach,
     shared_watermarks,
     store_view,
     usage_clock,
@@ -86,7 +87,7 @@
         wait_s = min(
             operation.route.timeout_s, state.limits.no_coordinator_wait_s
         )
-    elif _is_coordinator_silent(state, bucket):
+    elif _is_coordinator_silent(state, bucket) and _has_rate(state, bucket):
         # The tokens of the share held here are all that will come.
         wait_s = max(wait_s, operation.route.target_s)
         if _is_token_hopeless(state, bucket, wait_s):
@@ -328,6 +329,7 @@
         sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
         watermarks=shared_watermarks.make_request(state, number),
         **told._asdict(),
+        was_answered_earlier=_was_answered_earlier(state, coordinator.epoch),
     )
     if coordinator.instance != state.instance:
         out.append(SendToPeer(coordinator.instance, message))
@@ -385,6 +387,17 @@
     return max(0.0, state.now - discovery.earlier_request_at)
 
 
+def _was_answered_earlier(state: State, epoch: int) -> bool:
+    """Returns whether a coordinator of another epoch has ever replied.
+
+    A reply that is still to come from one is ignored, so it gives nothing.
+    """
+    discovery = state.discovery
+    if discovery.last_reply_epoch not in (0, epoch):
+        return True
+    return discovery.has_earlier_reply
+
+
 def _earliest_send_time(state: State, epoch: int) -> float:
     """Returns a time on a coordinator's clock that is certainly past now.
 
@@ -406,7 +419,10 @@
     if coordinator is None or coordinator.epoch != reply.epoch:
         return
     discovery = state.discovery
+    discovery.has_earlier_reply = _was_answered_earlier(state, reply.epoch)
     discovery.last_reply_at = state.now
+    if state.discovery.cut_off_since is not None:
+        reach.check(state, out)
     discovery.last_reply_epoch = reply.epoch
     discovery.last_reply_sent_at = reply.sent_at
     shared_watermarks.handle_reply(state, reply)
@@ -515,6 +531,12 @@
     return waits.is_token_hopeless(needed, rate, wait_s)
 
 
+def _has_rate(state: State, bucket: buckets.Bucket) -> bool:
+    """Returns whether tokens come from the share held here."""
+    rate, _ = shares.usable(bucket.share, state.now)
+    return rate > 0
+
+
 def _is_token_unlikely(state: State, bucket: buckets.Bucket) -> bool:
     """Returns whether no token can come while an operation may wait.
 
@@ -525,6 +547,8 @@
     if state.coordinator is None and rate <= 0:
         since = state.discovery.no_coordinator_since
         return since is not None and state.now - since > NEW_COORDINATOR_S
+    if rate <= 0 and reach.is_coordinator_lost(state):
+        return True
     if bucket.is_scarce and _is_queue_too_long(state, bucket):
         return True
     if not share.is_answered or share.backoff_s <= shares.MIN_BACKOFF_S:
@@ -591,6 +615,7 @@
     if not _has_reported_all(state):
         # How slow its predecessor was says nothing about this one.
         state.request_pacing.reply_timeout_s = shares.REQUEST_TIMEOUT_S
+    state.discovery.seen_at = state.now
     state.next_request_at = state.now
     state.request_pacing.complete_again_at = state.now
     out.append(
