Memory and descriptors that clients fill are bounded by the settings

Cause: nothing counted what callers make a process hold, and MemoryMb and MaxFds of the settings were ignored. Statements sent ahead were all decoded at once, and one wide character makes a text of four bytes each.

An account has what each connection holds; large senders wait when it is half full, those that hold most are closed when it is full, and messages or answers that stand still are ended in time. Connections of callers leave room for servers: one without a login gives way first, then the one that is idle longest.

--- a/src/cuminwall/direct/callers_state.py
+++ b/src/cuminwall/direct/callers_state.py
@@ -25,6 +25,7 @@
       phase: The transaction phase in the last answer to the caller.
       values: Session values set by the caller.
       prepared_statements: Prepared statements by the caller's names.
+      kept_bytes: The memory that both take.
       last_write_position: Position of the session's latest write, or None.
       inbox: Statements queued behind the one in progress.
       operation: The operation in progress, or None.
@@ -44,6 +45,7 @@
         "phase",
         "values",
         "prepared_statements",
+        "kept_bytes",
         "last_write_position",
         "inbox",
         "operation",
@@ -62,6 +64,7 @@
         self.phase = Phase.IDLE
         self.values: dict[str, str] = {}
         self.prepared_statements: dict[str, Shape] = {}
+        self.kept_bytes = 0
         self.last_write_position: Position | None = None
         self.inbox: deque[Statement] = deque()
         self.operation: Operation | None = None
--- a/src/cuminwall/direct/effects.py
+++ b/src/cuminwall/direct/effects.py
@@ -26,6 +26,13 @@
     answer: Answer
 
 
+class KeepInSession(NamedTuple):
+    """Tells how many bytes a session keeps, by its values and statements."""
+
+    session: int
+    size: int
+
+
 class CloseCaller(NamedTuple):
     """Closes a caller's connection once earlier answers are delivered."""
 
@@ -172,6 +179,7 @@
     AcceptSession
     | RejectSession
     | Reply
+    | KeepInSession
     | CloseCaller
     | OpenConnection
     | SendCommands
--- a/src/cuminwall/direct/engine.py
+++ b/src/cuminwall/direct/engine.py
@@ -20,12 +20,14 @@
     events,
     fleet,
     journal,
+    memory,
     meters,
     ports,
     reducer,
     servers,
     state,
 )
+from cuminwall.load import memory_budget
 
 PART = "engine"
 
@@ -44,6 +46,7 @@
       provider: The platform's interface that promotes servers.
       journal: The writer of log lines.
       meters: The metrics, or None.
+      memory: What connections hold in memory.
       callers: The callers' connections.
       servers: The connections to backend servers.
       fleet: The links to the other instances.
@@ -67,11 +70,20 @@
         self.provider = provider
         self.journal = journal_
         self.meters = meters_
-        self.callers = callers.Callers(
-            caller_codec, self.handle_event, boot_clock
+        limits = state_.limits
+        self.memory = memory.Memory(
+            memory_budget.find_budget(limits.memory_bytes), self._note_memory
         )
         self.servers = servers.Servers(
-            server_codec, self.handle_event, boot_clock
+            server_codec, self.handle_event, boot_clock, self.memory
+        )
+        self.callers = callers.Callers(
+            caller_codec,
+            self.handle_event,
+            boot_clock,
+            self.memory,
+            memory_budget.find_socket_limit(limits.descriptors),
+            self.servers.count,
         )
         self.fleet = fleet.Fleet(state_, self.handle_event, boot_clock)
         self.reread_store: Callable[[], None] = lambda: None
@@ -111,6 +123,12 @@
                 # Its caller would wait for an answer for ever.
                 self.callers.close(event.session)
 
+    def _note_memory(self, event: str, fields: dict[str, Any]) -> None:
+        """Logs and counts a limit that a client met."""
+        self.journal.add(memory.PART, event, fields)
+        if self.meters is not None:
+            self.meters.count_decision(memory.PART, event)
+
     def start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine as a background task."""
         task = asyncio.create_task(coroutine)
@@ -251,6 +269,11 @@
     engine.callers.reply(effect.session, effect.answer)
 
 
+@perform.register
+def _(effect: effects.KeepInSession, engine: Engine) -> None:
+    engine.callers.keep(effect.session, effect.size)
+
+
 @perform.register
 def _(effect: effects.CloseCaller, engine: Engine) -> None:
     engine.callers.close(effect.session)
@@ -258,6 +281,7 @@
 
 @perform.register
 def _(effect: effects.OpenConnection, engine: Engine) -> None:
+    engine.callers.make_room()
     engine.servers.connect(effect)
 
 
--- a/src/cuminwall/direct/limits.py
+++ b/src/cuminwall/direct/limits.py
@@ -66,6 +66,8 @@
       config_apply_s: By when a new configuration must be in force.
       stale_config_s: How long a peer may report a newer configuration before
         the store is read again.
+      memory_bytes: The memory of this machine, or None if it isn't known.
+      descriptors: The descriptors that this process may open, or None.
     """
 
     watermark_margin_s: float = 0.3
@@ -108,6 +110,8 @@
     config_apply_s: float = 3.0
     stale_config_s: float = 0.3
     cores: float = 1.0
+    memory_bytes: int | None = None
+    descriptors: int | None = None
 
 
 DEFAULTS = Limits()
--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -26,6 +26,7 @@
 PART = "node"
 
 METRICS_PATH = "/metrics"
+MAX_PROBES = 8  # Connections to each of the two addresses.
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -148,8 +149,10 @@
         self.engine.start_task(
             reruns.run_forever(engine.PART, follower_.follow)
         )
-        await plainhttp.serve(*settings.ready, self._answer_probe)
-        await plainhttp.serve(*settings.metrics, self._answer_metrics)
+        await plainhttp.serve(*settings.ready, self._answer_probe, MAX_PROBES)
+        await plainhttp.serve(
+            *settings.metrics, self._answer_metrics, MAX_PROBES
+        )
         await self.engine.callers.listen(*settings.callers)
         await self.engine.ended.wait()
         self.journal.add(PART, "stop", {})
--- a/src/cuminwall/direct/ports.py
+++ b/src/cuminwall/direct/ports.py
@@ -40,12 +40,16 @@
 class CallerCodec(Protocol):
     """Decodes and encodes the messages of one caller's connection."""
 
-    def feed(self, data: bytes) -> list[CallerMessage]:
-        """Returns the messages that the bytes complete.
+    def feed(self, data: bytes, most: int) -> list[CallerMessage]:
+        """Returns complete messages; keeps those beyond `most`.
 
+        What is kept is returned by later calls, which may bring no bytes.
         What is no valid message is returned as `statements.Malformed`.
         """
 
+    def count_held(self) -> int:
+        """Returns how many bytes were received and not returned yet."""
+
     def encode_acceptance(self) -> bytes:
         """Returns the encoded message that the session is open."""
 
@@ -79,6 +83,9 @@
           exceptions.ProtocolError: The bytes are not valid messages.
         """
 
+    def count_held(self) -> int:
+        """Returns how many bytes of an unfinished answer there are."""
+
 
 class StoreItem(NamedTuple):
     """One decoded item of the store.
--- a/src/cuminwall/direct/servers.py
+++ b/src/cuminwall/direct/servers.py
@@ -9,6 +9,8 @@
 from cuminwall import exceptions, plainhttp
 from cuminwall.direct import effects, events, ports
 from cuminwall.direct.answers import Answer, Failure
+from cuminwall.direct.memory import Memory
+from cuminwall.load import memory_budget
 
 PART = "servers"
 
@@ -22,6 +24,7 @@
       clock: Returns the time for events.
       sockets: The connections by number.
       tasks: The tasks that open connections, by number.
+      memory: What the connections hold.
     """
 
     def __init__(
@@ -29,13 +32,19 @@
         make_codec: Callable[[], ports.ServerCodec],
         on_event: Callable[[events.Event], None],
         clock: Callable[[], float],
+        memory: Memory,
     ):
+        self.memory = memory
         self.make_codec = make_codec
         self.on_event = on_event
         self.clock = clock
         self.sockets: dict[int, ServerSocket] = {}
         self.tasks: dict[int, asyncio.Task[None]] = {}
 
+    def count(self) -> int:
+        """Returns how many connections are open or being opened."""
+        return len(self.sockets) + len(self.tasks)
+
     def connect(self, effect: effects.OpenConnection) -> None:
         """Starts to open a connection."""
         task = asyncio.create_task(self._connect(effect))
@@ -61,6 +70,7 @@
         socket = self.sockets.pop(connection, None)
         if socket is not None and socket.transport is not None:
             socket.transport.close()
+            socket.forget()
 
     async def _connect(self, effect: effects.OpenConnection) -> None:
         """Opens a connection; a failure is reported as an event."""
@@ -87,6 +97,7 @@
         self.transport: asyncio.Transport | None = None
         self.is_open = False
         self.failure: Failure | None = None
+        self.is_counted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sends the login message."""
@@ -107,6 +118,7 @@
             logger.warning("{}: {}: {}", PART, self.effect.server, error)
             self._abort()
             return
+        self._count_held()
         for message in messages:
             if self.effect.connection in self.servers.sockets:
                 self._handle(message)
@@ -117,11 +129,27 @@
         if self.servers.sockets.get(number) is not self:
             return
         del self.servers.sockets[number]
+        self.forget()
         now = self.servers.clock()
         self.servers.on_event(
             events.ConnectionEnded(now, number, self.failure, not self.is_open)
         )
 
+    def forget(self) -> None:
+        """Removes what the connection held from the account."""
+        if self.is_counted:
+            self.is_counted = False
+            self.servers.memory.set(-self.effect.connection, 0, self._abort)
+
+    def _count_held(self) -> None:
+        """Tells the account what the connection holds of an answer."""
+        held = self.codec.count_held()
+        if held < memory_budget.SMALL_BYTES:
+            self.forget()
+            return
+        self.is_counted = True
+        self.servers.memory.set(-self.effect.connection, held, self._abort)
+
     def _handle(self, message: ports.ServerMessage) -> None:
         """Turns a message into an event."""
         now = self.servers.clock()
--- a/src/cuminwall/direct/sessions.py
+++ b/src/cuminwall/direct/sessions.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import sys
 from typing import Any
 
 from cuminwall.direct import (
@@ -28,6 +29,7 @@
     AcceptSession,
     CloseCaller,
     Effect,
+    KeepInSession,
     Note,
     RejectSession,
     Reply,
@@ -40,6 +42,8 @@
 # Statements of one caller queued behind the one in progress. A caller that is
 # read no further has sent fewer, as what is read at once is bounded.
 MAX_INBOX = 32 * 1024
+MIN_COUNTED_BYTES = 1024  # A session that keeps less is not counted.
+ENTRY_BYTES = 150  # Of a kept value, beside its texts.
 FIRST_CONFIG_WAIT_S = 1.5  # How long a login waits for the first configuration.
 
 
@@ -444,7 +448,9 @@
 ) -> None:
     if _refuse_if_failed(state, session, statement, out):
         return
+    before = session.values.get(statement.name)
     session.values[statement.name] = statement.value
+    _count_kept(session, statement.name, before, statement.value, out)
     _succeed(session, session.phase, out)
 
 
@@ -457,7 +463,15 @@
 ) -> None:
     if _refuse_if_failed(state, session, statement, out):
         return
+    before = session.prepared_statements.get(statement.name)
     session.prepared_statements[statement.name] = statement.shape
+    _count_kept(
+        session,
+        statement.name,
+        None if before is None else before.text,
+        statement.shape.text,
+        out,
+    )
     _succeed(session, session.phase, out)
 
 
@@ -470,15 +484,39 @@
 ) -> None:
     if _refuse_if_failed(state, session, statement, out):
         return
-    if session.prepared_statements.pop(statement.name, None) is None:
+    before = session.prepared_statements.pop(statement.name, None)
+    if before is None:
         reason = Reason.UNKNOWN_STATEMENT
         _fail(
             session, reason, "no such prepared statement", statement, state, out
         )
         return
+    _count_kept(session, statement.name, before.text, None, out)
     _succeed(session, session.phase, out)
 
 
+def _count_kept(
+    session: Session,
+    name: str,
+    before: str | None,
+    after: str | None,
+    out: list[Effect],
+) -> None:
+    """Counts the memory that a session keeps, after a change under a name."""
+    was_counted = session.kept_bytes >= MIN_COUNTED_BYTES
+    if before is not None:
+        session.kept_bytes -= _size_kept(name, before)
+    if after is not None:
+        session.kept_bytes += _size_kept(name, after)
+    if was_counted or session.kept_bytes >= MIN_COUNTED_BYTES:
+        out.append(KeepInSession(session.number, session.kept_bytes))
+
+
+def _size_kept(name: str, text: str) -> int:
+    """Returns the memory that a text takes under a name."""
+    return sys.getsizeof(name) + sys.getsizeof(text) + ENTRY_BYTES
+
+
 def _run(
     state: State,
     session: Session,
--- /dev/null
+++ b/src/cuminwall/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, without connections, clock or random numbers."""
--- a/src/cuminwall/plainhttp.py
+++ b/src/cuminwall/plainhttp.py
@@ -365,18 +365,34 @@
     return _ClientConnection(reader, writer)
 
 
-async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
-    """Serves requests with `handler` until the server is closed."""
+async def serve(
+    host: str, port: int, handler: Handler, max_connections: int | None = None
+) -> asyncio.Server:
+    """Serves requests with `handler` until the server is closed.
+
+    Args:
+      host: The host to listen on.
+      port: The port.
+      handler: Answers a request.
+      max_connections: Beyond so many, the oldest connection is closed.
+    """
+    open_: dict[asyncio.StreamWriter, None] = {}
 
     async def handle_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         enable_keepalive(writer.transport)
+        open_[writer] = None
+        if max_connections is not None and len(open_) > max_connections:
+            oldest = next(iter(open_))
+            del open_[oldest]
+            oldest.transport.abort()
         try:
             await _handle_requests(reader, writer, handler)
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
             logger.debug("http: a connection failed: {!r}", error)
         finally:
+            open_.pop(writer, None)
             writer.transport.abort()
 
     return await asyncio.start_server(handle_connection, host, port)
--- a/tests/crowd_site.py
+++ b/tests/crowd_site.py
@@ -93,6 +93,9 @@
         instance.start()
         if not await instance.wait_until_ready(time.monotonic() + START_S):
             raise TimeoutError("the instance is not ready")
+        # It listens for callers a moment after it is ready.
+        if not await self.is_served():
+            raise TimeoutError("the instance serves nobody")
 
     def stop(self) -> None:
         """Ends everything."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -65,6 +65,8 @@
 [Limits]
 CpuQuota = 0.5
 Cores = 3
+MemoryMb = 200
+MaxFds = 4300
 [Bounds]
 GracePeriodS = 9
 [platform]
@@ -172,6 +174,15 @@
         (message,) = codec.feed(b"QUERY 1 READ 2\r\n")
         self.assertEqual(message, statements.Read("1", "READ 2"))
 
+    def test_statements_sent_ahead_are_decoded_a_few_at_a_time(self) -> None:
+        codec = lines.CallerLines()
+        data = b"QUERY 1 READ 2\r\n"
+        found = codec.feed(5 * data + data[:4], 2)
+        self.assertEqual((len(found), codec.count_held()), (2, 52))
+        found = [*codec.feed(b"", 2), *codec.feed(b"", 2)]
+        self.assertEqual((len(found), codec.count_held()), (3, 4))
+        self.assertEqual(codec.feed(data[4:], 2), [found[0]])
+
     def test_line_at_the_limit(self) -> None:
         for pieces in (1, 3):
             codec = lines.CallerLines()
@@ -809,6 +820,8 @@
         self.assertEqual(own.peers, ("10.1.0.26", 7560))
         self.assertEqual(own.limits.grace_s, 9.0)
         self.assertEqual(own.limits.cores, 1.5)
+        self.assertEqual(own.limits.memory_bytes, 200_000_000)
+        self.assertEqual(own.limits.descriptors, 4300)
 
     def test_faults(self) -> None:
         for text in ("", "x = ", SETTINGS.replace("Zone", "Zine")):
