Room for a new caller is made by others than itself

The newest connection counted as idle outside a transaction, so it was closed to make room for itself while 28 transactions were left open; the ordinary caller was never served in 20 s (log: dropped, idle, each new session in turn).

--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -115,8 +115,12 @@
             caller.kept_bytes = size
             caller.count_held()
 
-    def make_room(self) -> bool:
-        """Closes a connection if need be; returns whether there is room."""
+    def make_room(self, newcomer: int = 0) -> bool:
+        """Closes a connection if need be; returns whether there is room.
+
+        Args:
+          newcomer: The connection that needs the room, which is not closed.
+        """
         count = len(self.sockets) + len(self.closing)
         others = self.count_others()
         if memory_budget.has_room(count, others, self.max_sockets):
@@ -126,7 +130,7 @@
             return True
         candidates = []
         for session, caller in self.sockets.items():
-            if caller.unanswered:
+            if caller.unanswered or session == newcomer:
                 continue
             candidates.append(
                 memory_budget.Idle(session, caller.used_at, caller.is_outside)
@@ -242,7 +246,7 @@
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(LOGIN_S, self.transport.abort)
         self.used_at = self.callers.clock()
-        if not self.callers.make_room():
+        if not self.callers.make_room(self.session):
             self.callers.memory.note("refused", {"session": self.session})
             self.abort()
             return
--- a/src/cuminwall/load/memory_budget.py
+++ b/src/cuminwall/load/memory_budget.py
@@ -119,8 +119,8 @@
 ) -> int | None:
     """Returns the connection that makes room for another, or None.
 
-    It is the one that was used longest ago outside a transaction, else one
-    whose transaction has been left open for so long.
+    It is the one that was used longest ago outside a transaction, or one whose
+    transaction has been left open for so long if all others were used since.
     """
     outside: Idle | None = None
     left_open: Idle | None = None
@@ -133,5 +133,9 @@
             continue
         if left_open is None or each.used_at < left_open.used_at:
             left_open = each
+    if left_open is not None and outside is not None:
+        # One that has just come is no more idle than an old transaction.
+        if outside.used_at > now - left_open_s:
+            return left_open.number
     chosen = outside or left_open
     return None if chosen is None else chosen.number
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -45,7 +45,8 @@
 
     def test_crowd_of_open_transactions_gives_way_last(self) -> None:
         idle = [Idle(1, 5.0, False), Idle(2, 9.0, True), Idle(3, 8.0, True)]
-        self.assertEqual(memory_budget.choose_idle(idle, 10.0, 5.0), 3)
+        self.assertEqual(memory_budget.choose_idle(idle, 9.0, 1.0), 3)
+        self.assertEqual(memory_budget.choose_idle(idle, 10.0, 5.0), 1)
         self.assertEqual(memory_budget.choose_idle(idle[:1], 10.0, 5.0), 1)
         self.assertIsNone(memory_budget.choose_idle(idle[:1], 9.0, 5.0))
 
