--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -144,6 +144,11 @@
         return True
 
     def admit_waiting(self) -> None:
+        """Lets those that wait for memory send on, once this event is over."""
+        if self.waiting:
+            asyncio.get_running_loop().call_soon(self._admit_waiting)
+
+    def _admit_waiting(self) -> None:
         """Lets those that wait for memory send on, as far as there is room."""
         for session in list(self.waiting):
             if self.memory.account.is_tight():
