--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -25,6 +25,8 @@
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
 # While so many statements of a caller are unanswered, no more are read.
 MAX_UNANSWERED = 16
+# Of what was read already, so many statements at most are passed on unanswered.
+MAX_DECODED = 256
 # The same for the memory that their texts take.
 MAX_UNANSWERED_BYTES = 256 * 1024
 MESSAGE_S = 60.0  # How long the rest of a message may take.
@@ -60,12 +62,12 @@
         make_codec: Callable[[], ports.CallerCodec],
         on_event: Callable[[events.Event], None],
         clock: Callable[[], float],
-        memory: Memory,
+        memory: Memory | None = None,
         max_sockets: int | None = None,
         count_others: Callable[[], int] = lambda: 0,
     ):
-        self.memory = memory
-        memory.on_room = self.admit_waiting
+        self.memory = memory or Memory(None, lambda event, fields: None)
+        self.memory.on_room = self.admit_waiting
         self.max_sockets = max_sockets
         self.count_others = count_others
         self.logins: dict[int, CallerSocket] = {}
@@ -323,7 +325,7 @@
 
     def _decode(self, data: bytes) -> None:
         """Decodes messages, as many as may be unanswered."""
-        most = max(1, MAX_UNANSWERED - self.unanswered)
+        most = max(1, MAX_DECODED - self.unanswered)
         for message in self.codec.feed(data, most):
             if self.session not in self.callers.sockets:
                 return
--- a/src/cuminwall/direct/messages.py
+++ b/src/cuminwall/direct/messages.py
@@ -25,6 +25,9 @@
 class SharedWatermark(NamedTuple):
     """A log position that every earlier commit of a service is at or below.
 
+    It is sent as a plain tuple, which a process of an earlier version can
+    decode.
+
     Attributes:
       service: The database service.
       age_s: How long ago its statement was sent to the primary, when this was
@@ -39,18 +42,6 @@
     number: int
 
 
-class WatermarkRequest(NamedTuple):
-    """An instance tells its newest watermarks and asks for others.
-
-    Attributes:
-      told: Those that it has not told before.
-      wanted: The services whose newest one it asks for.
-    """
-
-    told: tuple[SharedWatermark, ...]
-    wanted: tuple[str, ...]
-
-
 class ShareRequest(NamedTuple):
     """An instance asks the coordinator for shares and reports what it sees.
 
@@ -67,7 +58,6 @@
         earlier coordinator.
       sent_no_earlier_than: A time on the coordinator's clock before which this
         was certainly not sent, however long it was held up on its way.
-      watermarks: The watermarks that it tells and asks for, or None.
       clock_s: The time by the sender's own wall clock; 0 if not told.
       usage_until: Up to which wall-clock time the sender has told all its
         counts of usage, with this and earlier requests; 0 if this has none.
@@ -75,6 +65,8 @@
         as far as they were not acknowledged. Plain tuples, which a process of
         an earlier version can decode.
       usage_recorded: The newest window whose report the sender has seen.
+      watermarks: The newest watermarks that it has not told before.
+      wanted_watermarks: The services whose newest one it asks for.
       was_answered_earlier: Whether an earlier coordinator has ever replied to
         the sender's process. If not, that holds nothing of it.
     """
@@ -89,11 +81,12 @@
     is_shutting_down: bool
     since_earlier_request_s: float
     sent_no_earlier_than: float
-    watermarks: WatermarkRequest | None = None
     clock_s: float = 0.0
     usage_until: float = 0.0
     usage: tuple[tuple[int, tuple[tuple[str, int], ...]], ...] = ()
     usage_recorded: int = -1
+    watermarks: tuple[SharedWatermark, ...] = ()
+    wanted_watermarks: tuple[str, ...] = ()
     was_answered_earlier: bool = True
 
 
@@ -277,7 +270,5 @@
     PrimaryLeaseRecall,
     PrimaryLeaseRelease,
     PrimaryLeaseOffer,
-    SharedWatermark,
-    WatermarkRequest,
 )
 CODEC = codec.Codec(TYPES)
--- a/src/cuminwall/direct/queueing.py
+++ b/src/cuminwall/direct/queueing.py
@@ -50,7 +50,9 @@
     """Returns whether an operation queued at a server waits there in vain."""
     queue = _describe_queue(state, server, operation.session.workspace)
     left_s = operation.wait_until - state.now
-    expected_s = server_speeds.expected_s(server.speed, state.now)
+    expected_s = server_speeds.expected_s(
+        server.speed, state.now, waits.MIN_OBSERVATIONS
+    )
     return waits.is_hopeless(queue, expected_s, left_s)
 
 
--- a/src/cuminwall/direct/quotas.py
+++ b/src/cuminwall/direct/quotas.py
@@ -327,7 +327,7 @@
         is_shutting_down=state.is_shutting_down,
         since_earlier_request_s=_record_request(state, coordinator.epoch),
         sent_no_earlier_than=_earliest_send_time(state, coordinator.epoch),
-        watermarks=shared_watermarks.make_request(state, number),
+        **shared_watermarks.tell(state, number)._asdict(),
         **told._asdict(),
         was_answered_earlier=_was_answered_earlier(state, coordinator.epoch),
     )
--- a/src/cuminwall/direct/shared_watermarks.py
+++ b/src/cuminwall/direct/shared_watermarks.py
@@ -12,6 +12,7 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
 from cuminwall.direct import groups, messages, watermarks
 from cuminwall.direct.answers import Position
@@ -24,8 +25,15 @@
 MAX_AGE_S = 5.0  # Older watermarks are not told.
 
 
-def make_request(state: State, number: int) -> messages.WatermarkRequest | None:
-    """Returns what a share request tells and asks for; None if nothing.
+class Told(NamedTuple):
+    """What a share request tells and asks for: its fields of these names."""
+
+    watermarks: tuple[messages.SharedWatermark, ...] = ()
+    wanted_watermarks: tuple[str, ...] = ()
+
+
+def tell(state: State, number: int) -> Told:
+    """Returns what the next share request tells and asks for.
 
     Args:
       state: The state.
@@ -33,7 +41,7 @@
     """
     pacing = state.request_pacing
     if state.now < pacing.watermarks_sent_at + SHARING_INTERVAL_S:
-        return None
+        return Told()
     told: list[messages.SharedWatermark] = []
     wanted: list[str] = []
     for group in state.groups.values():
@@ -44,22 +52,17 @@
             wanted.append(group.service)
     pacing.watermarks_number = number
     pacing.watermarks_sent_at = state.now
-    if not told and not wanted:
-        return None
-    return messages.WatermarkRequest(tuple(told), tuple(wanted))
+    return Told(tuple(told), tuple(wanted))
 
 
 def handle_request(
     state: State, request: messages.ShareRequest
 ) -> tuple[messages.SharedWatermark, ...]:
     """Records what an instance told; returns what it wants to be told."""
-    shared = request.watermarks
-    if shared is None:
-        return ()
-    for told in shared.told[:MAX_SERVICES]:
+    for told in request.watermarks[:MAX_SERVICES]:
         _record(state, told, request.sent_no_earlier_than)
     reply = []
-    for service in shared.wanted[:MAX_SERVICES]:
+    for service in request.wanted_watermarks[:MAX_SERVICES]:
         group = state.groups.get(service)
         newest = None if group is None else _find_newest(group)
         if newest is not None:
@@ -99,9 +102,10 @@
 
 
 def _record(
-    state: State, told: messages.SharedWatermark, aged_from: float
+    state: State, fields: tuple[str, float, int, int], aged_from: float
 ) -> None:
     """Records a watermark whose age was right at a time or later."""
+    told = messages.SharedWatermark(*fields)
     if told.service not in state.catalog.services:
         return
     group = groups.find(state, told.service)
--- a/src/cuminwall/load/server_speeds.py
+++ b/src/cuminwall/load/server_speeds.py
@@ -23,7 +23,7 @@
 FAILURE_RATIO = 8.0  # What a failure counts as.
 OVERDUE_RATIO = 3.0  # From then on an unanswered statement counts.
 MIN_SECONDS = 0.0005  # Shorter times are not told apart.
-MIN_ANSWERS = 3.0  # Fewer, after their decay, give no expected time.
+MIN_ANSWERS = 0.5  # Fewer, after their decay, give no expected time.
 
 _MAX_LOG = math.log(MAX_RATIO)
 
@@ -139,9 +139,11 @@
     return estimate.observations * _factor(estimate.at, now, HALF_LIFE_S)
 
 
-def expected_s(estimate: Estimate, now: float) -> float | None:
+def expected_s(
+    estimate: Estimate, now: float, min_answers: float = MIN_ANSWERS
+) -> float | None:
     """Returns the mean time of a statement at a server; None if unknown."""
-    if estimate.answers * _factor(estimate.at, now, HALF_LIFE_S) < MIN_ANSWERS:
+    if estimate.answers * _factor(estimate.at, now, HALF_LIFE_S) < min_answers:
         return None
     return estimate.seconds / estimate.answers
 
--- a/tests/test_direct_shutdown.py
+++ b/tests/test_direct_shutdown.py
@@ -197,6 +197,10 @@
         del data
         return []
 
+    def count_held(self) -> int:
+        """Returns that nothing is held."""
+        return 0
+
 
 class AnswerBeingSentTest(unittest.IsolatedAsyncioTestCase):
     """A long answer to a slow caller when the process ends."""
--- a/tests/test_direct_watermarks.py
+++ b/tests/test_direct_watermarks.py
@@ -116,7 +116,7 @@
     def test_delayed_reply_makes_no_watermark_younger(self) -> None:
         state = self.world.instances["b"].state
         state.now = self.world.now
-        shared_watermarks.make_request(state, 7)
+        shared_watermarks.tell(state, 7)
         told = messages.SharedWatermark("s", 0.4, 1, 9)
         reply = messages.ShareReply(
             7, 1, (), 1, 0.1, True, 0.0, watermarks=(told,)
