--- a/src/cuminwall/direct/callers.py
+++ b/src/cuminwall/direct/callers.py
@@ -26,7 +26,7 @@
 # While so many statements of a caller are unanswered, no more are read.
 MAX_UNANSWERED = 16
 # Of what was read already, so many statements at most are passed on unanswered.
-MAX_DECODED = 256
+MAX_DECODED = 64
 # The same for the memory that their texts take.
 MAX_UNANSWERED_BYTES = 256 * 1024
 MESSAGE_S = 60.0  # How long the rest of a message may take.
