--- a/src/cuminwall/lending.py
+++ b/src/cuminwall/lending.py
@@ -268,6 +268,7 @@
     limit.earlier_leases_until = leases.NEVER
     limit.earlier_floors_until = leases.NEVER
     limit.divided_at = leases.NEVER
+    _trim_level(limit)
 
 
 def cap_unclaimed(limit: Limit, fraction: float, now: float) -> None:
