--- a/src/cuminwall/direct/servers.py
+++ b/src/cuminwall/direct/servers.py
@@ -32,9 +32,9 @@
         make_codec: Callable[[], ports.ServerCodec],
         on_event: Callable[[events.Event], None],
         clock: Callable[[], float],
-        memory: Memory,
+        memory: Memory | None = None,
     ):
-        self.memory = memory
+        self.memory = memory or Memory(None, lambda event, fields: None)
         self.make_codec = make_codec
         self.on_event = on_event
         self.clock = clock
