--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import pathlib
+import random
 import shlex
 import signal
 import socket
@@ -29,6 +30,9 @@
 WORK_S = 0.006
 REPLICA_LAG_S = 0.008
 SERVICE = "svc1"
+FIRST_PORT = 20_000
+END_PORT = 32_000
+TAKEN: set[int] = set()  # Ports that this process has tried.
 ZONES = ("sediu", "statie-tratare", "dispecerat")
 # Machines of gorun-pool, and the smallest ones of gorun-pool-grown.
 MACHINE = {"cpu": 0.537, "cores": 2, "memory": 300, "link": 1000.0}
@@ -122,15 +126,23 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports on which nothing listens now."""
-    sockets = []
-    for _ in range(count):
-        each = socket.socket()
-        each.bind((HOST, 0))
-        sockets.append(each)
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns ports on which nothing listens now.
+
+    They lie below those that the kernel gives to outgoing connections.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, END_PORT)
+        if port in TAKEN:
+            continue
+        TAKEN.add(port)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
@@ -462,6 +474,7 @@
             node.start()
         for node in self.nodes:
             if not await node.wait_until_ready():
+                print(node.log.read_text()[-2000:], file=sys.stderr)
                 return False
         await asyncio.sleep(3.0)
         return True
