--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 import glob
 import pathlib
 
-names = ["review/standins_2.py", *glob.glob("review/*/case.py")]
+names = ["review/standins_2.py", "review/sync_2.py", *glob.glob("review/*/case.py")]
 names += ["soak/store.py", "soak/items.py", "soak/webserver.py"]
 for name in names:
     compile(pathlib.Path(name).read_text(encoding="utf-8"), name, "exec")
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,7 +8,6 @@
 import asyncio
 import os
 import pathlib
-import random
 import shlex
 import signal
 import socket
@@ -32,6 +31,7 @@
 SERVICE = "svc1"
 FIRST_PORT = 20_000
 END_PORT = 32_000
+PORTS_EACH = 40
 TAKEN: set[int] = set()  # Ports that this process has tried.
 ZONES = ("sediu", "statie-tratare", "dispecerat")
 # Machines of gorun-pool, and the smallest ones of gorun-pool-grown.
@@ -128,11 +128,13 @@
 def free_ports(count: int) -> list[int]:
     """Returns ports on which nothing listens now.
 
-    They lie below those that the kernel gives to outgoing connections.
+    They lie below those that the kernel gives to outgoing connections, and
+    two scripts that run at once begin at different ones.
     """
     ports: list[int] = []
+    port = FIRST_PORT + os.getpid() * PORTS_EACH % (END_PORT - FIRST_PORT)
     while len(ports) < count:
-        port = random.randrange(FIRST_PORT, END_PORT)
+        port = FIRST_PORT if port + 1 >= END_PORT else port + 1
         if port in TAKEN:
             continue
         TAKEN.add(port)
