Review case 6: with two disruptions in place of three

Tried: a service with SyncReplicas 1; a replica is deaf for 6.5 s, the primary crashes as that begins and is back after 3.8 s, and the promote call of that time gets no answer and is carried out 2 s later.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,11 +16,12 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WRITERS = 3
 WRITE_PAUSE_S = 0.3
-MAX_CUT_S = 5.0  # `primary_cut` from the core.
-BACK_AFTER_S = 0.5  # After the promote call, within that.
-LATE_S = 7.0  # `applied_late`: 2 to 12 s.
-DEAF_AFTER_S = 1.0  # After the cut has ended.
-DEAF_S = 6.5  # `replica_lag`, deaf.
+QUIET_S = 1.0  # Nobody writes from so long before the crash until it is over.
+DEAF_S = 6.5  # `replica_lag`: one replica, deaf; the primary crashes meanwhile.
+MAX_CRASH_S = 6.5
+BACK_AFTER_S = 0.3  # The primary is back so long after the promote call.
+LATE_S = 2.0  # `applied_late`: 2 to 12 s.
+BEAT_PHASE_S = 1.15  # The crash comes so long after a heartbeat.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -36,6 +37,9 @@
             async with asyncio.timeout(3.0):
                 answer = await client.open(node, "db1", "key1")
             while answer.startswith("READY"):
+                if site.is_quiet:
+                    await asyncio.sleep(WRITE_PAUSE_S)
+                    continue
                 lines = await client.ask(f"WRITE {rng.randrange(99)} x", 3.0)
                 if not lines[-1].startswith("READY"):
                     break
@@ -49,29 +53,41 @@
         await asyncio.sleep(WRITE_PAUSE_S)
 
 
-async def cut_primary(site: sync_2.SyncSite) -> None:
-    """Cuts the primary off from the store; later a replica goes deaf."""
+def find_replica(site: sync_2.SyncSite) -> sync_2.SyncBackend:
+    """Returns the replica nearest to the coordinator."""
+    name = site.store.find_coordinator()
+    zone = next(each.zone for each in site.nodes if each.name == name)
+    replicas = [each for each in site.backends if each is not site.leader]
+    near = [each for each in replicas if each.zone == zone]
+    return (near or replicas)[0]
+
+
+async def crash_primary(site: sync_2.SyncSite) -> None:
+    """A replica goes deaf and the primary crashes; both come back."""
     record = site.record
+    site.is_quiet = True
+    await asyncio.sleep(QUIET_S)
     primary = site.leader
+    replica = find_replica(site)
+    passed_s = time.monotonic() - primary.reached_at
+    await asyncio.sleep((BEAT_PHASE_S - passed_s) % sync_2.HEARTBEAT_S)
     site.late_s = LATE_S
-    primary.is_cut = True
-    record(f"{primary.name}, the primary, can't reach the store")
-    until = time.monotonic() + MAX_CUT_S
-    while not site.late_target and time.monotonic() < until - BACK_AFTER_S:
+    replica.is_deaf = True
+    began_at = time.monotonic()
+    record(f"{replica.name} receives nothing; {primary.name} crashes")
+    primary.crash()
+    while time.monotonic() < began_at + MAX_CRASH_S - BACK_AFTER_S:
+        if site.late_target:
+            break
         await asyncio.sleep(0.02)
     await asyncio.sleep(BACK_AFTER_S)
-    primary.is_cut = False
-    primary.register()
-    record(f"{primary.name} reaches the store again")
-    await asyncio.sleep(DEAF_AFTER_S)
-    for backend in site.backends:
-        if backend.name == site.late_target:
-            backend.is_deaf = True
-            record(f"{backend.name} receives nothing")
-            await asyncio.sleep(DEAF_S)
-            backend.is_deaf = False
-            record(f"{backend.name} receives again")
-            site.replicate()
+    await primary.come_back()
+    record(f"{primary.name} is back with its log")
+    site.is_quiet = False
+    await asyncio.sleep(began_at + DEAF_S - time.monotonic())
+    replica.is_deaf = False
+    record(f"{replica.name} receives again")
+    site.replicate()
 
 
 async def run() -> int:
@@ -96,7 +112,7 @@
         began_at = time.monotonic()
         await asyncio.sleep(3.0)
         if TROUBLE:
-            await cut_primary(site)
+            await crash_primary(site)
         while time.monotonic() < began_at + 20.0:
             await asyncio.sleep(0.1)
         count = len(site.acknowledged) + sum(map(len, site.lost))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -155,6 +155,7 @@
         self, name: str, zone: str, folder: pathlib.Path, machine: dict
     ):
         self.name = name
+        self.zone = zone
         self.log = folder / f"{name}.log"
         self.settings = folder / f"{name}.toml"
         names = ("callers", "ready", "control", "peers", "metrics", "store")
--- a/review/sync_2.py
+++ b/review/sync_2.py
@@ -92,6 +92,16 @@
             self.published = entry
             super().register()
 
+    def crash(self) -> None:
+        """Ends all connections, and answers nothing."""
+        self.is_cut = True
+        self.stop()
+
+    async def come_back(self) -> None:
+        """Comes back with its log."""
+        self.is_cut = False
+        await self.start()
+
     def receives(self) -> bool:
         """Returns whether commits of the primary reach it."""
         return not self.is_deaf and not self.held_term
@@ -172,6 +182,7 @@
       lost: Of each promotion, the acknowledged writes that it lacks.
       late_s: After what time the next promote call is carried out; 0 at once.
       late_target: The backend that a late call named.
+      is_quiet: Whether nobody writes.
     """
 
     def __init__(self, record: standins.Record, instances: int, config: dict):
@@ -187,6 +198,7 @@
         self.lost: list[list[str]] = []
         self.late_s = 0.0
         self.late_target = ""
+        self.is_quiet = False
         self.tasks: list[asyncio.Task] = []
         standins.BackendSession = SyncSession
 
