--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -10,7 +10,7 @@
 import uvloop
 from loguru import logger
 
-from cuminwall import exceptions, plainhttp, reruns
+from cuminwall import exceptions, plainhttp, process_signals, reruns
 from cuminwall.direct import (
     engine,
     events,
@@ -134,9 +134,12 @@
         settings = self.settings
         self.journal.add(PART, "start", {"zone": settings.zone})
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.shut_down)
-        loop.add_signal_handler(signal.SIGINT, self.shut_down)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        actions = {
+            signal.SIGTERM: self.shut_down,
+            signal.SIGINT: self.shut_down,
+            signal.SIGHUP: self.reload,
+        }
+        process_signals.handle(loop, actions)
         state_ = self.engine.state
         follower_ = follower.Follower(
             self.engine.store,
