PostgreSQL path: SIGHUP no longer ends a daemon, nor SIGTERM one that starts

Change: the entry point holds the signals before it imports the daemon; process_signals.handle lets them in. This daemon reads its settings at the start only, so SIGHUP is logged. cuminctl and the stand-ins keep the default action: a command ends with its terminal.

StartingDaemonTest failed before: the daemon never holds the signal, 30 s.

--- a/src/cuminwall/daemon.py
+++ b/src/cuminwall/daemon.py
@@ -31,6 +31,7 @@
     metrics,
     peers,
     ports,
+    process_signals,
     rounds,
     serving,
     settings,
@@ -229,6 +230,11 @@
     return False
 
 
+def _ignore_reload() -> None:
+    """Goes on serving; the settings are read at the start only."""
+    logger.info("{}: SIGHUP: settings take effect at the next start", PREFIX)
+
+
 async def _serve(settings_: settings.Settings) -> int:
     """Runs an instance until SIGTERM or SIGINT; returns the exit status."""
     if has_io_uring():
@@ -236,8 +242,12 @@
         return EXIT_IO_URING
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
+    actions = {
+        signal.SIGTERM: stop_requested.set,
+        signal.SIGINT: stop_requested.set,
+        signal.SIGHUP: _ignore_reload,
+    }
+    process_signals.handle(loop, actions)
     daemon = Daemon(settings_)
     await daemon.start()
     await stop_requested.wait()
@@ -263,9 +273,5 @@
 
 
 def run() -> None:
-    """The entry point of the `cuminwalld` program."""
+    """Runs the program; `daemon_start` holds signals before."""
     app.run(main)
-
-
-if __name__ == "__main__":
-    run()
--- a/src/cuminwall_standins/site.py
+++ b/src/cuminwall_standins/site.py
@@ -200,7 +200,7 @@
         path.write_text(json.dumps(settings), encoding="utf-8")
         process = await self._start(
             instance,
-            "cuminwall.daemon",
+            "cuminwall.daemon_start",
             (f"--settings={path}",),
             reads_ports=False,
         )
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -1,5 +1,6 @@
 """Signals to real processes, from the first moments of their start on."""
 
+import json
 import os
 import pathlib
 import signal
@@ -14,6 +15,7 @@
 GUARD_S = 30.0
 # Between the signals to one process; a start takes many times as long.
 GAP_S = 0.005
+HANGUP_BIT = 1 << (signal.SIGHUP - 1)
 # When the first signal comes after the first line was reached.
 MOMENTS_S = (0.0, 0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.45)
 
@@ -69,9 +71,8 @@
             )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
-        wanted = 1 << (signal.SIGHUP - 1)
         end = time.monotonic() + GUARD_S
-        while not held_signals(process.pid) & wanted:
+        while not held_signals(process.pid) & HANGUP_BIT:
             if self.has_started() or time.monotonic() > end:
                 self.fail("the instance never holds SIGHUP while it starts")
             time.sleep(0.0005)
@@ -152,5 +153,59 @@
         self.assertEqual(imported, "[]")
 
 
+class StartingDaemonTest(unittest.TestCase):
+    """A daemon of the PostgreSQL path gets SIGHUP, which it does not need."""
+
+    def start(self) -> tuple[subprocess.Popen, pathlib.Path]:
+        """Starts a daemon without a platform; returns it and its log."""
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        any_port = {"host": "127.0.0.1", "port": 0}
+        settings = {
+            "instance": "a",
+            "zone": "z",
+            "listen": any_port,
+            "peers": {**any_port, "secret": "secret of the test"},
+            "http": any_port,
+            "platform": {"endpoint": "http://127.0.0.1:1"},
+        }
+        path = folder / "settings.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        log = folder / "log"
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "cuminwall.daemon_start",
+                    f"--settings={path}",
+                ],
+                stdout=output,
+                stderr=output,
+            )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process, log
+
+    # Ended the daemon at any moment, also while it served.
+    def test_sighup_from_the_start_on(self) -> None:
+        process, log = self.start()
+        end = time.monotonic() + GUARD_S
+        while not held_signals(process.pid) & HANGUP_BIT:
+            self.assertIsNone(process.poll())
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.0005)
+        text = ""
+        while "accepts callers" not in text and time.monotonic() < end:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(GAP_S)
+            text = log.read_text(encoding="utf-8")
+            self.assertIsNone(process.poll(), text)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.2)
+        self.assertIsNone(process.poll())
+        text = log.read_text(encoding="utf-8")
+        self.assertIn("take effect at the next start", text)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -499,7 +499,7 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "cuminwall.daemon",
+                "cuminwall.daemon_start",
                 f"--settings={path}",
                 stderr=asyncio.subprocess.PIPE,
             )
