Read settings again that are being written

Cause: the settings file was read once. Cut in the middle it ended a start with code 2; at SIGHUP the old settings stayed in force until the next signal, and a file cut within a character raised UnicodeDecodeError, which reload did not catch and nothing logged.

Change: at the start an unreadable file is read again for 2 s; after SIGHUP the file is read once more after 0.5 s, and until it can be read. The adapter decodes the bytes, so that a cut character is a SettingsError.

Failed before: 3 of the 4 new tests (the fourth keeps the exit code of settings that stay wrong).

--- a/src/cuminwall/direct/node.py
+++ b/src/cuminwall/direct/node.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 import signal
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -36,6 +37,9 @@
 ENTROPY_BYTES = 32
 BOOT_BYTES = 8
 EXIT_DELAY_S = 0.1  # Time to send the last answers before the process exits.
+START_READ_S = 2.0  # For how long unreadable settings are read again.
+READ_PAUSE_S = 0.05  # Between these readings.
+REREAD_S = 0.5  # Until settings that have changed are read once more.
 FLUSH_FRACTION = 0.97  # Of the grace period, for those that take longer.
 
 
@@ -102,6 +106,8 @@
       platform: The adapter of the platform.
       journal: The writer of log lines.
       engine: The engine that runs its reducer.
+      reread_timer: When the settings are read once more, or None.
+      is_reload_failing: Whether the latest reading of them has failed.
     """
 
     def __init__(self, settings: Settings, platform: Platform):
@@ -127,6 +133,8 @@
             self.journal,
             meters_,
         )
+        self.reread_timer: asyncio.TimerHandle | None = None
+        self.is_reload_failing = False
         self._add_gauges(meters_)
 
     async def serve(self) -> None:
@@ -178,20 +186,47 @@
         self.engine.handle_event(events.ShutdownRequested(engine.boot_clock()))
 
     def reload(self) -> None:
-        """Reads the settings again; only new limits take effect."""
+        """Reads the settings again; only new limits take effect.
+
+        They may be read while they are being written. So they are read once
+        more after a while, and until they can be read at all.
+        """
+        is_read = self._reload_once(is_asked=True)
+        self._schedule_reread(is_last=is_read)
+
+    def _schedule_reread(self, is_last: bool) -> None:
+        """Reads the settings later, and again if that is not the last time."""
+        if self.reread_timer is not None:
+            self.reread_timer.cancel()
+
+        def reread() -> None:
+            is_read = self._reload_once(is_asked=False)
+            if not (is_read and is_last):
+                self._schedule_reread(is_last=is_read)
+
+        loop = asyncio.get_running_loop()
+        self.reread_timer = loop.call_later(REREAD_S, reread)
+
+    def _reload_once(self, is_asked: bool) -> bool:
+        """Reads the settings; returns whether they could be read."""
         try:
             settings = self.platform.read_settings()
         except (OSError, exceptions.SettingsError) as error:
-            self.journal.add(PART, "reload_failed", {"cause": str(error)})
-            return
-        self.engine.state.limits = settings.limits
+            if is_asked or not self.is_reload_failing:
+                self.journal.add(PART, "reload_failed", {"cause": str(error)})
+            self.is_reload_failing = True
+            return False
         changed = [
             name
             for name in Settings._fields
             if getattr(settings, name) != getattr(self.settings, name)
         ]
+        self.engine.state.limits = settings.limits
         self.settings = settings
-        self.journal.add(PART, "reload", {"changed": changed})
+        if is_asked or self.is_reload_failing or changed:
+            self.journal.add(PART, "reload", {"changed": changed})
+        self.is_reload_failing = False
+        return True
 
     def _add_gauges(self, meters_: meters.Meters) -> None:
         """Registers the gauges that are read from the state."""
@@ -277,14 +312,27 @@
 
 def run(platform: Platform) -> None:
     """Runs one instance until it has shut down."""
-    try:
-        settings = platform.read_settings()
-    except exceptions.SettingsError as error:
-        logger.error("{}: {}", PART, error)
-        raise SystemExit(EXIT_BAD_SETTINGS) from error
+    settings = _read_at_start(platform)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_serve(settings, platform))
 
 
+def _read_at_start(platform: Platform) -> Settings:
+    """Returns the settings, which may be being written just now.
+
+    Raises:
+      SystemExit: They can't be read.
+    """
+    end = time.monotonic() + START_READ_S
+    while True:
+        try:
+            return platform.read_settings()
+        except (OSError, exceptions.SettingsError) as error:
+            if time.monotonic() >= end:
+                logger.error("{}: {}", PART, error)
+                raise SystemExit(EXIT_BAD_SETTINGS) from error
+        time.sleep(READ_PAUSE_S)
+
+
 async def _serve(settings: Settings, platform: Platform) -> None:
     await Node(settings, platform).serve()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -815,7 +815,7 @@
     """The settings file."""
 
     def test_read(self) -> None:
-        own = settings.read(SETTINGS)
+        own = settings.read(SETTINGS.encode())
         self.assertEqual(own.callers, ("10.1.0.26", 8465))
         self.assertEqual(own.peers, ("10.1.0.26", 7560))
         self.assertEqual(own.limits.grace_s, 9.0)
@@ -828,18 +828,20 @@
             "[Bounds]\nReportWindowS = 5\nUsageDelayS = 10\nLeaseMs = 2000"
         )
         named = SETTINGS.replace("[Bounds]", windows)
-        reported = settings.read(named).limits
+        reported = settings.read(named.encode()).limits
         self.assertEqual(reported.usage_window_s, 5.0)
         self.assertEqual(reported.usage_delay_s, 10.0)
         self.assertEqual(reported.duty_lease_s, 2.0)
-        other = settings.read(named + 'Duties = ["failover"]\n').limits
+        other = settings.read(f'{named}Duties = ["failover"]\n'.encode()).limits
         self.assertEqual(other.usage_window_s, 0.0)
-        self.assertEqual(settings.read(SETTINGS).limits.usage_window_s, 0.0)
+        self.assertEqual(
+            settings.read(SETTINGS.encode()).limits.usage_window_s, 0.0
+        )
 
     def test_faults(self) -> None:
         for text in ("", "x = ", SETTINGS.replace("Zone", "Zine")):
             with self.assertRaises(exceptions.SettingsError):
-                settings.read(text)
+                settings.read(text.encode())
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -152,6 +152,42 @@
         self.assertEqual(held, "True [1, 2, 15]")
         self.assertEqual(imported, "[]")
 
+    # Read half written, settings that are in order ended the start.
+    def test_settings_that_are_being_written_at_the_start(self) -> None:
+        data = self.text.encode()
+        self.settings.write_bytes(data[: len(data) // 2])
+        process = self.start()
+        time.sleep(0.6)
+        self.settings.write_bytes(data)
+        self.wait(process, '"start"')
+
+    # ... and at SIGHUP they were not read again, so that the old ones stayed;
+    # one cut within a character was not even logged.
+    def test_settings_that_are_being_written_at_sighup(self) -> None:
+        process = self.start()
+        self.wait(process, '"start"')
+        self.settings.write_bytes("NodeName = 'é".encode()[:-1])
+        process.send_signal(signal.SIGHUP)
+        self.wait(process, '"reload_failed"')
+        text = self.text.replace("ConfigApplyMs = 3000", "ConfigApplyMs = 2900")
+        self.settings.write_text(text, encoding="utf-8")
+        self.wait(process, '"changed": ["limits"]')
+
+    # ... nor when what had been written by then was in order by itself.
+    def test_settings_whose_end_is_written_after_sighup(self) -> None:
+        process = self.start()
+        self.wait(process, '"start"')
+        process.send_signal(signal.SIGHUP)
+        self.wait(process, '"reload"')
+        text = self.text.replace("ConfigApplyMs = 3000", "ConfigApplyMs = 2900")
+        self.settings.write_text(text, encoding="utf-8")
+        self.wait(process, '"changed": ["limits"]')
+
+    def test_settings_that_stay_wrong_end_the_start(self) -> None:
+        self.settings.write_text("NodeName = 5", encoding="utf-8")
+        process = self.start()
+        self.assertEqual(process.wait(GUARD_S), 2)
+
 
 class StartingDaemonTest(unittest.TestCase):
     """A daemon of the PostgreSQL path gets SIGHUP, which it does not need."""
