--- a/src/cuminwall/direct/candidates.py
+++ b/src/cuminwall/direct/candidates.py
@@ -1,6 +1,6 @@
 """Chooses the server that becomes the primary of a service."""
 
-from cuminwall.direct import durability, groups, log_branches
+from cuminwall.direct import durability, groups, log_branches, open_orders
 from cuminwall.direct.answers import Position
 from cuminwall.direct.fleet_state import UNLED, PrimaryChange
 from cuminwall.direct.servers_state import Group, Server
@@ -53,11 +53,16 @@
 
     An order that was not answered may be carried out late. Where the platform
     does not check the fencing token, that would undo a newer order for another
-    server, so the same server is ordered again.
+    server, so the same server is ordered again. Where it does, but commits must
+    be kept, the same server goes first: what it acknowledged between the two
+    orders would be lost.
     """
     best = None
-    best_rank: tuple[bool, bool, bool, Position, bool] | None = None
-    pending = pending_target(state, group)
+    best_rank: tuple[bool, bool, bool, bool, Position, bool] | None = None
+    ordered: set[str] = set()
+    if durability.must_keep_commits(state, group):
+        ordered = open_orders.usurpers(state, group)
+    pending = open_orders.pending_target(state, group)
     for server in group.servers.values():
         if not is_candidate(state, group, server) or server.status is None:
             continue
@@ -75,20 +80,15 @@
         is_usable = groups.is_usable(state, server)
         is_warm = server.entry.cold_s <= 0
         is_near = server.entry.zone == state.zone
-        rank = (is_valid, is_usable, is_warm, position, is_near)
+        rank = (
+            is_valid,
+            name in ordered,
+            is_usable,
+            is_warm,
+            position,
+            is_near,
+        )
         if best_rank is None or rank > best_rank:
             best = server
             best_rank = rank
     return best
-
-
-def pending_target(state: State, group: Group) -> str:
-    """Returns the server that an order may yet make primary, or ""."""
-    if state.limits.are_primaries_fenced:
-        return ""
-    if not groups.is_order_pending(state, group):
-        return ""
-    server = group.servers.get(group.ordered_primary)
-    if server is None or server.is_gone:
-        return ""
-    return group.ordered_primary
--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -22,6 +22,7 @@
     inquiries,
     lease_grants,
     log_branches,
+    open_orders,
     primary_checks,
 )
 from cuminwall.direct.answers import Position
@@ -30,6 +31,7 @@
 from cuminwall.direct.fleet_state import (
     COORDINATOR_NAME,
     PLANNED_CAUSES,
+    UNANSWERED,
     ChangeStep,
     PrimaryChange,
 )
@@ -39,7 +41,6 @@
 PART = "failover"
 
 ORDER_PREFIX = "orders/"
-SETTLED_PREFIX = "settled/"
 TICK_S = 0.1  # Between checks of the services and their primary changes.
 HELD_CHECK_S = 1.0  # Between questions to a server that does not answer.
 RECALL_INTERVAL_S = 0.3  # Between repeated recalls of leases.
@@ -77,10 +78,11 @@
         above_term = int(fields["above_term"])
         ordered_fork = log_branches.decode(fields.get("ordered_fork"))
         fork = log_branches.decode(fields.get("fork"))
+        group = groups.find(state, service)
+        open_orders.record_encoded(state, group, fields.get("open"))
     except (ValueError, KeyError, TypeError):
         out.append(Note(PART, "malformed_order", {"service": service}))
         return
-    group = groups.find(state, service)
     groups.record_order(state, group, server, revision, out)
     if revision == group.order:
         group.order_above_term = above_term
@@ -110,7 +112,10 @@
 ) -> None:
     """Handles the result of writing an order; gives the order if written."""
     change = state.primary_watch.changes.get(service)
+    group = groups.find(state, service)
     if change is None or change.step is not ChangeStep.WRITING_ORDER:
+        if revision:
+            _withdraw(state, group, revision, out)
         return
     if not revision:
         # Not written, or unknown: choose again and write against the
@@ -121,13 +126,27 @@
     change.fencing_token = revision
     change.step = ChangeStep.ORDERED
     change.step_deadline = state.now + state.limits.promotion_retry_s
-    group = groups.find(state, service)
     groups.record_order(state, group, change.target, revision, out)
+    if _is_other(state, group, change):
+        _withdraw(state, group, revision, out)
+        change.step = ChangeStep.CHOOSING
+        return
     group.order_above_term = change.above_term
     group.ordered_fork = change.fork
     epoch = state.own_lease.epoch
     out.append(Promote(service, change.target, revision, epoch))
     _log(state, change, "ordered", {}, out)
+    if change.cause == UNANSWERED:
+        # Until it is answered, the primary may acknowledge what its server has.
+        _release_held(state, group, out)
+
+
+def _withdraw(
+    state: State, group: Group, order: int, out: list[Effect]
+) -> None:
+    """Lets later coordinators know that an order was written, but not given."""
+    if state.limits.are_primaries_fenced:
+        open_orders.handle_answer(state, group, order, False, out)
 
 
 def handle_promotion_outcome(
@@ -144,8 +163,9 @@
         group.fork = group.ordered_fork or group.fork
     if outcome.is_done and group is not None and server in group.servers:
         groups.set_primary(state, group, server, "promoted", out)
-    if outcome.is_done or outcome.is_refused:
-        _settle_order(state, service, fencing_token, out)
+    if group is not None and (outcome.is_done or outcome.is_refused):
+        is_done = outcome.is_done
+        open_orders.handle_answer(state, group, fencing_token, is_done, out)
     change = state.primary_watch.changes.get(service)
     if change is None or change.fencing_token != fencing_token:
         return
@@ -164,36 +184,6 @@
         change.step_deadline = state.now
 
 
-def _settle_order(
-    state: State, service: str, order: int, out: list[Effect]
-) -> None:
-    """Lets later coordinators know that no order can be carried out late."""
-    if state.limits.are_primaries_fenced:
-        return
-    group = groups.find(state, service)
-    if not groups.settle_order(state, group, order):
-        return
-    name = SETTLED_PREFIX + service
-    state.compare_and_swap(
-        SwapPurpose.SETTLE,
-        {name: state.shared_revisions.get(name, 0)},
-        {name: str(order).encode()},
-        frozenset(),
-        0,
-        out,
-    )
-
-
-def handle_settled(state: State, service: str, value: bytes | None) -> None:
-    """Handles the note in the store that the orders up to one were answered."""
-    if value is None or not value.isdigit():
-        return
-    group = groups.find(state, service)
-    if int(value) == group.order:
-        group.order_pending_until = leases.NEVER
-        group.earlier_pending_until = leases.NEVER
-
-
 def _finish(state: State, change: PrimaryChange, out: list[Effect]) -> None:
     """Ends a change whose server leads, or will at once."""
     _log(state, change, "done", {}, out)
@@ -211,9 +201,46 @@
     change = PrimaryChange(group.service, cause, group.primary, state.now)
     state.primary_watch.changes[group.service] = change
     _log(state, change, "begun", {"before": group.primary}, out)
+    is_kept = durability.must_keep_commits(state, group)
+    if cause == UNANSWERED and not is_kept:
+        _supersede(state, group, change, None, out)
+        return
     _restart(state, group, change, out)
 
 
+def _supersede(
+    state: State,
+    group: Group,
+    change: PrimaryChange,
+    best: Server | None,
+    out: list[Effect],
+) -> None:
+    """Gives a newer order in place of those that were not answered.
+
+    It is for the primary: that changes nothing. But one of the others may be
+    carried out before it, and what the server of that one acknowledged would
+    then be lost. So where commits must be kept it is for this server, if that
+    has them all; whichever of the two orders comes first, it leads.
+
+    Args:
+      state: The state.
+      group: The group.
+      change: The change.
+      best: The server with all acknowledged commits, if it is known.
+      out: The effects.
+    """
+    target = group.servers.get(group.primary)
+    if best is not None and best.entry.server in open_orders.usurpers(
+        state, group
+    ):
+        target = best
+    if target is None or target.entry.server in change.refused_servers:
+        change.step = ChangeStep.ORDERED
+        change.step_deadline = state.now + state.limits.promotion_retry_s
+        return
+    _write_order(state, group, change, target, out)
+
+
 def _restart(
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
@@ -229,8 +256,9 @@
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
     """Takes the next step of a change when it is due."""
-    is_other = group.primary not in ("", change.old_primary)
-    if is_other and state.limits.are_primaries_fenced:
+    if change.step is not ChangeStep.WRITING_ORDER and _is_other(
+        state, group, change
+    ):
         _log(state, change, "over", {"primary": group.primary}, out)
         del state.primary_watch.changes[group.service]
         return
@@ -248,9 +276,21 @@
         _choose(state, group, change, out)
     elif state.now >= change.step_deadline:
         # The order was not answered; a newer one supersedes it.
+        if change.cause == UNANSWERED:
+            # The primary may have been lost meanwhile.
+            _log(state, change, "left", {}, out)
+            del state.primary_watch.changes[change.service]
+            return
         _restart(state, group, change, out)
 
 
+def _is_other(state: State, group: Group, change: PrimaryChange) -> bool:
+    """Returns whether another server than before leads already."""
+    if not state.limits.are_primaries_fenced:
+        return False
+    return group.primary not in ("", change.old_primary)
+
+
 def _await_lead(
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
@@ -286,6 +326,12 @@
             known_count += 1
     if pending_count and state.now < change.step_deadline:
         return
+    if change.cause == UNANSWERED:
+        if durability.must_keep_commits(state, group):
+            _hold(state, group, change, out)
+        else:
+            _supersede(state, group, change, None, out)
+        return
     if not known_count:
         _restart(state, group, change, out)
         return
@@ -358,6 +404,8 @@
     for server in group.servers.values():
         if server.is_gone or server.entry.server == group.primary:
             continue
+        if not open_orders.may_receive(state, group, server):
+            continue
         if server.status is not None and server.status_asked_at >= since:
             if server.status.held_term:
                 inquiries.release(state, server, out)
@@ -368,6 +416,8 @@
 def _release_held(state: State, group: Group, out: list[Effect]) -> None:
     """Lets replicas receive commits again that a change has held."""
     for server in group.servers.values():
+        if not open_orders.may_receive(state, group, server):
+            continue
         if server.status is not None and server.status.held_term:
             inquiries.release(state, server, out)
 
@@ -547,6 +597,9 @@
     required = durability.find_required_position(state, group, change)
     if required is not None:
         best = candidates.find_best(state, group, change, required)
+    if change.cause == UNANSWERED:
+        _supersede(state, group, change, best, out)
+        return
     may_wait = state.now < change.step_deadline
     if best is None or best.status is None:
         if may_wait and change.log_end is not None:
@@ -563,13 +616,29 @@
         if is_behind or not groups.is_usable(state, best):
             _query_candidates(state, group, change, out)
             return
+    _write_order(state, group, change, best, out)
+
+
+def _write_order(
+    state: State,
+    group: Group,
+    change: PrimaryChange,
+    best: Server,
+    out: list[Effect],
+) -> None:
+    """Writes the order that a server becomes, or stays, primary."""
+    change.target = best.entry.server
+    position = None if best.status is None else best.status.position
     change.above_term = _highest_term(group)
-    change.fork = log_branches.Fork(change.above_term, best.status.position)
-    if best.entry.server == group.ordered_primary:
+    change.fork = None
+    if change.target != group.primary and position is not None:
+        change.fork = log_branches.Fork(change.above_term, position)
+    if change.target == group.ordered_primary:
         # An earlier order may have made it primary already.
         change.above_term = group.order_above_term
         change.fork = group.ordered_fork
-    change.target = best.entry.server
+        if change.fork is not None and position is not None:
+            change.fork = log_branches.extend(change.fork, position)
     change.step = ChangeStep.WRITING_ORDER
     change.step_deadline = state.now + state.limits.promotion_retry_s
     assert state.coordinator is not None
@@ -581,6 +650,7 @@
         "cause": change.cause,
         "ordered_fork": log_branches.encode(change.fork),
         "fork": log_branches.encode(group.fork),
+        "open": open_orders.encode(state, group),
     }
     state.compare_and_swap(
         SwapPurpose.ORDER,
@@ -598,7 +668,7 @@
         state,
         change,
         "chosen",
-        {"position": best.status.position, "log_end": log_end},
+        {"position": position, "log_end": change.log_end},
         out,
     )
 
--- a/src/cuminwall/direct/fleet_state.py
+++ b/src/cuminwall/direct/fleet_state.py
@@ -482,6 +482,7 @@
 
 # Causes of a change.
 UNLED = "the ordered server does not lead"
+UNANSWERED = "an order was not answered"
 LEAVING = "the primary leaves"
 EVACUATED = "its zone is taken out"
 PLANNED_CAUSES = (LEAVING, EVACUATED)
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -7,7 +7,7 @@
 """
 
 from cuminwall import leases
-from cuminwall.direct import primary_leases
+from cuminwall.direct import open_orders, primary_leases
 from cuminwall.direct.catalog import ServerEntry
 from cuminwall.direct.effects import CloseConnection, Effect, Note
 from cuminwall.direct.servers_state import (
@@ -158,10 +158,7 @@
         return
     group.order = order
     group.ordered_primary = server
-    group.earlier_pending_until = max(
-        group.earlier_pending_until, group.order_pending_until
-    )
-    group.order_pending_until = state.now + state.limits.late_order_s
+    open_orders.record(state, group, order, server)
     if state.limits.are_primaries_fenced:
         return
     if group.lease.order < order:
@@ -172,17 +169,6 @@
         set_primary(state, group, "", "the newest order", out)
 
 
-def settle_order(state: State, group: Group, order: int) -> bool:
-    """Records that an order was answered, so it can't be carried out later.
-
-    Returns:
-      Whether that holds for all orders of the group now.
-    """
-    if order == group.order:
-        group.order_pending_until = leases.NEVER
-    return not is_order_pending(state, group)
-
-
 def update_fork(group: Group) -> None:
     """Notes that the newest order was carried out, once a log shows its term.
 
@@ -204,13 +190,6 @@
         group.fork = fork
 
 
-def is_order_pending(state: State, group: Group) -> bool:
-    """Returns whether an order may still be carried out."""
-    return state.now < max(
-        group.order_pending_until, group.earlier_pending_until
-    )
-
-
 def handle_not_primary(state: State, server: Server, out: list[Effect]) -> None:
     """Handles a server's answer that it is not the primary."""
     group = find(state, server.entry.service)
--- a/src/cuminwall/direct/log_branches.py
+++ b/src/cuminwall/direct/log_branches.py
@@ -30,6 +30,13 @@
     return position > fork.log_end
 
 
+def extend(fork: Fork, position: Position) -> Fork:
+    """Returns a fork whose server has gone on to a position before its term."""
+    if position.term > fork.above_term:
+        return fork
+    return fork._replace(log_end=max(fork.log_end, position))
+
+
 def encode(fork: Fork | None) -> list[int] | None:
     """Returns a fork as a JSON value."""
     if fork is None:
--- a/src/cuminwall/direct/primary_checks.py
+++ b/src/cuminwall/direct/primary_checks.py
@@ -7,9 +7,15 @@
     inquiries,
     lease_grants,
     lender,
+    open_orders,
 )
 from cuminwall.direct.effects import Effect
-from cuminwall.direct.fleet_state import EVACUATED, LEAVING, UNLED
+from cuminwall.direct.fleet_state import (
+    EVACUATED,
+    LEAVING,
+    UNANSWERED,
+    UNLED,
+)
 from cuminwall.direct.servers_state import Group, Server
 from cuminwall.direct.state import State
 
@@ -51,9 +57,11 @@
     state.primary_watch.no_primary_since.pop(group.service, None)
     if _is_unled(state, group, primary, out):
         return UNLED
-    if candidates.pending_target(state, group):
+    if open_orders.pending_target(state, group):
         # An order that is carried out late would undo the change.
         return ""
+    if open_orders.usurpers(state, group):
+        return _unreachable_cause(state, group, primary, out) or UNANSWERED
     if not groups.is_usable(state, primary):
         return _planned_cause(state, group, primary)
     return _unreachable_cause(state, group, primary, out)
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -22,6 +22,7 @@
     lender,
     membership,
     messages,
+    open_orders,
     primary_checks,
     quotas,
     results,
@@ -250,9 +251,10 @@
     elif event.name.startswith(failover.ORDER_PREFIX):
         service = event.name.removeprefix(failover.ORDER_PREFIX)
         failover.handle_order(state, service, event.value, event.revision, out)
-    elif event.name.startswith(failover.SETTLED_PREFIX):
-        service = event.name.removeprefix(failover.SETTLED_PREFIX)
-        failover.handle_settled(state, service, event.value)
+    elif event.name.startswith(open_orders.SETTLED_PREFIX):
+        service = event.name.removeprefix(open_orders.SETTLED_PREFIX)
+        group = groups.find(state, service)
+        open_orders.handle_settled(group, event.value)
     elif event.name == usage_reports.RECORD_NAME:
         usage_reports.handle_record(state, event.value, out)
 
--- a/src/cuminwall/direct/servers_state.py
+++ b/src/cuminwall/direct/servers_state.py
@@ -291,6 +291,18 @@
     departed_at: float
 
 
+class OpenOrder(NamedTuple):
+    """An order to promote a server that may still be carried out.
+
+    Attributes:
+      server: The server.
+      until: When it is too old for that.
+    """
+
+    server: str
+    until: float
+
+
 class Group:
     """The servers of one database service.
 
@@ -310,9 +322,8 @@
       ordered_fork: Where it starts a new term, if it is carried out; or None.
       fork: Where the latest promotion known to have been carried out has
         started its term, or None.
-      order_pending_until: Until when that order may still be carried out, if
-        it is not answered.
-      earlier_pending_until: The same of the orders before it.
+      open_orders: Orders that may still be carried out, by their revision.
+      settled_order: The newest order up to which none is.
       lease: This instance's lease on the primary, where it needs one.
       primary_expected_at: By when a new primary is expected, or None.
       watermarks: Watermarks of this instance's own answers, oldest first.
@@ -337,8 +348,8 @@
         "order_above_term",
         "ordered_fork",
         "fork",
-        "order_pending_until",
-        "earlier_pending_until",
+        "open_orders",
+        "settled_order",
         "lease",
         "primary_expected_at",
         "watermarks",
@@ -363,8 +374,8 @@
         self.order_above_term = 0
         self.ordered_fork: Fork | None = None
         self.fork: Fork | None = None
-        self.order_pending_until = leases.NEVER
-        self.earlier_pending_until = leases.NEVER
+        self.open_orders: dict[int, OpenOrder] = {}
+        self.settled_order = 0
         self.lease = PrimaryLease()
         self.primary_expected_at: float | None = None
         self.watermarks: deque[Watermark] = deque()
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -27,6 +27,7 @@
 
 LINK_S = 0.002
 STORE_S = 0.004
+CALL_TIMEOUT_S = 1.5  # Of a call to the platform.
 LOST_S = 0.5  # Until a call whose answer was lost times out.
 ROUTE_AGE_S = 1.5
 
@@ -305,6 +306,9 @@
       promoted: The promotions: service, server and fencing token.
       accepts_orders_at_once: Whether an order is answered before its promotion
         has happened.
+      late_orders: After what time each of the next orders is carried out, which
+        get no answer; 0 for one that gets it at once.
+      fences: The highest fencing token that was seen, by service.
     """
 
     def __init__(
@@ -329,6 +333,8 @@
         self.promote_answers = True
         self.promote_s = 0.6
         self.accepts_orders_at_once = False
+        self.late_orders: list[float] = []
+        self.fences: dict[str, int] = {}
         self.boots = 0
         self.cut_pairs: set[tuple[str, str]] = set()
         for server in servers:
@@ -649,6 +655,48 @@
         self.schedule(STORE_S, lambda: self.store.end(effect.lease))
 
     def _promote(self, instance: Instance, effect: effects.Promote) -> None:
+        def report(outcome: events.PromotionOutcome) -> None:
+            instance.handle_event(
+                events.PromotionFinished(
+                    self.now,
+                    effect.service,
+                    effect.server,
+                    effect.fencing_token,
+                    outcome,
+                )
+            )
+
+        late_s = self.late_orders.pop(0) if self.late_orders else 0.0
+        if late_s:
+            self.schedule(late_s, lambda: self.carry_out(effect))
+            nothing = events.PromotionOutcome(False, False)
+            self.schedule(CALL_TIMEOUT_S, lambda: report(nothing))
+            return
+        is_fenced_out = not self.carry_out(effect)
+
+        def answer() -> None:
+            done = self.servers[effect.server].is_primary
+            done = done or self.accepts_orders_at_once
+            refused = self.servers[effect.server].is_unreachable
+            outcome = events.PromotionOutcome(done, refused)
+            if is_fenced_out:
+                outcome = events.PromotionOutcome(False, True)
+            if not self.promote_answers:
+                outcome = events.PromotionOutcome(False, False)
+            report(outcome)
+
+        answer_s = 0.0 if self.accepts_orders_at_once else self.promote_s
+        self.schedule(answer_s + LINK_S, answer)
+
+    def carry_out(self, effect: effects.Promote) -> bool:
+        """Carries out an order; returns whether its token was accepted."""
+        if self.limits.are_primaries_fenced:
+            if effect.fencing_token < self.fences.get(effect.service, 0):
+                return False
+            self.fences[effect.service] = effect.fencing_token
+            if self.servers[effect.server].is_primary:
+                return True
+
         def promote() -> None:
             chosen = self.servers[effect.server]
             if chosen.is_unreachable:
@@ -667,26 +715,8 @@
             )
             self.write_entry(chosen)
 
-        def answer() -> None:
-            done = self.servers[effect.server].is_primary
-            done = done or self.accepts_orders_at_once
-            refused = self.servers[effect.server].is_unreachable
-            outcome = events.PromotionOutcome(done, refused)
-            if not self.promote_answers:
-                outcome = events.PromotionOutcome(False, False)
-            instance.handle_event(
-                events.PromotionFinished(
-                    self.now,
-                    effect.service,
-                    effect.server,
-                    effect.fencing_token,
-                    outcome,
-                )
-            )
-
         self.schedule(self.promote_s, promote)
-        answer_s = 0.0 if self.accepts_orders_at_once else self.promote_s
-        self.schedule(answer_s + LINK_S, answer)
+        return True
 
     def _open(self, instance: Instance, effect: effects.OpenConnection) -> None:
         server = self.servers[effect.server]
--- a/tests/sync_world.py
+++ b/tests/sync_world.py
@@ -35,15 +35,23 @@
 
     Attributes:
       logs: The log of each server at its promotion, in their order.
+      acknowledged: Returns the commits that were acknowledged so far.
+      lost: Which of them each promotion has lost.
     """
 
     def __init__(
-        self, names: tuple[str, ...], servers: tuple[LoggingServer, ...]
+        self,
+        names: tuple[str, ...],
+        servers: tuple[LoggingServer, ...],
+        sync_replicas: int = 1,
     ):
         config = direct_world.make_catalog()
-        service = config.services["s"]._replace(sync_replicas=1)
+        service = config.services["s"]._replace(sync_replicas=sync_replicas)
         config = config._replace(services={"s": service})
         self.logs: list[list[str]] = []
+        self.acknowledged: Callable[[], set[str]] = set
+        self.lost: list[set[str]] = []
+        self.sync_replicas = sync_replicas
         self.replicas = servers
         super().__init__(names, servers, config=config)
 
@@ -79,6 +87,9 @@
     def acknowledge(
         self, server: direct_world.FakeServer, deliver: Callable[[], None]
     ) -> None:
+        if not self.sync_replicas:
+            super().acknowledge(server, deliver)
+            return
         lags = [NEVER_S]
         for replica in self.replicas:
             is_listening = not (
@@ -89,8 +100,12 @@
         if min(lags) == NEVER_S:
             return
 
+        term = server.term
+
         def received() -> None:
-            if not server.is_unreachable:
+            # One that has lost the lead meanwhile acknowledges nothing.
+            is_leading = server.is_primary and server.term == term
+            if is_leading and not server.is_unreachable:
                 self.schedule(direct_world.LINK_S, deliver)
 
         self.schedule(min(lags), received)
@@ -99,6 +114,7 @@
         assert isinstance(chosen, LoggingServer)
         kept = chosen.received(self.now)
         self.logs.append(kept)
+        self.lost.append(self.acknowledged() - set(kept))
         term = 1 + max(each.term for each in self.replicas)
         log = [(self.now, request, term) for request in kept]
         for server in self.replicas:
