Move out of failover what stands by itself

The orders in the store (primary_orders), the replicas that are held (held_replicas) and the log lines of changes (change_notes) have modules of their own now; the highest term of a group stands with groups. Only moved: 57 tests of changes of primary, leases and open orders pass as before.

--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -11,38 +11,31 @@
 every lease on it was released or has expired.
 """
 
-import json
-from typing import Any
-
-from cuminwall import leases
 from cuminwall.direct import (
     candidates,
+    change_notes,
     durability,
     groups,
+    held_replicas,
     inquiries,
     lease_grants,
-    log_branches,
     open_orders,
     primary_checks,
+    primary_orders,
 )
 from cuminwall.direct.answers import Position
-from cuminwall.direct.effects import Effect, Note, Promote
+from cuminwall.direct.effects import Effect, Promote
 from cuminwall.direct.events import PromotionOutcome
 from cuminwall.direct.fleet_state import (
-    COORDINATOR_NAME,
     PLANNED_CAUSES,
     UNANSWERED,
     ChangeStep,
     PrimaryChange,
 )
 from cuminwall.direct.servers_state import Group, Server
-from cuminwall.direct.state import State, SwapPurpose
-
-PART = "failover"
+from cuminwall.direct.state import State
 
-ORDER_PREFIX = "orders/"
 TICK_S = 0.1  # Between checks of the services and their primary changes.
-HELD_CHECK_S = 1.0  # Between questions to a server that does not answer.
 RECALL_INTERVAL_S = 0.3  # Between repeated recalls of leases.
 
 
@@ -58,38 +51,10 @@
 def stop(state: State, out: list[Effect]) -> None:
     """Stops watching the services and abandons the changes in progress."""
     for change in state.primary_watch.changes.values():
-        _log(state, change, "left", {}, out)
+        change_notes.add(state, change, "left", {}, out)
     state.primary_watch.changes.clear()
 
 
-def handle_order(
-    state: State,
-    service: str,
-    value: bytes | None,
-    revision: int,
-    out: list[Effect],
-) -> None:
-    """Handles an order that was read from the store."""
-    if value is None:
-        return
-    try:
-        fields: Any = json.loads(value)
-        server = str(fields["server"])
-        above_term = int(fields["above_term"])
-        ordered_fork = log_branches.decode(fields.get("ordered_fork"))
-        fork = log_branches.decode(fields.get("fork"))
-        group = groups.find(state, service)
-        open_orders.record_encoded(state, group, fields.get("open"))
-    except (ValueError, KeyError, TypeError):
-        out.append(Note(PART, "malformed_order", {"service": service}))
-        return
-    groups.record_order(state, group, server, revision, out)
-    if revision == group.order:
-        group.order_above_term = above_term
-        group.ordered_fork = ordered_fork
-        group.fork = fork or group.fork
-
-
 def tick(state: State, out: list[Effect]) -> None:
     """Checks every service and advances the changes in progress."""
     for service in state.catalog.services:
@@ -104,7 +69,7 @@
         if cause:
             _begin(state, group, cause, out)
         elif durability.must_keep_commits(state, group):
-            _release_abandoned(state, group, out)
+            held_replicas.release_abandoned(state, group, out)
 
 
 def handle_order_written(
@@ -135,10 +100,10 @@
     group.ordered_fork = change.fork
     epoch = state.own_lease.epoch
     out.append(Promote(service, change.target, revision, epoch))
-    _log(state, change, "ordered", {}, out)
+    change_notes.add(state, change, "ordered", {}, out)
     if change.cause == UNANSWERED:
         # Until it is answered, the primary may acknowledge what its server has.
-        _release_held(state, group, out)
+        held_replicas.release(state, group, out)
 
 
 def _withdraw(
@@ -173,12 +138,12 @@
         _finish(state, change, out)
         return
     if outcome.is_done:
-        _log(state, change, "accepted", {}, out)
+        change_notes.add(state, change, "accepted", {}, out)
         change.step = ChangeStep.AWAITING_LEAD
         change.step_deadline = state.now + state.limits.unled_order_s
         return
     if outcome.is_refused:
-        _log(state, change, "refused", {}, out)
+        change_notes.add(state, change, "refused", {}, out)
         change.refused_servers.add(server)
         change.step = ChangeStep.QUERYING
         change.step_deadline = state.now
@@ -186,7 +151,7 @@
 
 def _finish(state: State, change: PrimaryChange, out: list[Effect]) -> None:
     """Ends a change whose server leads, or will at once."""
-    _log(state, change, "done", {}, out)
+    change_notes.add(state, change, "done", {}, out)
     watch = state.primary_watch
     del watch.changes[change.service]
     watch.led_since[change.service] = state.now
@@ -200,7 +165,7 @@
     """Begins a change of primary."""
     change = PrimaryChange(group.service, cause, group.primary, state.now)
     state.primary_watch.changes[group.service] = change
-    _log(state, change, "begun", {"before": group.primary}, out)
+    change_notes.add(state, change, "begun", {"before": group.primary}, out)
     is_kept = durability.must_keep_commits(state, group)
     if cause == UNANSWERED and not is_kept:
         _supersede(state, group, change, None, out)
@@ -238,7 +203,7 @@
         change.step = ChangeStep.ORDERED
         change.step_deadline = state.now + state.limits.promotion_retry_s
         return
-    _write_order(state, group, change, target, out)
+    primary_orders.write(state, group, change, target, out)
 
 
 def _restart(
@@ -259,7 +224,7 @@
     if change.step is not ChangeStep.WRITING_ORDER and _is_other(
         state, group, change
     ):
-        _log(state, change, "over", {"primary": group.primary}, out)
+        change_notes.add(state, change, "over", {"primary": group.primary}, out)
         del state.primary_watch.changes[group.service]
         return
     if change.step is ChangeStep.QUERYING:
@@ -278,7 +243,7 @@
         # The order was not answered; a newer one supersedes it.
         if change.cause == UNANSWERED:
             # The primary may have been lost meanwhile.
-            _log(state, change, "left", {}, out)
+            change_notes.add(state, change, "left", {}, out)
             del state.primary_watch.changes[change.service]
             return
         _restart(state, group, change, out)
@@ -366,7 +331,7 @@
     change.step = ChangeStep.HOLDING
     change.step_deadline = state.now + state.limits.inquiry_timeout_s
     change.logs_since = state.now
-    change.held_term = _highest_term(group) + 1
+    change.held_term = groups.highest_term(group) + 1
     for server in durability.replicas(group, change):
         inquiries.hold(state, server, change.held_term, out)
 
@@ -383,45 +348,12 @@
     is_due = state.now >= change.step_deadline
     if durability.is_waiting(group, change) and not is_due:
         return
-    _log(state, change, "held", {"term": change.held_term}, out)
+    change_notes.add(state, change, "held", {"term": change.held_term}, out)
     change.step = ChangeStep.CHOOSING
     change.step_deadline = state.now
     _choose(state, group, change, out)
 
 
-def _release_abandoned(state: State, group: Group, out: list[Effect]) -> None:
-    """Releases replicas that were held for a change that did not happen.
-
-    A former coordinator may have held them, too. A promotion releases them by
-    itself; until it has happened, they must stay held.
-    """
-    lender_ = state.lender
-    led_since = state.primary_watch.led_since.get(group.service, leases.NEVER)
-    since = led_since + state.limits.promotion_retry_s
-    if lender_ is None or state.now < since:
-        return
-    since = max(since, lender_.started_at)
-    for server in group.servers.values():
-        if server.is_gone or server.entry.server == group.primary:
-            continue
-        if not open_orders.may_receive(state, group, server):
-            continue
-        if server.status is not None and server.status_asked_at >= since:
-            if server.status.held_term:
-                inquiries.release(state, server, out)
-        elif state.now >= server.status_asked_at + HELD_CHECK_S:
-            inquiries.query_status(state, server, out)
-
-
-def _release_held(state: State, group: Group, out: list[Effect]) -> None:
-    """Lets replicas receive commits again that a change has held."""
-    for server in group.servers.values():
-        if not open_orders.may_receive(state, group, server):
-            continue
-        if server.status is not None and server.status.held_term:
-            inquiries.release(state, server, out)
-
-
 def _reachable_old_primary(
     state: State, change: PrimaryChange
 ) -> Server | None:
@@ -487,19 +419,10 @@
 ) -> None:
     """Makes the old primary a replica, so that its log stops growing."""
     change.step = ChangeStep.STEPPING_DOWN
-    _release_held(state, group, out)
+    held_replicas.release(state, group, out)
     change.queried_at = state.now
     change.step_deadline = state.now + state.limits.inquiry_timeout_s
-    inquiries.order_step_down(state, old, _highest_term(group) + 1, out)
-
-
-def _highest_term(group: Group) -> int:
-    """Returns the highest term that a server of a group has told."""
-    term = 0
-    for server in group.servers.values():
-        if server.status is not None:
-            term = max(term, server.status.term)
-    return term
+    inquiries.order_step_down(state, old, groups.highest_term(group) + 1, out)
 
 
 def _await_step_down(
@@ -519,7 +442,9 @@
     change.is_fenced = True
     if old is not None and not is_pending and old.status is not None:
         change.log_end = old.status.position
-    _log(state, change, "stepped_down", {"log_end": change.log_end}, out)
+    change_notes.add(
+        state, change, "stepped_down", {"log_end": change.log_end}, out
+    )
     if change.log_end is None and durability.must_keep_commits(state, group):
         # It may go on as primary.
         _restart(state, group, change, out)
@@ -565,7 +490,7 @@
 ) -> None:
     """Waits until nobody relies on a lease on the old primary."""
     if not lease_grants.has_holders(state, change.service):
-        _log(state, change, "recalled", {}, out)
+        change_notes.add(state, change, "recalled", {}, out)
         # The logs may have grown meanwhile.
         _restart(state, group, change, out)
         return
@@ -606,7 +531,7 @@
             _query_candidates(state, group, change, out)
         elif not may_wait and not _is_waiting_for_logs(state, group, change):
             _log_missing_logs(state, group, change, required, out)
-            _release_held(state, group, out)
+            held_replicas.release(state, group, out)
             change.refused_servers.clear()
             _restart(state, group, change, out)
         return
@@ -616,61 +541,7 @@
         if is_behind or not groups.is_usable(state, best):
             _query_candidates(state, group, change, out)
             return
-    _write_order(state, group, change, best, out)
-
-
-def _write_order(
-    state: State,
-    group: Group,
-    change: PrimaryChange,
-    best: Server,
-    out: list[Effect],
-) -> None:
-    """Writes the order that a server becomes, or stays, primary."""
-    change.target = best.entry.server
-    position = None if best.status is None else best.status.position
-    change.above_term = _highest_term(group)
-    change.fork = None
-    if change.target != group.primary and position is not None:
-        change.fork = log_branches.Fork(change.above_term, position)
-    if change.target == group.ordered_primary:
-        # An earlier order may have made it primary already.
-        change.above_term = group.order_above_term
-        change.fork = group.ordered_fork
-        if change.fork is not None and position is not None:
-            change.fork = log_branches.extend(change.fork, position)
-    change.step = ChangeStep.WRITING_ORDER
-    change.step_deadline = state.now + state.limits.promotion_retry_s
-    assert state.coordinator is not None
-    name = ORDER_PREFIX + group.service
-    order = {
-        "server": change.target,
-        "above_term": change.above_term,
-        "epoch": state.own_lease.epoch,
-        "cause": change.cause,
-        "ordered_fork": log_branches.encode(change.fork),
-        "fork": log_branches.encode(group.fork),
-        "open": open_orders.encode(state, group),
-    }
-    state.compare_and_swap(
-        SwapPurpose.ORDER,
-        {
-            name: state.shared_revisions.get(name, 0),
-            # Nobody may have taken over meanwhile.
-            COORDINATOR_NAME: state.coordinator.revision,
-        },
-        {name: json.dumps(order).encode()},
-        frozenset(),
-        0,
-        out,
-    )
-    _log(
-        state,
-        change,
-        "chosen",
-        {"position": position, "log_end": change.log_end},
-        out,
-    )
+    primary_orders.write(state, group, change, best, out)
 
 
 def _is_waiting_for_logs(
@@ -697,29 +568,4 @@
         "missing": durability.missing_logs(state, group, change),
         "sync_replicas": durability.sync_replicas(state, group),
     }
-    _log(state, change, "awaiting_logs", fields, out)
-
-
-def _log(
-    state: State,
-    change: PrimaryChange,
-    event: str,
-    fields: dict,
-    out: list[Effect],
-) -> None:
-    """Logs an event of a change."""
-    out.append(
-        Note(
-            PART,
-            event,
-            {
-                "service": change.service,
-                "cause": change.cause,
-                "target": change.target,
-                "fence": change.fencing_token,
-                "epoch": state.own_lease.epoch,
-                "after_s": round(state.now - change.started_at, 3),
-                **fields,
-            },
-        )
-    )
+    change_notes.add(state, change, "awaiting_logs", fields, out)
--- a/src/cuminwall/direct/groups.py
+++ b/src/cuminwall/direct/groups.py
@@ -169,6 +169,15 @@
         set_primary(state, group, "", "the newest order", out)
 
 
+def highest_term(group: Group) -> int:
+    """Returns the highest term that a server of a group has told."""
+    term = 0
+    for server in group.servers.values():
+        if server.status is not None:
+            term = max(term, server.status.term)
+    return term
+
+
 def update_fork(group: Group) -> None:
     """Notes that the newest order was carried out, once a log shows its term.
 
--- a/src/cuminwall/direct/reducer.py
+++ b/src/cuminwall/direct/reducer.py
@@ -24,6 +24,7 @@
     messages,
     open_orders,
     primary_checks,
+    primary_orders,
     quotas,
     results,
     retries,
@@ -248,9 +249,11 @@
         )
         quotas.handle_new_coordinator(state, out)
         lease_requests.handle_new_coordinator(state, out)
-    elif event.name.startswith(failover.ORDER_PREFIX):
-        service = event.name.removeprefix(failover.ORDER_PREFIX)
-        failover.handle_order(state, service, event.value, event.revision, out)
+    elif event.name.startswith(primary_orders.ORDER_PREFIX):
+        service = event.name.removeprefix(primary_orders.ORDER_PREFIX)
+        primary_orders.handle_order(
+            state, service, event.value, event.revision, out
+        )
     elif event.name.startswith(open_orders.SETTLED_PREFIX):
         service = event.name.removeprefix(open_orders.SETTLED_PREFIX)
         group = groups.find(state, service)
@@ -271,7 +274,7 @@
     if swap.purpose is SwapPurpose.COORDINATE and event.revision:
         coordination.handle_claim_written(state)
     if swap.purpose is SwapPurpose.ORDER and coordination.is_coordinator(state):
-        service = swap.names[0].removeprefix(failover.ORDER_PREFIX)
+        service = swap.names[0].removeprefix(primary_orders.ORDER_PREFIX)
         failover.handle_order_written(state, service, event.revision, out)
     if swap.purpose is SwapPurpose.USAGE and coordination.is_coordinator(state):
         usage_reports.handle_written(state, event.revision, out)
