A planned change goes before the order that closes an open one

With an order open, a primary that is to leave was first named by an order that closes it, and replaced only then: up to 1.5 s later where that order got no answer either. The planned change gives a newer order itself. Where commits must be kept the open order still goes first: the replicas but one are held, so a primary that steps down could find no successor that catches up.

test_primary_is_to_leave failed before: the order after the open one named the primary.

--- a/src/cuminwall/direct/primary_checks.py
+++ b/src/cuminwall/direct/primary_checks.py
@@ -3,6 +3,7 @@
 from cuminwall import leases
 from cuminwall.direct import (
     candidates,
+    durability,
     groups,
     inquiries,
     lease_grants,
@@ -60,11 +61,17 @@
     if open_orders.pending_target(state, group):
         # An order that is carried out late would undo the change.
         return ""
-    if open_orders.usurpers(state, group):
-        return _unreachable_cause(state, group, primary, out) or UNANSWERED
-    if not groups.is_usable(state, primary):
-        return _planned_cause(state, group, primary)
-    return _unreachable_cause(state, group, primary, out)
+    is_open = bool(open_orders.usurpers(state, group))
+    # What is acknowledged depends on the server of the open order, so that
+    # a primary that is to leave does not go first where commits must be kept.
+    may_leave = not (is_open and durability.must_keep_commits(state, group))
+    if may_leave and not groups.is_usable(state, primary):
+        cause = _planned_cause(state, group, primary)
+    else:
+        cause = _unreachable_cause(state, group, primary, out)
+    if is_open:
+        return cause or UNANSWERED
+    return cause
 
 
 def _is_unled(
--- a/tests/test_direct_open_orders.py
+++ b/tests/test_direct_open_orders.py
@@ -227,6 +227,18 @@
         self.assertEqual(self.world.promoted, [])
         self.check()
 
+    # The change that is due closes the open order as well; to close it first
+    # would put off what an operator waits for.
+    def test_primary_is_to_leave(self) -> None:
+        self.lose_primary([4.0, AWAY_S])
+        self.world.run(BACK_S)
+        self.primary.is_unreachable = False
+        self.world.write_entry(self.primary, is_leaving=True)
+        self.world.run(0.6)
+        orders = self.world.coordinator().log_fields("ordered")
+        self.assertEqual(len(orders), 2)
+        self.assertNotEqual(orders[-1]["target"], self.primary.name)
+
     # The platform refuses what a server that does not run should lead; orders
     # for it must not follow each other without a pause.
     def test_primary_is_gone_again(self) -> None:
