Drop the closing of an open order once the primary is lost

The change that closes an open order waited for its own answer, 1.5 s, before the loss of the primary was looked at. test_primary_is_lost_again failed before (the failover had not begun after 1.2 s). Taken out: the withdrawal of an order whose change is gone by then; the coordinator that wrote it closes it like any other.

--- a/src/cuminwall/direct/failover.py
+++ b/src/cuminwall/direct/failover.py
@@ -77,10 +77,7 @@
 ) -> None:
     """Handles the result of writing an order; gives the order if written."""
     change = state.primary_watch.changes.get(service)
-    group = groups.find(state, service)
     if change is None or change.step is not ChangeStep.WRITING_ORDER:
-        if revision:
-            _withdraw(state, group, revision, out)
         return
     if not revision:
         # Not written, or unknown: choose again and write against the
@@ -91,9 +88,11 @@
     change.fencing_token = revision
     change.step = ChangeStep.ORDERED
     change.step_deadline = state.now + state.limits.promotion_retry_s
+    group = groups.find(state, service)
     groups.record_order(state, group, change.target, revision, out)
-    if _is_other(state, group, change):
-        _withdraw(state, group, revision, out)
+    if _is_over(state, group, change):
+        # Later coordinators must know that it is not given.
+        open_orders.handle_answer(state, group, revision, False, out)
         change.step = ChangeStep.CHOOSING
         return
     group.order_above_term = change.above_term
@@ -106,14 +105,6 @@
         held_replicas.release(state, group, out)
 
 
-def _withdraw(
-    state: State, group: Group, order: int, out: list[Effect]
-) -> None:
-    """Lets later coordinators know that an order was written, but not given."""
-    if state.limits.are_primaries_fenced:
-        open_orders.handle_answer(state, group, order, False, out)
-
-
 def handle_promotion_outcome(
     state: State,
     service: str,
@@ -221,7 +212,7 @@
     state: State, group: Group, change: PrimaryChange, out: list[Effect]
 ) -> None:
     """Takes the next step of a change when it is due."""
-    if change.step is not ChangeStep.WRITING_ORDER and _is_other(
+    if change.step is not ChangeStep.WRITING_ORDER and _is_over(
         state, group, change
     ):
         change_notes.add(state, change, "over", {"primary": group.primary}, out)
@@ -249,10 +240,15 @@
         _restart(state, group, change, out)
 
 
-def _is_other(state: State, group: Group, change: PrimaryChange) -> bool:
-    """Returns whether another server than before leads already."""
+def _is_over(state: State, group: Group, change: PrimaryChange) -> bool:
+    """Returns whether another server than before leads already.
+
+    To close an open order is pointless as well once the primary is lost.
+    """
     if not state.limits.are_primaries_fenced:
         return False
+    if change.cause == UNANSWERED:
+        return group.primary != change.old_primary
     return group.primary not in ("", change.old_primary)
 
 
--- a/tests/test_direct_open_orders.py
+++ b/tests/test_direct_open_orders.py
@@ -166,6 +166,20 @@
         self.assertTrue(self.target.is_primary)
         self.check()
 
+    # The answer to the order that was to close the first was waited for.
+    def test_primary_is_lost_again(self) -> None:
+        self.lose_primary([6.0, AWAY_S])
+        self.bring_back()
+        self.world.run(0.5)
+        self.assertEqual(self.count_orders(), 2)
+        self.world.crash(self.primary)
+        self.world.remove_entry(self.primary)
+        self.world.run(1.2)
+        begun = self.world.coordinator().log_fields("begun")
+        self.assertEqual(begun[-1]["cause"], "no primary")
+        self.world.run(8.0)
+        self.check()
+
     # Two orders for two servers of one service, both open: that of the first
     # order does not answer, so that the second is for the primary.
     def test_orders_for_two_servers(self) -> None:
