Mutations of open orders and held signals, and two tests that they asked for

An order for the primary in every case, and an order that does not list those open before it, survived; the tests test_both_orders_are_carried_out and test_new_processes_know_of_two_open_orders catch them. The stand-in lets a server that was out of reach receive what it missed, as a replica does; it had a hole in its log before.

--- a/tests/sync_world.py
+++ b/tests/sync_world.py
@@ -75,9 +75,10 @@
         for request in requests:
             server.log.append((self.now, request, server.term))
             for replica in self.replicas:
-                if replica is server or replica.is_unreachable:
+                if replica is server:
                     continue
-                if replica.is_deaf or replica.held_term:
+                is_away = replica.is_deaf or replica.is_unreachable
+                if is_away or replica.held_term:
                     replica.missed.append((request, server.term))
                     continue
                 self._catch_up(replica)
--- a/tests/test_direct_open_orders.py
+++ b/tests/test_direct_open_orders.py
@@ -195,6 +195,37 @@
         self.world.run(9.0)
         self.check()
 
+    # The list of open orders in the newest one tells of the other.
+    def test_new_processes_know_of_two_open_orders(self) -> None:
+        self.lose_primary([5.0] + [AWAY_S] * 20)
+        self.target.is_unreachable = True
+        self.bring_back()
+        self.writers.is_going = False
+        self.world.run(1.5)
+        orders = self.world.coordinator().log_fields("ordered")
+        self.assertEqual(orders[-1]["target"], self.primary.name)
+        for name in NAMES:
+            self.world.kill(name)
+        self.target.is_unreachable = False
+        self.target.lag_s = 0.2
+        for name in NAMES:
+            self.world.start(name)
+        self.world.run(1.0)
+        self.writers = test_direct_failover.Writers(self.world)
+        self.world.run(7.0)
+        self.assertTrue(self.target.is_primary)
+        self.check()
+
+    # An order for the primary, itself late, would depose the server that the
+    # first one has made primary in the meantime.
+    def test_both_orders_are_carried_out(self) -> None:
+        self.lose_primary([2.0, 4.0] + [AWAY_S] * 20)
+        self.primary.lag_s = 5.0
+        self.bring_back()
+        self.world.run(10.0)
+        self.assertTrue(self.target.is_primary)
+        self.check()
+
     # Its order was written, but another primary was known by then.
     def test_primary_is_back_while_the_order_is_written(self) -> None:
         self.writers.is_going = False
